--- /dev/null
+++ b/packages/wire/banyantrail/wire/member_record.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <msgpack.hpp>
+#include <string>
+#include <vector>
+
+#include "banyantrail/core/ids.h"
+#include "banyantrail/core/ip_endpoint.h"
+#include "banyantrail/core/labels.h"
+
+namespace banyantrail {
+
+/// What a backend server says of itself, or what its node concluded.
+enum class BackendServerState : std::uint8_t {
+  kServing = 0,
+  /// Finishes what it has; gets no new work.
+  kDraining = 1,
+  /// Its heartbeat stopped or its connections fail.
+  kDown = 2,
+};
+
+/// A backend server as its own node advertises it to the fleet.
+struct BackendServerRecord {
+  BackendServerId id;
+  ServiceName service;
+  Labels labels;
+  IpEndpoint address;
+  /// How many requests it runs at once, by its own word.
+  std::uint32_t slots = 0;
+  BackendServerState state = BackendServerState::kServing;
+
+  friend bool operator==(const BackendServerRecord&,
+                         const BackendServerRecord&) = default;
+
+  MSGPACK_DEFINE(id, service, labels, address, slots, state)
+};
+
+/// What the fleet believes of a node. Order matters: at equal incarnation the
+/// greater value wins.
+enum class MemberState : std::uint8_t {
+  kAlive = 0,
+  kSuspect = 1,
+  kDead = 2,
+  /// Said goodbye after a planned stop.
+  kLeft = 3,
+};
+
+/// The record of one node. Only that node raises `incarnation` and `sequence`;
+/// others may only raise `state` within an incarnation, and the node refutes
+/// them with a greater incarnation.
+struct MemberRecord {
+  NodeId node;
+  RegionId region;
+  DomainId domain;
+  Incarnation incarnation = 0;
+  /// Counts the node's own changes to its record within an incarnation.
+  std::uint64_t sequence = 0;
+  MemberState state = MemberState::kAlive;
+  /// The node drains: it takes no new requests but still answers its peers.
+  bool draining = false;
+  Labels labels;
+  IpEndpoint peer_address;
+  IpEndpoint mesh_address;
+  IpEndpoint admin_address;
+  /// The greatest revision that the node had applied when it wrote the record.
+  Revision applied_revision = 0;
+  std::vector<BackendServerRecord> backend_servers;
+
+  friend bool operator==(const MemberRecord&, const MemberRecord&) = default;
+
+  MSGPACK_DEFINE(node,
+                 region,
+                 domain,
+                 incarnation,
+                 sequence,
+                 state,
+                 draining,
+                 labels,
+                 peer_address,
+                 mesh_address,
+                 admin_address,
+                 applied_revision,
+                 backend_servers)
+};
+
+}  // namespace banyantrail
+
+MSGPACK_ADD_ENUM(banyantrail::BackendServerState)
+MSGPACK_ADD_ENUM(banyantrail::MemberState)
--- /dev/null
+++ b/packages/wire/banyantrail/wire/mesh_headers.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <string_view>
+
+namespace banyantrail {
+
+/// Prefix of every header that nodes exchange among themselves. Requests from
+/// callers are stripped of all headers that start with it, but for the two
+/// that callers may set.
+inline constexpr std::string_view kInternalHeaderPrefix = "x-banyantrail-";
+
+/// Caller to entry node, entry node to owner node, owner node to backend
+/// server: milliseconds that the sender still waits. Relative, because clocks
+/// differ.
+inline constexpr std::string_view kDeadlineHeader = "x-banyantrail-deadline-ms";
+
+/// Entry node to owner node: the declared rank's priority, 0 first.
+inline constexpr std::string_view kPriorityHeader = "x-banyantrail-priority";
+
+/// Entry node to owner node: "1" when the route is declared idempotent.
+inline constexpr std::string_view kIdempotentHeader =
+    "x-banyantrail-idempotent";
+
+/// Entry node to owner node: the service and the backend server it chose.
+inline constexpr std::string_view kServiceHeader = "x-banyantrail-service";
+inline constexpr std::string_view kBackendServerHeader =
+    "x-banyantrail-backend-server";
+
+/// How many nodes a chain of nested calls has passed; carried by backend
+/// servers from call to call.
+inline constexpr std::string_view kDepthHeader = "x-banyantrail-depth";
+
+/// Caller to entry node: the key under which an order may be sent again.
+inline constexpr std::string_view kIdempotencyKeyHeader = "idempotency-key";
+
+/// On each answer the system itself makes: "not-run" or "outcome-unknown".
+inline constexpr std::string_view kOutcomeHeader = "x-banyantrail-outcome";
+inline constexpr std::string_view kOutcomeNotRun = "not-run";
+inline constexpr std::string_view kOutcomeUnknown = "outcome-unknown";
+
+/// On each refusal: the typed reason, as counted in the metrics.
+inline constexpr std::string_view kReasonHeader = "x-banyantrail-reason";
+
+/// Owner node to entry node, on every answer: requests in flight and the
+/// current limit, as "in_flight/limit".
+inline constexpr std::string_view kLoadHeader = "x-banyantrail-load";
+
+}  // namespace banyantrail
--- /dev/null
+++ b/tests/wire/frame_codec_test.cc
@@ -0,0 +1,65 @@
+#include "banyantrail/wire/frame_codec.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <string>
+
+#include "banyantrail/core/errors.h"
+
+using banyantrail::DecodeFrameLength;
+using banyantrail::DecodePayload;
+using banyantrail::EncodeFrame;
+using banyantrail::Error;
+using banyantrail::kFrameHeaderBytes;
+using banyantrail::NodeId;
+using banyantrail::PeerMessage;
+using banyantrail::ProbeMessage;
+
+namespace {
+
+PeerMessage RoundTrip(const PeerMessage& message) {
+  const std::string frame = EncodeFrame(message);
+  const std::string payload = frame.substr(kFrameHeaderBytes);
+  LONGS_EQUAL(payload.size(), DecodeFrameLength(frame));
+  return DecodePayload(payload);
+}
+
+}  // namespace
+
+TEST_GROUP(FrameCodec){};
+
+TEST(FrameCodec, RestoresEachKindOfMessage) {
+  const PeerMessage probe = ProbeMessage{.probe_id = 7, .target = NodeId("b")};
+  CHECK(RoundTrip(probe) == probe);
+
+  banyantrail::MemberRecord record{.node = NodeId("a"), .incarnation = 3};
+  record.backend_servers.push_back(
+      {.id = banyantrail::BackendServerId("s1"),
+       .state = banyantrail::BackendServerState::kDraining});
+  const PeerMessage update =
+      banyantrail::MembershipUpdateMessage{.records = {record}};
+  CHECK(RoundTrip(update) == update);
+}
+
+TEST(FrameCodec, RefusesHugeLength) {
+  CHECK_THROWS(Error, DecodeFrameLength(std::string("\xFF\xFF\xFF\xFF", 4)));
+  CHECK_THROWS(Error, DecodeFrameLength(std::string(4, '\0')));
+}
+
+TEST(FrameCodec, RefusesUnknownMessageNumber) {
+  const std::string payload("\x92\x63\x90", 3);
+  CHECK_THROWS(Error, DecodePayload(payload));
+}
+
+TEST(FrameCodec, RefusesEveryTruncation) {
+  const std::string frame =
+      EncodeFrame(ProbeMessage{.probe_id = 7, .target = NodeId("b")});
+  for (std::size_t size = 0; size + kFrameHeaderBytes < frame.size(); ++size) {
+    CHECK_THROWS(Error, DecodePayload(frame.substr(kFrameHeaderBytes, size)));
+  }
+}
+
+TEST(FrameCodec, RefusesTrailingBytes) {
+  const std::string frame = EncodeFrame(ProbeMessage{.probe_id = 7});
+  CHECK_THROWS(Error, DecodePayload(frame.substr(kFrameHeaderBytes) + "x"));
+}
