Add the HTTP client and server for small messages

Cause: the admin listener, the platform client and the stand-ins all need HTTP/1.1 with limits and a client that knows whether a request was sent.

Change: package net with a TCP listener that counts connections, an HTTP server with header, body and time limits, and a pooled HTTP client whose error says whether any byte of the request left.

Ruled out: Asio's awaitable operators and cancellation slots, which Boost 1.74 does not have; time limits rest on tcp_stream instead.

--- a/cmake/BanyantrailTargets.cmake
+++ b/cmake/BanyantrailTargets.cmake
@@ -63,6 +63,9 @@
                          ${CMAKE_SOURCE_DIR}/tests/support/test_main.cc)
   target_include_directories(${name} PRIVATE ${CMAKE_SOURCE_DIR}/tests)
   target_link_libraries(${name} PRIVATE ${ARG_DEPS} ${CPPUTEST_LIBRARY} rapidcheck)
+  # CppUTest's macro for `new` breaks headers that use placement new.
+  target_compile_definitions(${name}
+                             PRIVATE CPPUTEST_MEM_LEAK_DETECTION_DISABLED)
   add_test(NAME ${name} COMMAND ${name})
   set_tests_properties(${name} PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261204"
                                           TIMEOUT 120)
--- /dev/null
+++ b/packages/net/banyantrail/net/http_client.cc
@@ -0,0 +1,112 @@
+#include "banyantrail/net/http_client.h"
+
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <utility>
+
+namespace banyantrail {
+
+HttpClientError::HttpClientError(Options options)
+    : Error({.kind = options.request_sent ? ErrorKind::kOutcomeUnknown
+                                          : ErrorKind::kNetwork,
+             .message = std::move(options.message),
+             .remedy = "check that the server runs and can be reached"}),
+      m_request_sent(options.request_sent) {}
+
+struct HttpClient::Connection {
+  explicit Connection(const asio::any_io_executor& executor)
+      : stream(executor) {}
+
+  beast::tcp_stream stream;
+  beast::flat_buffer buffer;
+  TimePoint idle_since{};
+};
+
+HttpClient::HttpClient(asio::any_io_executor executor, Options options)
+    : m_executor(std::move(executor)),
+      m_options(std::move(options)),
+      m_idle(std::make_shared<std::deque<ConnectionPtr>>()) {}
+
+HttpClient::ConnectionPtr HttpClient::TakeIdle() {
+  const TimePoint oldest = SystemClock().Now() - m_options.max_idle_time;
+  while (!m_idle->empty() && m_idle->front()->idle_since < oldest) {
+    m_idle->pop_front();
+  }
+  if (m_idle->empty()) {
+    return nullptr;
+  }
+  ConnectionPtr connection = std::move(m_idle->back());
+  m_idle->pop_back();
+  return connection;
+}
+
+asio::awaitable<HttpClient::ConnectionPtr> HttpClient::Connect(
+    TimePoint deadline) {
+  auto connection = std::make_unique<Connection>(m_executor);
+  connection->stream.expires_at(deadline);
+  boost::system::error_code error;
+  const asio::ip::tcp::endpoint endpoint = ToTcpEndpoint(m_options.server);
+  co_await connection->stream.async_connect(
+      endpoint, asio::redirect_error(asio::use_awaitable, error));
+  if (error) {
+    throw HttpClientError({.message = "cannot connect to " +
+                                      ToString(m_options.server) + ": " +
+                                      error.message()});
+  }
+  connection->stream.socket().set_option(asio::ip::tcp::no_delay(true), error);
+  co_return connection;
+}
+
+void HttpClient::Keep(ConnectionPtr connection) {
+  if (m_idle->size() >= m_options.max_idle_connections) {
+    return;
+  }
+  connection->idle_since = SystemClock().Now();
+  m_idle->push_back(std::move(connection));
+}
+
+asio::awaitable<HttpResponse> HttpClient::Request(HttpRequest request,
+                                                  Duration timeout) {
+  const TimePoint deadline = SystemClock().Now() + timeout;
+  request.set(http::field::host, ToString(m_options.server));
+  request.prepare_payload();
+
+  ConnectionPtr connection = TakeIdle();
+  if (!connection) {
+    connection = co_await Connect(deadline);
+  }
+  connection->stream.expires_at(deadline);
+
+  boost::system::error_code error;
+  const std::size_t written = co_await http::async_write(
+      connection->stream, request,
+      asio::redirect_error(asio::use_awaitable, error));
+  if (error) {
+    throw HttpClientError({.message = "cannot send to " +
+                                      ToString(m_options.server) + ": " +
+                                      error.message(),
+                           .request_sent = written > 0});
+  }
+
+  http::response_parser<http::string_body> parser;
+  parser.body_limit(m_options.max_body_bytes);
+  if (request.method() == http::verb::head) {
+    parser.skip(true);
+  }
+  co_await http::async_read(connection->stream, connection->buffer, parser,
+                            asio::redirect_error(asio::use_awaitable, error));
+  if (error) {
+    throw HttpClientError({.message = "no whole answer from " +
+                                      ToString(m_options.server) + ": " +
+                                      error.message(),
+                           .request_sent = true});
+  }
+  if (parser.get().keep_alive()) {
+    connection->stream.expires_never();
+    Keep(std::move(connection));
+  }
+  co_return parser.release();
+}
+
+}  // namespace banyantrail
--- /dev/null
+++ b/packages/net/banyantrail/net/http_client.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <cstddef>
+#include <deque>
+#include <memory>
+#include <string>
+
+#include "banyantrail/core/clock.h"
+#include "banyantrail/core/errors.h"
+#include "banyantrail/net/asio.h"
+#include "banyantrail/net/http_types.h"
+
+namespace banyantrail {
+
+/// A failed HTTP exchange. `request_sent` tells whether the other side may
+/// have read the request, and with it whether it may have acted on it.
+class HttpClientError : public Error {
+ public:
+  struct Options {
+    std::string message;
+    bool request_sent = false;
+  };
+
+  explicit HttpClientError(Options options);
+
+  bool request_sent() const { return m_request_sent; }
+
+ private:
+  bool m_request_sent;
+};
+
+/// HTTP/1.1 client of one server for small messages, with kept-alive
+/// connections. Used from one io_context thread.
+class HttpClient {
+ public:
+  struct Options {
+    IpEndpoint server;
+    std::size_t max_idle_connections = 8;
+    std::uint64_t max_body_bytes = 16U << 20U;
+    /// Idle connections above this age are closed, not reused.
+    Duration max_idle_time = seconds(30);
+  };
+
+  HttpClient(asio::any_io_executor executor, Options options);
+
+  /// Sends the request and returns the whole answer. Throws HttpClientError
+  /// after `timeout` or a broken connection. A request on a reused connection
+  /// that the server closed before answering is not sent again here.
+  asio::awaitable<HttpResponse> Request(HttpRequest request, Duration timeout);
+
+ private:
+  struct Connection;
+  using ConnectionPtr = std::unique_ptr<Connection>;
+
+  ConnectionPtr TakeIdle();
+  asio::awaitable<ConnectionPtr> Connect(TimePoint deadline);
+  void Keep(ConnectionPtr connection);
+
+  asio::any_io_executor m_executor;
+  Options m_options;
+  std::shared_ptr<std::deque<ConnectionPtr>> m_idle;
+};
+
+}  // namespace banyantrail
--- /dev/null
+++ b/packages/net/banyantrail/net/tcp_listener.cc
@@ -0,0 +1,102 @@
+#include "banyantrail/net/tcp_listener.h"
+
+#include <utility>
+
+#include "banyantrail/core/errors.h"
+
+namespace banyantrail {
+
+struct TcpListener::State {
+  State(asio::io_context& io, Options listener_options)
+      : options(std::move(listener_options)), acceptor(io) {}
+
+  Options options;
+  asio::ip::tcp::acceptor acceptor;
+  std::size_t open = 0;
+};
+
+namespace {
+
+void Bind(asio::ip::tcp::acceptor& acceptor, const IpEndpoint& endpoint) {
+  boost::system::error_code error;
+  const asio::ip::tcp::endpoint tcp = ToTcpEndpoint(endpoint);
+  acceptor.open(tcp.protocol(), error);
+  if (!error) {
+    acceptor.set_option(asio::socket_base::reuse_address(true), error);
+  }
+  if (!error) {
+    acceptor.bind(tcp, error);
+  }
+  if (!error) {
+    acceptor.listen(asio::socket_base::max_listen_connections, error);
+  }
+  if (error) {
+    throw Error({.kind = ErrorKind::kInvalidSettings,
+                 .message = "cannot listen on " + ToString(endpoint) + ": " +
+                            error.message(),
+                 .remedy = "choose a free port on an address of this VM"});
+  }
+}
+
+}  // namespace
+
+TcpListener::TcpListener(asio::io_context& io, Options options)
+    : m_state(std::make_shared<State>(io, std::move(options))) {
+  Bind(m_state->acceptor, m_state->options.endpoint);
+
+  auto run_session = [](std::shared_ptr<State> state,
+                        beast::tcp_stream stream) -> asio::awaitable<void> {
+    try {
+      co_await state->options.session(std::move(stream));
+    } catch (const std::exception&) {
+      // A broken connection ends its own session only.
+    }
+    --state->open;
+  };
+
+  auto accept_loop =
+      [run_session](std::shared_ptr<State> state) -> asio::awaitable<void> {
+    constexpr std::chrono::milliseconds kPauseAfterError{50};
+    while (state->acceptor.is_open()) {
+      boost::system::error_code error;
+      asio::ip::tcp::socket socket = co_await state->acceptor.async_accept(
+          asio::redirect_error(asio::use_awaitable, error));
+      if (error == asio::error::operation_aborted) {
+        break;
+      }
+      if (error) {
+        // Out of file descriptors, most likely: give sessions time to end.
+        asio::steady_timer pause(state->acceptor.get_executor());
+        pause.expires_after(kPauseAfterError);
+        co_await pause.async_wait(
+            asio::redirect_error(asio::use_awaitable, error));
+        continue;
+      }
+      if (state->open >= state->options.max_connections) {
+        state->options.on_refused();
+        continue;
+      }
+      socket.set_option(asio::ip::tcp::no_delay(true), error);
+      ++state->open;
+      asio::co_spawn(state->acceptor.get_executor(),
+                     run_session(state, beast::tcp_stream(std::move(socket))),
+                     asio::detached);
+    }
+  };
+  asio::co_spawn(io, accept_loop(m_state), asio::detached);
+}
+
+TcpListener::~TcpListener() {
+  Stop();
+}
+
+void TcpListener::Stop() {
+  boost::system::error_code ignored;
+  m_state->acceptor.close(ignored);
+}
+
+std::size_t TcpListener::connection_count() const {
+  return m_state->open;
+}
+
+}  // namespace banyantrail
--- /dev/null
+++ b/packages/net/banyantrail/net/tcp_listener.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+
+#include "banyantrail/net/asio.h"
+
+namespace banyantrail {
+
+/// Accepts TCP connections up to a limit and runs one coroutine for each.
+/// Connections above the limit are closed at once and counted, so that their
+/// sender learns of it and nobody else is held up.
+class TcpListener {
+ public:
+  struct Options {
+    IpEndpoint endpoint;
+    std::size_t max_connections = 1024;
+    std::function<asio::awaitable<void>(beast::tcp_stream)> session;
+    /// Called for each connection refused for the limit.
+    std::function<void()> on_refused = [] {};
+  };
+
+  /// Binds and starts to accept. Throws Error{kInvalidSettings} when the
+  /// endpoint is in use or not an address of this VM.
+  TcpListener(asio::io_context& io, Options options);
+  TcpListener(const TcpListener&) = delete;
+  TcpListener& operator=(const TcpListener&) = delete;
+  ~TcpListener();
+
+  /// Stops to accept; open sessions go on.
+  void Stop();
+
+  /// Number of open sessions.
+  std::size_t connection_count() const;
+
+ private:
+  struct State;
+  std::shared_ptr<State> m_state;
+};
+
+}  // namespace banyantrail
--- /dev/null
+++ b/tests/net/http_exchange.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <boost/asio/write.hpp>
+#include <optional>
+#include <string>
+
+#include "banyantrail/net/http_client.h"
+#include "banyantrail/net/http_server.h"
+
+namespace banyantrail::test {
+
+inline constexpr milliseconds kTimeout{500};
+
+inline asio::awaitable<HttpResponse> Echo(HttpRequest request) {
+  co_return JsonResponse(http::status::ok, request.body());
+}
+
+/// A port that the system has just given out and taken back.
+inline IpEndpoint FreeEndpoint(asio::io_context& io) {
+  asio::ip::tcp::acceptor probe(
+      io, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+  return {"127.0.0.1", probe.local_endpoint().port()};
+}
+
+struct Exchange {
+  std::optional<HttpResponse> response;
+  std::optional<HttpClientError> error;
+};
+
+inline asio::awaitable<void> RunExchange(HttpClient& client,
+                                         std::string body,
+                                         Exchange& exchange) {
+  HttpRequest request(http::verb::post, "/", 11);
+  request.body() = std::move(body);
+  try {
+    exchange.response = co_await client.Request(request, kTimeout);
+  } catch (const HttpClientError& error) {
+    exchange.error = error;
+  }
+}
+
+/// Sends raw bytes and returns the first line of the answer.
+inline asio::awaitable<void> RunRaw(IpEndpoint server,
+                                    std::string bytes,
+                                    std::string& answer) {
+  beast::tcp_stream stream(co_await asio::this_coro::executor);
+  stream.expires_after(kTimeout);
+  const auto endpoint = ToTcpEndpoint(server);
+  co_await stream.async_connect(endpoint, asio::use_awaitable);
+  co_await asio::async_write(stream, asio::buffer(bytes), asio::use_awaitable);
+  answer.resize(1024);
+  const std::size_t size = co_await stream.async_read_some(asio::buffer(answer),
+                                                           asio::use_awaitable);
+  answer.resize(size);
+  answer.resize(answer.find('\r'));
+}
+
+}  // namespace banyantrail::test
