Stream requests and answers between connections

Cause: the request path needs bodies of any size to pass with back-pressure, a proof of "not run" where there is one, and no cut answer taken for whole.

Change: package proxy: reading of request heads with limits and checks against ambiguous framing, an upstream connection pool that distrusts connections after a time-out, one attempt with its result (answered, not run, unknown, caller gone), the relay of answers, and the answers that the system makes.

Ruled out: parsing obs-fold through Beast, which folds it silently; the raw head is looked at instead.

--- /dev/null
+++ b/packages/proxy/banyantrail/proxy/attempt.cc
@@ -0,0 +1,181 @@
+#include "banyantrail/proxy/attempt.h"
+
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/write.hpp>
+#include <utility>
+
+#include "banyantrail/proxy/request_monitor.h"
+
+namespace banyantrail {
+namespace {
+
+constexpr std::uint32_t kMaxAnswerHeaderBytes = 32U << 10U;
+
+std::unique_ptr<Attempt::AnswerParser> NewAnswerParser(http::verb method) {
+  auto parser = std::make_unique<Attempt::AnswerParser>();
+  parser->header_limit(kMaxAnswerHeaderBytes);
+  parser->body_limit(boost::none);
+  if (method == http::verb::head) {
+    parser->skip(true);
+  }
+  return parser;
+}
+
+/// Reads one answer head, informational (1xx) ones included.
+asio::awaitable<boost::system::error_code> ReadAnswerHead(Attempt& attempt,
+                                                          http::verb method) {
+  attempt.answer = NewAnswerParser(method);
+  boost::system::error_code error;
+  co_await http::async_read_header(
+      attempt.upstream->stream, attempt.upstream->buffer, *attempt.answer,
+      asio::redirect_error(asio::use_awaitable, error));
+  co_return error;
+}
+
+bool IsInformational(const Attempt& attempt) {
+  return http::to_status_class(attempt.answer->get().result()) ==
+         http::status_class::informational;
+}
+
+asio::awaitable<boost::system::error_code> ReadFinalAnswerHead(
+    Attempt& attempt,
+    http::verb method) {
+  boost::system::error_code error;
+  do {
+    error = co_await ReadAnswerHead(attempt, method);
+  } while (!error && IsInformational(attempt));
+  co_return error;
+}
+
+/// Writes the head and, unless the body streams, the body.
+asio::awaitable<boost::system::error_code> SendHeadAndSmallBody(
+    Upstream& upstream,
+    const InboundRequest& request,
+    const http::request_header<>& head,
+    std::size_t& written) {
+  boost::system::error_code error;
+  if (request.streams) {
+    http::request<http::empty_body> message(head);
+    http::request_serializer<http::empty_body> serializer(message);
+    written = co_await http::async_write_header(
+        upstream.stream, serializer,
+        asio::redirect_error(asio::use_awaitable, error));
+  } else {
+    http::request<http::string_body> message(head, request.body);
+    if (!request.body.empty() ||
+        request.head().count(http::field::content_length) > 0) {
+      message.content_length(request.body.size());
+    }
+    written = co_await http::async_write(
+        upstream.stream, message,
+        asio::redirect_error(asio::use_awaitable, error));
+  }
+  co_return error;
+}
+
+http::request_header<> WithFraming(http::request_header<> head,
+                                   const InboundRequest& request,
+                                   bool ask_before_body) {
+  if (request.streams) {
+    http::request<http::empty_body> message(std::move(head));
+    if (request.parser->chunked()) {
+      message.chunked(true);
+    } else {
+      message.content_length(request.parser->content_length().value());
+    }
+    head = std::move(message.base());
+    if (ask_before_body) {
+      head.set(http::field::expect, "100-continue");
+    }
+  }
+  return head;
+}
+
+/// Waits until the server has said that it wants the body. Returns true if
+/// the body is to be sent; otherwise `attempt` is complete.
+asio::awaitable<bool> WaitForPermission(Attempt& attempt, http::verb method) {
+  const boost::system::error_code error =
+      co_await ReadAnswerHead(attempt, method);
+  if (error) {
+    attempt.result = UpstreamResult::kNotRun;
+    attempt.reason = error == beast::error::timeout ? "no_permission_in_time"
+                                                    : "connection_lost";
+    co_return false;
+  }
+  if (attempt.answer->get().result() == http::status::continue_) {
+    co_return true;
+  }
+  attempt.result = UpstreamResult::kAnswered;
+  attempt.upstream_spent = true;
+  co_return false;
+}
+
+asio::awaitable<void> AwaitAnswer(Attempt& attempt,
+                                  Downstream& downstream,
+                                  InboundRequest& request,
+                                  http::request_header<> head) {
+  const http::verb method = request.head().method();
+  RequestMonitor monitor(downstream, *attempt.upstream, request,
+                         std::move(head));
+  const asio::any_io_executor executor = co_await asio::this_coro::executor;
+  monitor.Start(executor);
+  const boost::system::error_code error =
+      co_await ReadFinalAnswerHead(attempt, method);
+  co_await monitor.Stop();
+  if (monitor.caller_gone()) {
+    attempt.result = UpstreamResult::kCallerGone;
+    attempt.reason = "caller_gone";
+  } else if (error) {
+    attempt.result = UpstreamResult::kUnknown;
+    attempt.reason =
+        error == beast::error::timeout ? "answer_timeout" : "connection_lost";
+  } else {
+    attempt.result = UpstreamResult::kAnswered;
+    attempt.upstream_spent = !monitor.body_sent();
+  }
+}
+
+}  // namespace
+
+asio::awaitable<Attempt> MakeAttempt(UpstreamPool& pool,
+                                     Downstream& downstream,
+                                     InboundRequest& request,
+                                     AttemptOptions options) {
+  Attempt attempt;
+  attempt.upstream =
+      options.fresh_connection
+          ? co_await pool.Connect(options.server, options.deadline)
+          : co_await pool.Take(options.server, options.deadline);
+  if (!attempt.upstream) {
+    attempt.reason = "connect_failed";
+    co_return attempt;
+  }
+  attempt.upstream->stream.expires_at(options.deadline);
+
+  const http::request_header<> head =
+      WithFraming(std::move(options.head), request, options.ask_before_body);
+  std::size_t written = 0;
+  const boost::system::error_code error =
+      co_await SendHeadAndSmallBody(*attempt.upstream, request, head, written);
+  if (error) {
+    const bool body_held_back = request.streams;
+    attempt.result = written == 0 || body_held_back ? UpstreamResult::kNotRun
+                                                     : UpstreamResult::kUnknown;
+    attempt.reason = "send_failed";
+    co_return attempt;
+  }
+  if (request.streams && options.ask_before_body &&
+      !co_await WaitForPermission(attempt, request.head().method())) {
+    co_return attempt;
+  }
+  if (request.streams) {
+    co_await SendContinue(downstream, request);
+    downstream.stream.expires_at(options.deadline);
+  }
+  co_await AwaitAnswer(attempt, downstream, request, head);
+  co_return attempt;
+}
+
+}  // namespace banyantrail
--- /dev/null
+++ b/packages/proxy/banyantrail/proxy/attempt.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <memory>
+#include <string_view>
+
+#include "banyantrail/proxy/connection.h"
+#include "banyantrail/proxy/inbound_request.h"
+#include "banyantrail/proxy/upstream_pool.h"
+
+namespace banyantrail {
+
+/// What is known after one attempt to have a request run.
+enum class UpstreamResult {
+  /// An answer's head arrived. It may still be a refusal.
+  kAnswered,
+  /// No byte of the request left, or its body was never asked for.
+  kNotRun,
+  /// The request may have run.
+  kUnknown,
+  /// The caller hung up; nobody waits for the answer.
+  kCallerGone,
+};
+
+/// The result of one attempt, with the answer to relay if there is one.
+struct Attempt {
+  using AnswerParser = http::response_parser<http::buffer_body>;
+
+  UpstreamResult result = UpstreamResult::kNotRun;
+  /// snake_case reason of kNotRun and kUnknown, as counted in the metrics.
+  std::string_view reason;
+  UpstreamPtr upstream;
+  std::unique_ptr<AnswerParser> answer;
+  /// The upstream connection cannot carry another request.
+  bool upstream_spent = false;
+};
+
+struct AttemptOptions {
+  IpEndpoint server;
+  /// Outgoing head without framing fields.
+  http::request_header<> head;
+  TimePoint deadline;
+  /// Ask the server to admit the request before a streamed body is sent, so
+  /// that a refusal leaves the body untouched.
+  bool ask_before_body = false;
+  /// Never use a kept-alive connection.
+  bool fresh_connection = false;
+};
+
+/// Sends the request to the server and waits for the head of the answer.
+asio::awaitable<Attempt> MakeAttempt(UpstreamPool& pool,
+                                     Downstream& downstream,
+                                     InboundRequest& request,
+                                     AttemptOptions options);
+
+}  // namespace banyantrail
--- /dev/null
+++ b/packages/proxy/banyantrail/proxy/header_rules.cc
@@ -0,0 +1,145 @@
+#include "banyantrail/proxy/header_rules.h"
+
+#include <array>
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+#include <charconv>
+#include <string>
+#include <vector>
+
+#include "banyantrail/wire/mesh_headers.h"
+
+namespace banyantrail {
+namespace {
+
+boost::beast::string_view ToBeast(std::string_view text) {
+  return {text.data(), text.size()};
+}
+
+std::string_view FromBeast(boost::beast::string_view text) {
+  return {text.data(), text.size()};
+}
+
+bool StartsWithIgnoringCase(std::string_view text, std::string_view prefix) {
+  return text.size() >= prefix.size() &&
+         boost::beast::iequals(ToBeast(text.substr(0, prefix.size())),
+                               ToBeast(prefix));
+}
+
+/// A line that begins with white space continues the one above it (obs-fold),
+/// which servers read differently.
+bool HasFoldedLine(std::string_view raw_head) {
+  return raw_head.find("\n ") != std::string_view::npos ||
+         raw_head.find("\n\t") != std::string_view::npos;
+}
+
+bool HasUnusualTransferEncoding(const http::fields& fields) {
+  const auto value = fields[http::field::transfer_encoding];
+  return !value.empty() && !boost::beast::iequals(value, "chunked");
+}
+
+void EraseFieldsWithPrefix(http::fields& fields,
+                           std::string_view prefix,
+                           const auto& keeps) {
+  std::vector<std::string> names;
+  for (const auto& field : fields) {
+    const std::string_view name = FromBeast(field.name_string());
+    if (StartsWithIgnoringCase(name, prefix) && !keeps(name)) {
+      names.emplace_back(name);
+    }
+  }
+  for (const std::string& name : names) {
+    fields.erase(name);
+  }
+}
+
+bool EqualsIgnoringCase(std::string_view a, std::string_view b) {
+  return boost::beast::iequals(ToBeast(a), ToBeast(b));
+}
+
+}  // namespace
+
+std::optional<HeadRefusal> CheckRequestHead(const http::request_header<>& head,
+                                            std::string_view raw_head) {
+  constexpr unsigned kHttp11 = 11;
+  if (head.version() != kHttp11) {
+    return HeadRefusal{http::status::http_version_not_supported,
+                       "http_version"};
+  }
+  if (HasFoldedLine(raw_head) || HasUnusualTransferEncoding(head) ||
+      head.count(http::field::transfer_encoding) > 1) {
+    return HeadRefusal{http::status::bad_request, "ambiguous_framing"};
+  }
+  if (head.count(http::field::host) != 1) {
+    return HeadRefusal{http::status::bad_request, "host_field"};
+  }
+  if (head.method() == http::verb::connect ||
+      head.method() == http::verb::unknown) {
+    return HeadRefusal{http::status::not_implemented, "method"};
+  }
+  if (head.target().empty() || head.target().front() != '/') {
+    return HeadRefusal{http::status::bad_request, "target"};
+  }
+  return std::nullopt;
+}
+
+void StripHopByHopFields(http::fields& fields) {
+  constexpr std::array kHopByHop = {
+      http::field::connection,        http::field::keep_alive,
+      http::field::proxy_connection,  http::field::te,
+      http::field::trailer,           http::field::upgrade,
+      http::field::transfer_encoding, http::field::expect,
+      http::field::proxy_authenticate};
+  std::vector<std::string> named;
+  for (const auto& field : fields) {
+    if (field.name() == http::field::connection) {
+      for (const auto& token : http::token_list(field.value())) {
+        named.emplace_back(token);
+      }
+    }
+  }
+  for (const std::string& name : named) {
+    fields.erase(name);
+  }
+  for (const http::field field : kHopByHop) {
+    fields.erase(field);
+  }
+}
+
+void StripInternalFields(http::fields& fields) {
+  EraseFieldsWithPrefix(fields, kInternalHeaderPrefix,
+                        [](std::string_view name) {
+                          return EqualsIgnoringCase(name, kDeadlineHeader) ||
+                                 EqualsIgnoringCase(name, kDepthHeader);
+                        });
+}
+
+void StripInternalAnswerFields(http::fields& fields, bool made_by_system) {
+  EraseFieldsWithPrefix(
+      fields, kInternalHeaderPrefix, [made_by_system](std::string_view name) {
+        return made_by_system && (EqualsIgnoringCase(name, kOutcomeHeader) ||
+                                  EqualsIgnoringCase(name, kReasonHeader));
+      });
+}
+
+std::optional<std::uint32_t> NumberField(const http::fields& fields,
+                                         std::string_view name) {
+  constexpr std::size_t kMaxDigits = 9;
+  const std::string_view value = FieldValue(fields, name);
+  if (value.empty() || value.size() > kMaxDigits) {
+    return std::nullopt;
+  }
+  std::uint32_t number = 0;
+  const char* end = value.data() + value.size();
+  const auto [parsed_end, error] = std::from_chars(value.data(), end, number);
+  if (error != std::errc() || parsed_end != end) {
+    return std::nullopt;
+  }
+  return number;
+}
+
+std::string_view FieldValue(const http::fields& fields, std::string_view name) {
+  return FromBeast(fields[ToBeast(name)]);
+}
+
+}  // namespace banyantrail
--- /dev/null
+++ b/packages/proxy/banyantrail/proxy/inbound_request.cc
@@ -0,0 +1,174 @@
+#include "banyantrail/proxy/inbound_request.h"
+
+#include <algorithm>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
+#include <utility>
+
+namespace banyantrail {
+namespace {
+
+HeadRefusal RefusalFor(const boost::system::error_code& error) {
+  if (error == http::error::header_limit ||
+      error == http::error::buffer_overflow) {
+    return {http::status::request_header_fields_too_large, "header_too_large"};
+  }
+  if (error == beast::error::timeout) {
+    return {http::status::request_timeout, "slow_sender"};
+  }
+  return {http::status::bad_request, "malformed"};
+}
+
+bool IsClosed(const boost::system::error_code& error, bool anything_received) {
+  if (error == http::error::end_of_stream ||
+      error == http::error::partial_message) {
+    return true;
+  }
+  if (error == beast::error::timeout) {
+    return !anything_received;
+  }
+  return error.category() !=
+         http::make_error_code(http::error::bad_method).category();
+}
+
+ReadResult Failed(const boost::system::error_code& error,
+                  bool anything_received) {
+  if (IsClosed(error, anything_received)) {
+    return {.outcome = ReadOutcome::kClosed};
+  }
+  return {.outcome = ReadOutcome::kRefused, .refusal = RefusalFor(error)};
+}
+
+/// Waits for the first byte of the next request, without parsing it.
+asio::awaitable<bool> WaitForFirstByte(Downstream& downstream,
+                                       Duration idle_timeout) {
+  if (downstream.buffer.size() > 0) {
+    co_return true;
+  }
+  constexpr std::size_t kReadBytes = 4096;
+  downstream.stream.expires_after(idle_timeout);
+  boost::system::error_code error;
+  const std::size_t size = co_await downstream.stream.async_read_some(
+      downstream.buffer.prepare(kReadBytes),
+      asio::redirect_error(asio::use_awaitable, error));
+  downstream.buffer.commit(size);
+  co_return !error;
+}
+
+std::string_view BufferedText(const beast::flat_buffer& buffer) {
+  const auto data = buffer.data();
+  return {static_cast<const char*>(data.data()), data.size()};
+}
+
+/// Reads until the head is complete and keeps a copy of its bytes, which the
+/// parser consumes.
+asio::awaitable<boost::system::error_code> ReadHead(
+    Downstream& downstream,
+    InboundRequest::Parser& parser,
+    std::uint32_t max_header_bytes,
+    std::string& raw_head) {
+  constexpr std::string_view kEndOfHead = "\r\n\r\n";
+  constexpr std::size_t kReadBytes = 4096;
+  boost::system::error_code error;
+  while (BufferedText(downstream.buffer).find(kEndOfHead) ==
+         std::string_view::npos) {
+    if (downstream.buffer.size() > max_header_bytes) {
+      co_return http::make_error_code(http::error::header_limit);
+    }
+    const std::size_t size = co_await downstream.stream.async_read_some(
+        downstream.buffer.prepare(kReadBytes),
+        asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+      co_return error;
+    }
+    downstream.buffer.commit(size);
+  }
+  const std::string_view text = BufferedText(downstream.buffer);
+  raw_head = text.substr(0, text.find(kEndOfHead) + kEndOfHead.size());
+  co_await http::async_read_header(
+      downstream.stream, downstream.buffer, parser,
+      asio::redirect_error(asio::use_awaitable, error));
+  co_return error;
+}
+
+asio::awaitable<boost::system::error_code> ReadWholeBody(
+    Downstream& downstream,
+    InboundRequest& request) {
+  InboundRequest::Parser& parser = *request.parser;
+  request.body.resize(parser.content_length().value_or(0));
+  std::size_t filled = 0;
+  boost::system::error_code error;
+  while (!parser.is_done() && !error) {
+    auto& body = parser.get().body();
+    body.data = request.body.data() + filled;
+    body.size = request.body.size() - filled;
+    co_await http::async_read_some(
+        downstream.stream, downstream.buffer, parser,
+        asio::redirect_error(asio::use_awaitable, error));
+    filled = request.body.size() - body.size;
+    if (error == http::error::need_buffer) {
+      error = {};
+    }
+  }
+  co_return error;
+}
+
+}  // namespace
+
+asio::awaitable<ReadResult> ReadRequest(Downstream& downstream,
+                                        InboundLimits limits) {
+  if (!co_await WaitForFirstByte(downstream, limits.idle_timeout)) {
+    co_return ReadResult{};
+  }
+  ReadResult result;
+  InboundRequest& request = result.request;
+  request.parser = std::make_unique<InboundRequest::Parser>();
+  request.parser->header_limit(limits.max_header_bytes);
+  request.parser->body_limit(boost::none);
+
+  downstream.stream.expires_after(limits.head_timeout);
+  std::string raw_head;
+  boost::system::error_code error = co_await ReadHead(
+      downstream, *request.parser, limits.max_header_bytes, raw_head);
+  if (error) {
+    co_return Failed(error, true);
+  }
+  const std::optional<HeadRefusal> refusal =
+      CheckRequestHead(request.head(), raw_head);
+  if (refusal) {
+    result.outcome = ReadOutcome::kRefused;
+    result.refusal = *refusal;
+    co_return result;
+  }
+
+  request.expects_continue =
+      beast::iequals(request.head()[http::field::expect], "100-continue");
+  const auto length = request.parser->content_length();
+  const bool known_small = length && *length <= kMaxReplayBytes;
+  request.streams = request.parser->chunked() || (length && !known_small);
+  if (!request.streams && length.value_or(0) > 0) {
+    co_await SendContinue(downstream, request);
+    error = co_await ReadWholeBody(downstream, request);
+    if (error) {
+      co_return Failed(error, true);
+    }
+  }
+  downstream.stream.expires_never();
+  result.outcome = ReadOutcome::kRequest;
+  co_return result;
+}
+
+asio::awaitable<void> SendContinue(Downstream& downstream,
+                                   InboundRequest& request) {
+  if (!request.expects_continue) {
+    co_return;
+  }
+  request.expects_continue = false;
+  constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+  boost::system::error_code ignored;
+  co_await asio::async_write(
+      downstream.stream, asio::buffer(kContinue.data(), kContinue.size()),
+      asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+}  // namespace banyantrail
--- /dev/null
+++ b/packages/proxy/banyantrail/proxy/request_monitor.cc
@@ -0,0 +1,165 @@
+#include "banyantrail/proxy/request_monitor.h"
+
+#include <array>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/write.hpp>
+#include <utility>
+
+namespace banyantrail {
+namespace {
+
+/// Bytes of a streamed body held in memory at a time.
+constexpr std::size_t kPumpBytes = 32U << 10U;
+
+}  // namespace
+
+struct RequestMonitor::State {
+  State(Downstream& down,
+        Upstream& up,
+        InboundRequest& inbound,
+        http::request_header<> outgoing_head)
+      : downstream(down),
+        upstream(up),
+        request(inbound),
+        head(std::move(outgoing_head)),
+        finished(down.stream.get_executor()) {}
+
+  Downstream& downstream;
+  Upstream& upstream;
+  InboundRequest& request;
+  http::request_header<> head;
+  /// Expires when the monitor's coroutine has ended.
+  asio::steady_timer finished;
+  bool running = false;
+  bool stopping = false;
+  bool caller_gone = false;
+  bool body_sent = false;
+};
+
+namespace {
+
+/// Marks the head as written, since it is already on its way.
+void SkipHead(http::request_serializer<http::buffer_body>& serializer) {
+  serializer.split(true);
+  boost::system::error_code error;
+  serializer.next(error, [&serializer](auto&, const auto& buffers) {
+    serializer.consume(beast::buffer_bytes(buffers));
+  });
+}
+
+/// Moves the body from the downstream to the upstream piece by piece. Reading
+/// waits for writing, so a slow backend server slows its caller down.
+template <typename State>
+asio::awaitable<void> PumpBody(State& state) {
+  InboundRequest::Parser& parser = *state.request.parser;
+  http::request<http::buffer_body> outgoing(std::move(state.head));
+  http::request_serializer<http::buffer_body> serializer(outgoing);
+  std::array<char, kPumpBytes> piece{};
+  boost::system::error_code error;
+  outgoing.body().more = true;
+  SkipHead(serializer);
+  state.request.body_taken = true;
+  while (!serializer.is_done()) {
+    parser.get().body().data = piece.data();
+    parser.get().body().size = piece.size();
+    if (!parser.is_done()) {
+      co_await http::async_read_some(
+          state.downstream.stream, state.downstream.buffer, parser,
+          asio::redirect_error(asio::use_awaitable, error));
+    }
+    if (error && error != http::error::need_buffer) {
+      state.caller_gone = !state.stopping;
+      co_return;
+    }
+    const std::size_t size = piece.size() - parser.get().body().size;
+    outgoing.body().data = piece.data();
+    outgoing.body().size = size;
+    outgoing.body().more = !parser.is_done();
+    if (size == 0 && outgoing.body().more) {
+      continue;
+    }
+    co_await http::async_write(
+        state.upstream.stream, serializer,
+        asio::redirect_error(asio::use_awaitable, error));
+    if (error && error != http::error::need_buffer) {
+      // The answer, if any, tells more than the broken pipe.
+      co_return;
+    }
+    error = {};
+  }
+  state.body_sent = true;
+}
+
+/// Returns when the caller has closed its side, or when stopped.
+template <typename State>
+asio::awaitable<void> WatchForHangUp(State& state) {
+  asio::ip::tcp::socket& socket = state.downstream.stream.socket();
+  boost::system::error_code error;
+  co_await socket.async_wait(asio::ip::tcp::socket::wait_read,
+                             asio::redirect_error(asio::use_awaitable, error));
+  if (state.stopping) {
+    co_return;
+  }
+  boost::system::error_code available_error;
+  const std::size_t available = socket.available(available_error);
+  state.caller_gone = error || available_error || available == 0;
+}
+
+}  // namespace
+
+RequestMonitor::RequestMonitor(Downstream& downstream,
+                               Upstream& upstream,
+                               InboundRequest& request,
+                               http::request_header<> head)
+    : m_state(std::make_shared<State>(downstream,
+                                      upstream,
+                                      request,
+                                      std::move(head))) {}
+
+void RequestMonitor::Start(const asio::any_io_executor& executor) {
+  m_state->finished.expires_at(TimePoint::max());
+  m_state->running = true;
+  m_state->body_sent = !m_state->request.streams;
+  auto run = [](std::shared_ptr<State> state) -> asio::awaitable<void> {
+    if (state->request.streams) {
+      co_await PumpBody(*state);
+    }
+    if (state->body_sent && !state->stopping && !state->caller_gone) {
+      co_await WatchForHangUp(*state);
+    }
+    if (state->caller_gone) {
+      state->upstream.stream.cancel();
+    }
+    state->running = false;
+    state->finished.cancel();
+  };
+  asio::co_spawn(executor, run(m_state), asio::detached);
+}
+
+asio::awaitable<void> RequestMonitor::Stop() {
+  m_state->stopping = true;
+  if (m_state->running) {
+    if (!m_state->body_sent) {
+      // Part of the body stays unread: the connection is of no more use.
+      m_state->downstream.must_close = true;
+      m_state->upstream.stream.cancel();
+    }
+    m_state->downstream.stream.cancel();
+  }
+  boost::system::error_code ignored;
+  while (m_state->running) {
+    co_await m_state->finished.async_wait(
+        asio::redirect_error(asio::use_awaitable, ignored));
+  }
+}
+
+bool RequestMonitor::caller_gone() const {
+  return m_state->caller_gone;
+}
+
+bool RequestMonitor::body_sent() const {
+  return m_state->body_sent;
+}
+
+}  // namespace banyantrail
--- /dev/null
+++ b/packages/proxy/banyantrail/proxy/system_answer.cc
@@ -0,0 +1,59 @@
+#include "banyantrail/proxy/system_answer.h"
+
+#include <boost/beast/http/write.hpp>
+#include <nlohmann/json.hpp>
+
+#include "banyantrail/wire/mesh_headers.h"
+
+namespace banyantrail {
+namespace {
+
+std::string_view ToHeaderValue(SystemOutcome outcome) {
+  return outcome == SystemOutcome::kNotRun ? kOutcomeNotRun : kOutcomeUnknown;
+}
+
+void SetField(HttpResponse& response,
+              std::string_view name,
+              std::string_view value) {
+  response.set(beast::string_view(name.data(), name.size()),
+               beast::string_view(value.data(), value.size()));
+}
+
+}  // namespace
+
+HttpResponse BuildSystemAnswer(const SystemAnswer& answer) {
+  constexpr unsigned kHttp11 = 11;
+  const std::string_view outcome = ToHeaderValue(answer.outcome);
+  HttpResponse response(answer.status, kHttp11);
+  response.set(http::field::content_type, "application/json");
+  SetField(response, kOutcomeHeader, outcome);
+  SetField(response, kReasonHeader, answer.reason);
+  if (answer.retry_after_s > 0) {
+    response.set(http::field::retry_after,
+                 std::to_string(answer.retry_after_s));
+  }
+  const nlohmann::json body = {{"error", "the request was not served"},
+                               {"reason", answer.reason},
+                               {"outcome", outcome},
+                               {"remedy", answer.remedy}};
+  response.body() = body.dump();
+  return response;
+}
+
+asio::awaitable<void> SendSystemAnswer(Downstream& downstream,
+                                       SystemAnswer answer,
+                                       bool keep_alive) {
+  constexpr Duration kWriteTimeout = seconds(5);
+  HttpResponse response = BuildSystemAnswer(answer);
+  response.keep_alive(keep_alive);
+  response.prepare_payload();
+  downstream.stream.expires_after(kWriteTimeout);
+  boost::system::error_code error;
+  co_await http::async_write(downstream.stream, response,
+                             asio::redirect_error(asio::use_awaitable, error));
+  if (error) {
+    downstream.must_close = true;
+  }
+}
+
+}  // namespace banyantrail
--- /dev/null
+++ b/packages/proxy/banyantrail/proxy/system_answer.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "banyantrail/net/http_types.h"
+#include "banyantrail/proxy/connection.h"
+
+namespace banyantrail {
+
+/// What the system knows of a request that it answers itself.
+enum class SystemOutcome {
+  /// It provably did not run and may be sent again.
+  kNotRun,
+  /// It may have run.
+  kUnknown,
+};
+
+/// An answer that the system makes in place of a backend server.
+struct SystemAnswer {
+  http::status status = http::status::service_unavailable;
+  SystemOutcome outcome = SystemOutcome::kNotRun;
+  /// snake_case, as counted in the metrics.
+  std::string reason;
+  /// What the caller can do.
+  std::string remedy;
+  /// When another try makes sense; 0 for no advice.
+  unsigned retry_after_s = 0;
+};
+
+/// Builds the HTTP message of a system answer.
+HttpResponse BuildSystemAnswer(const SystemAnswer& answer);
+
+/// Sends the message; errors only mark the connection for closing.
+asio::awaitable<void> SendSystemAnswer(Downstream& downstream,
+                                       SystemAnswer answer,
+                                       bool keep_alive);
+
+}  // namespace banyantrail
--- /dev/null
+++ b/packages/proxy/banyantrail/proxy/upstream_pool.cc
@@ -0,0 +1,91 @@
+#include "banyantrail/proxy/upstream_pool.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace banyantrail {
+
+UpstreamPool::UpstreamPool(asio::any_io_executor executor, Options options)
+    : m_executor(std::move(executor)), m_options(options) {}
+
+UpstreamPtr UpstreamPool::TakeIdle(const IpEndpoint& server) {
+  const auto found = m_idle.find(server);
+  if (found == m_idle.end()) {
+    return nullptr;
+  }
+  std::deque<UpstreamPtr>& idle = found->second;
+  const TimePoint oldest = SystemClock().Now() - m_options.max_idle_time;
+  // The freshest connection is at the back: it is the least likely to be dead.
+  while (!idle.empty()) {
+    UpstreamPtr upstream = std::move(idle.back());
+    idle.pop_back();
+    if (upstream->idle_since >= oldest) {
+      upstream->reused = true;
+      return upstream;
+    }
+    idle.clear();
+  }
+  return nullptr;
+}
+
+asio::awaitable<UpstreamPtr> UpstreamPool::Take(IpEndpoint server,
+                                                TimePoint deadline) {
+  UpstreamPtr idle = TakeIdle(server);
+  if (idle) {
+    co_return idle;
+  }
+  co_return co_await Connect(std::move(server), deadline);
+}
+
+asio::awaitable<UpstreamPtr> UpstreamPool::Connect(IpEndpoint server,
+                                                   TimePoint deadline) {
+  auto upstream = std::make_unique<Upstream>(m_executor);
+  const TimePoint connect_deadline =
+      std::min(deadline, SystemClock().Now() + m_options.connect_timeout);
+  upstream->stream.expires_at(connect_deadline);
+  const asio::ip::tcp::endpoint endpoint = ToTcpEndpoint(server);
+  boost::system::error_code error;
+  co_await upstream->stream.async_connect(
+      endpoint, asio::redirect_error(asio::use_awaitable, error));
+  if (error) {
+    co_return nullptr;
+  }
+  upstream->stream.socket().set_option(asio::ip::tcp::no_delay(true), error);
+  upstream->stream.expires_never();
+  upstream->server = std::move(server);
+  co_return upstream;
+}
+
+void UpstreamPool::Keep(UpstreamPtr upstream) {
+  std::deque<UpstreamPtr>& idle = m_idle[upstream->server];
+  if (idle.size() >= m_options.max_idle_per_server) {
+    return;
+  }
+  upstream->stream.expires_never();
+  upstream->idle_since = SystemClock().Now();
+  idle.push_back(std::move(upstream));
+}
+
+void UpstreamPool::Distrust(const IpEndpoint& server) {
+  m_idle.erase(server);
+}
+
+void UpstreamPool::CloseStale() {
+  const TimePoint oldest = SystemClock().Now() - m_options.max_idle_time;
+  for (auto& [server, idle] : m_idle) {
+    std::erase_if(idle, [oldest](const UpstreamPtr& upstream) {
+      return upstream->idle_since < oldest;
+    });
+  }
+  std::erase_if(m_idle, [](const auto& entry) { return entry.second.empty(); });
+}
+
+std::size_t UpstreamPool::idle_count() const {
+  std::size_t count = 0;
+  for (const auto& [server, idle] : m_idle) {
+    count += idle.size();
+  }
+  return count;
+}
+
+}  // namespace banyantrail
