--- a/packages/core/banyantrail/core/ids.h
+++ b/packages/core/banyantrail/core/ids.h
@@ -20,6 +20,8 @@
   const std::string& str() const { return m_value; }
   bool empty() const { return m_value.empty(); }
 
+  // clang-tidy 14 takes the body of a defaulted comparison for a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   friend auto operator<=>(const Id&, const Id&) = default;
   friend bool operator==(const Id&, const Id&) = default;
   friend std::ostream& operator<<(std::ostream& out, const Id& id) {
