Name the reasons for which a request is refused

Cause: each refusal needs a typed reason for the answer and its counter. Ruled out: a flag per call site that says whether not run is proven; the fact belongs to the reason and stands in one table. Change: RefusalReason with names, remedies and ProvesNotRun.

--- /dev/null
+++ b/packages/traffic/banyantrail/traffic/refusal_reason.cc
@@ -0,0 +1,67 @@
+#include "banyantrail/traffic/refusal_reason.h"
+
+namespace banyantrail {
+
+namespace {
+
+struct ReasonFacts {
+  std::string_view name;
+  bool proves_not_run;
+  std::string_view remedy;
+};
+
+constexpr std::string_view kResendLater = "Send the request again later.";
+constexpr std::string_view kReadBack =
+    "Read back whether the request took effect before sending it again.";
+constexpr std::string_view kSameKey =
+    "Send the request again under the same idempotency key to learn its "
+    "outcome.";
+
+/// In the order of the enumerators.
+constexpr std::array<ReasonFacts, kRefusalReasonCount> kFacts = {{
+    {"malformed_request", true, "Correct the request's framing."},
+    {"head_too_large", true, "Send fewer or shorter headers."},
+    {"slow_sender", true, "Send the head of the request without pauses."},
+    {"too_many_connections", true, "Reuse connections, or connect later."},
+    {"no_configuration", true, kResendLater},
+    {"no_route", true, "Declare a routing rule for this path and method."},
+    {"no_backend_server", true, kResendLater},
+    {"queue_full", true, kResendLater},
+    {"deadline", true, "Allow a longer deadline, or send it again later."},
+    {"draining", true, "Send the request to another node."},
+    {"backend_server_down", true, kResendLater},
+    {"quarantined", true,
+     "Correct the request: it coincided with crashes of backend servers."},
+    {"cancelled", true, "None: the caller withdrew the request."},
+    {"shed_by_backend_server", true, kResendLater},
+    {"ledger_unavailable", true, kResendLater},
+    {"ledger_in_doubt", false, kSameKey},
+    {"attempt_in_flight", false, kSameKey},
+    {"already_ran", false, "None: the request ran; the status is recorded."},
+    {"result_lost", false, kReadBack},
+    {"connect_failed", true, kResendLater},
+    {"connection_lost", false, kReadBack},
+    {"answer_timeout", false, kReadBack},
+    {"answer_cut", false, kReadBack},
+    {"malformed_answer", false, kReadBack},
+}};
+
+const ReasonFacts& FactsOf(RefusalReason reason) {
+  return kFacts.at(static_cast<std::size_t>(reason));
+}
+
+}  // namespace
+
+std::string_view ToString(RefusalReason reason) {
+  return FactsOf(reason).name;
+}
+
+bool ProvesNotRun(RefusalReason reason) {
+  return FactsOf(reason).proves_not_run;
+}
+
+std::string_view RemedyFor(RefusalReason reason) {
+  return FactsOf(reason).remedy;
+}
+
+}  // namespace banyantrail
