--- /dev/null
+++ b/packages/core/banyantrail/core/backoff.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+
+#include "banyantrail/core/clock.h"
+#include "banyantrail/core/random.h"
+
+namespace banyantrail {
+
+/// How the waits between attempts grow.
+struct BackoffOptions {
+  /// Upper bound of the first wait.
+  Duration initial = milliseconds(50);
+  /// Upper bound of every wait.
+  Duration max = seconds(5);
+};
+
+/// Exponential backoff with jitter. Each wait is uniform between half of a
+/// bound and the bound, and the bound doubles from wait to wait; the jitter
+/// keeps clients that failed together from returning together.
+class Backoff {
+ public:
+  explicit Backoff(BackoffOptions options)
+      : m_options(options), m_bound(options.initial) {}
+
+  /// The next wait.
+  Duration Next(Rng& rng) {
+    const Duration bound = std::min(m_bound, m_options.max);
+    m_bound = bound > m_options.max / 2 ? m_options.max : 2 * bound;
+    ++m_attempts;
+    const Duration half = bound / 2;
+    std::uniform_int_distribution<Duration::rep> jitter(0, half.count());
+    return half + Duration(jitter(rng));
+  }
+
+  /// Starts over after a success.
+  void Reset() {
+    m_bound = m_options.initial;
+    m_attempts = 0;
+  }
+
+  /// Waits handed out since the last reset.
+  std::uint32_t attempts() const { return m_attempts; }
+
+ private:
+  BackoffOptions m_options;
+  Duration m_bound;
+  std::uint32_t m_attempts = 0;
+};
+
+}  // namespace banyantrail
--- /dev/null
+++ b/packages/distribution/banyantrail/distribution/distribution_protocol.cc
@@ -0,0 +1,480 @@
+#include "banyantrail/distribution/distribution_protocol.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+#include "banyantrail/membership/tree_plan.h"
+
+namespace banyantrail {
+namespace {
+
+/// How long a peer without a free place for a whole transfer asks others to
+/// wait, before jitter.
+constexpr Duration kBusyWait = milliseconds(200);
+
+/// Status reports and digests spread over this share of their interval.
+constexpr int kJitterShare = 4;
+
+}  // namespace
+
+DistributionProtocol::DistributionProtocol(Options options, TimePoint start)
+    : m_options(std::move(options)),
+      m_store(m_options.store),
+      m_gate(m_options.gate, start),
+      m_transfers(m_options.transfers),
+      m_requester(m_options.requests),
+      m_rng(m_options.seed),
+      m_now(start),
+      m_next_question(start),
+      m_next_offer(start),
+      m_next_digest(start),
+      m_next_status(start) {}
+
+DistributionOutput DistributionProtocol::OnTick(TimePoint now) {
+  m_now = now;
+  for (const PendingPush& push : m_pushes.TakeOverdue(now)) {
+    Replace(push);
+  }
+  RunScheduledPush();
+  SendRequest();
+  SendPeriodicMessages();
+  return TakeOutput();
+}
+
+DistributionOutput DistributionProtocol::OnMessage(const NodeId& from,
+                                                   const PeerMessage& message,
+                                                   TimePoint now) {
+  m_now = now;
+  std::visit([this, &from](const auto& body) { Handle(from, body); }, message);
+  SendRequest();
+  return TakeOutput();
+}
+
+DistributionOutput DistributionProtocol::OnReleaseFromPlatform(Release release,
+                                                               TimePoint now) {
+  m_now = now;
+  m_gate.OnPlatformHead(release.revision);
+  const ReleaseName base = Current();
+  const ApplyResult result = m_store.Apply(std::move(release));
+  OnResult(result);
+  if (result.outcome == ApplyOutcome::kApplied) {
+    SpreadOwnRelease(base);
+  }
+  return TakeOutput();
+}
+
+DistributionOutput DistributionProtocol::OnPeerUnreachable(const NodeId& node,
+                                                           TimePoint now) {
+  m_now = now;
+  m_transfers.Finish(node);
+  m_requester.ForgetPeer(node, now, m_rng);
+  if (const auto push = m_pushes.Take(node)) {
+    Replace(*push);
+  }
+  SendRequest();
+  return TakeOutput();
+}
+
+void DistributionProtocol::OnMembership(DistributionPeers peers) {
+  m_peers = std::move(peers);
+  std::erase(m_peers.own_domain, m_options.self);
+  m_own_domain = {m_peers.own_domain.begin(), m_peers.own_domain.end()};
+  m_gate.OnPeerCount(m_peers.own_domain.size());
+}
+
+ServingState DistributionProtocol::Serving(TimePoint now) {
+  return m_gate.Update(m_store.revision(), now);
+}
+
+StatusReportMessage DistributionProtocol::Status() const {
+  StatusReportMessage report{.node = m_options.self,
+                             .labels = m_options.labels,
+                             .applied_revision = m_store.revision()};
+  if (const auto& refused = m_store.last_refused()) {
+    report.refused_revision = refused->revision;
+    report.refusal_reason =
+        std::string(ToString(refused->reason)) + ": " + refused->detail;
+  }
+  return report;
+}
+
+// Messages.
+
+void DistributionProtocol::Handle(const NodeId& from,
+                                  const ReleaseDeltaMessage& message) {
+  Send(from, ReleaseAckMessage{.revision = message.to_revision});
+  m_gate.OnPeerRevision(from, message.to_revision);
+  const ReleaseName base = Current();
+  const ApplyResult result = m_store.Apply(message);
+  OnResult(result);
+  LearnFromDelta(from, message, result);
+  Forward(message, result, base);
+
+  const bool spread_by_own_domain =
+      IsOwnDomain(from) && message.to_revision >= m_store.revision();
+  if (spread_by_own_domain) {
+    m_scheduled_push.reset();
+  }
+  const bool came_from_outside =
+      result.outcome == ApplyOutcome::kApplied && !IsOwnDomain(from);
+  if (came_from_outside && UsesTree()) {
+    SchedulePush(base, Jittered(m_options.second_push_delay));
+  }
+}
+
+void DistributionProtocol::Handle(const NodeId& from,
+                                  const ReleaseAckMessage& message) {
+  m_pushes.Acknowledge(from, message.revision);
+  m_transfers.Finish(from);
+}
+
+void DistributionProtocol::Handle(const NodeId& from,
+                                  const ReleaseRequestMessage& message) {
+  const auto delta = DeltaFor(
+      {.revision = message.have_revision, .digest = message.have_digest});
+  if (!delta) {
+    Offer(from, false);
+    return;
+  }
+  const bool whole = delta->from_revision == 0;
+  if (whole && !m_transfers.Admit(from, m_now)) {
+    ++m_counters.busy_sent;
+    const auto wait =
+        std::chrono::duration_cast<milliseconds>(Jittered(kBusyWait));
+    Send(from, ReleaseBusyMessage{
+                   .retry_after_ms = static_cast<std::uint32_t>(wait.count())});
+    return;
+  }
+  ++(whole ? m_counters.whole_served : m_counters.deltas_served);
+  Send(from, *delta);
+}
+
+void DistributionProtocol::Handle(const NodeId& from,
+                                  const ReleaseBusyMessage& message) {
+  ++m_counters.busy_received;
+  m_requester.OnBusy(from, milliseconds(message.retry_after_ms), m_now, m_rng);
+}
+
+void DistributionProtocol::Handle(const NodeId& from,
+                                  const DigestMessage& message) {
+  m_gate.OnPeerRevision(from, message.revision);
+  if (message.revision > m_store.revision()) {
+    if (!m_store.IsRefusedForGood(message.revision, message.release_digest)) {
+      const Duration grace = IsOwnDomain(from) ? m_options.request_grace
+                                               : m_options.second_push_delay;
+      m_requester.LearnPeer(from, message.revision, m_now + Jittered(grace));
+    }
+  } else {
+    m_requester.ForgetPeer(from, m_now, m_rng);
+  }
+  // The membership exchange answers digests that carry its hashes.
+  if (message.wants_reply && message.membership_hashes.empty()) {
+    Offer(from, false);
+  }
+}
+
+template <typename Other>
+void DistributionProtocol::Handle(const NodeId&, const Other&) {}
+
+// Results.
+
+void DistributionProtocol::OnResult(const ApplyResult& result) {
+  switch (result.outcome) {
+    case ApplyOutcome::kApplied:
+      OnApplied();
+      return;
+    case ApplyOutcome::kAlreadyHave:
+      ++m_counters.already_have;
+      return;
+    case ApplyOutcome::kNeedsParent:
+      ++m_counters.needs_parent;
+      return;
+    case ApplyOutcome::kRefused:
+      OnRefused(*result.refused);
+      return;
+  }
+}
+
+void DistributionProtocol::OnApplied() {
+  ++m_counters.applied;
+  m_output.applied.push_back(m_store.current());
+  m_requester.OnApplied(m_store.revision());
+  SendStatus();
+  PayOwedPush();
+  if (m_options.mode == DistributionMode::kGossip) {
+    OfferToSome(m_options.gossip_fanout, false);
+  }
+}
+
+void DistributionProtocol::OnRefused(const RefusedRelease& refused) {
+  switch (refused.reason) {
+    case ReleaseRefusal::kDigestMismatch:
+      ++m_counters.refused_digest_mismatch;
+      return;
+    case ReleaseRefusal::kMalformed:
+      ++m_counters.refused_malformed;
+      return;
+    case ReleaseRefusal::kDoesNotCompile:
+      ++m_counters.refused_does_not_compile;
+      m_requester.Abandon(refused.revision);
+      SendStatus();
+      return;
+  }
+}
+
+void DistributionProtocol::LearnFromDelta(const NodeId& from,
+                                          const ReleaseDeltaMessage& message,
+                                          const ApplyResult& result) {
+  if (result.outcome == ApplyOutcome::kNeedsParent &&
+      !m_store.IsRefusedForGood(message.to_revision, message.to_digest)) {
+    m_requester.PreferPeer(from, message.to_revision, m_now);
+  }
+  const bool damaged =
+      result.outcome == ApplyOutcome::kRefused &&
+      result.refused->reason == ReleaseRefusal::kDigestMismatch;
+  if (damaged) {
+    m_requester.LearnPeer(from, message.to_revision, m_now);
+    m_requester.ForgetPeer(from, m_now, m_rng);
+  }
+}
+
+// The tree.
+
+void DistributionProtocol::Forward(const ReleaseDeltaMessage& message,
+                                   const ApplyResult& result,
+                                   const ReleaseName& base) {
+  if (!UsesTree() || message.subtree.empty()) {
+    return;
+  }
+  const std::vector<NodeId> nodes = TakeUncovered(message);
+  const bool damaged = result.outcome == ApplyOutcome::kRefused &&
+                       result.refused->reason != ReleaseRefusal::kDoesNotCompile;
+  if (damaged) {
+    m_owed_push = {.base = base,
+                   .to_revision = message.to_revision,
+                   .subtree = nodes};
+    return;
+  }
+  Push(nodes, message);
+}
+
+std::vector<NodeId> DistributionProtocol::TakeUncovered(
+    const ReleaseDeltaMessage& message) {
+  if (message.to_revision < m_covered_revision) {
+    return {};
+  }
+  if (message.to_revision > m_covered_revision) {
+    m_covered_revision = message.to_revision;
+    m_covered.clear();
+  }
+  std::vector<NodeId> nodes;
+  for (const NodeId& node : message.subtree) {
+    if (node != m_options.self && m_covered.insert(node).second) {
+      nodes.push_back(node);
+    }
+  }
+  return nodes;
+}
+
+void DistributionProtocol::Push(const std::vector<NodeId>& nodes,
+                                const ReleaseDeltaMessage& delta) {
+  const auto shared = std::make_shared<const ReleaseDeltaMessage>(delta);
+  for (TreeBranch& branch : SplitTree(nodes, m_options.arity)) {
+    ReleaseDeltaMessage message = delta;
+    message.subtree = branch.subtree;
+    m_pushes.Add(branch.child, {.delta = shared,
+                                .subtree = std::move(branch.subtree),
+                                .deadline = m_now + m_options.ack_timeout});
+    ++m_counters.pushes;
+    Send(branch.child, std::move(message));
+  }
+}
+
+void DistributionProtocol::PushCurrent(const std::vector<NodeId>& nodes,
+                                       const ReleaseName& base) {
+  if (const auto delta = DeltaFor(base)) {
+    Push(nodes, *delta);
+  }
+}
+
+void DistributionProtocol::PushAsRoot(const ReleaseName& base) {
+  std::vector<NodeId> nodes = m_peers.own_domain;
+  std::shuffle(nodes.begin(), nodes.end(), m_rng);
+  m_covered_revision = m_store.revision();
+  m_covered = m_own_domain;
+  PushCurrent(nodes, base);
+}
+
+void DistributionProtocol::SchedulePush(const ReleaseName& base,
+                                        Duration delay) {
+  const bool has_older_base = m_scheduled_push.has_value();
+  m_scheduled_push = {
+      .base = has_older_base ? m_scheduled_push->base : base,
+      .due = m_now + delay};
+}
+
+void DistributionProtocol::RunScheduledPush() {
+  if (m_scheduled_push && m_scheduled_push->due <= m_now) {
+    const ReleaseName base = m_scheduled_push->base;
+    m_scheduled_push.reset();
+    PushAsRoot(base);
+  }
+}
+
+void DistributionProtocol::PayOwedPush() {
+  if (m_owed_push && m_owed_push->to_revision <= m_store.revision()) {
+    const OwedPush owed = *std::exchange(m_owed_push, std::nullopt);
+    PushCurrent(owed.subtree, owed.base);
+  }
+}
+
+void DistributionProtocol::Replace(const PendingPush& push) {
+  ++m_counters.pushes_replaced;
+  const bool superseded = push.delta->to_revision < m_covered_revision;
+  if (m_options.replace_unacknowledged && !superseded) {
+    Push(push.subtree, *push.delta);
+  }
+}
+
+void DistributionProtocol::SpreadOwnRelease(const ReleaseName& base) {
+  if (m_options.mode == DistributionMode::kPlatformWatch) {
+    return;
+  }
+  if (UsesTree()) {
+    if (IsFirstRelay()) {
+      PushAsRoot(base);
+    } else {
+      SchedulePush(base, m_options.second_push_delay);
+    }
+  }
+  OfferToForeignDomains();
+}
+
+// Requests, offers and reports.
+
+std::optional<ReleaseDeltaMessage> DistributionProtocol::DeltaFor(
+    const ReleaseName& base) const {
+  if (base.revision >= m_store.revision()) {
+    return std::nullopt;
+  }
+  if (m_options.mode == DistributionMode::kTreeWholeReleases) {
+    return m_store.WholeRelease();
+  }
+  return m_store.DeltaFrom(base.revision, base.digest);
+}
+
+void DistributionProtocol::SendRequest() {
+  if (m_options.mode == DistributionMode::kPlatformWatch) {
+    return;
+  }
+  const auto peer =
+      m_requester.NextRequest(m_peers.own_domain, m_now, m_rng);
+  if (!peer) {
+    return;
+  }
+  ++m_counters.requests;
+  const ReleaseName held = Current();
+  Send(*peer, ReleaseRequestMessage{.have_revision = held.revision,
+                                    .have_digest = held.digest});
+}
+
+void DistributionProtocol::Offer(const NodeId& to, bool wants_reply) {
+  ++m_counters.offers;
+  Send(to, DigestMessage{.revision = m_store.revision(),
+                         .release_digest = m_store.current()->digest,
+                         .wants_reply = wants_reply});
+}
+
+void DistributionProtocol::OfferToForeignDomains() {
+  for (const DomainEntryPoints& domain : m_peers.foreign_domains) {
+    if (!domain.nodes.empty()) {
+      Offer(domain.nodes[UniformIndex(m_rng, domain.nodes.size())], true);
+    }
+  }
+}
+
+void DistributionProtocol::OfferToSome(std::size_t count, bool wants_reply) {
+  std::vector<NodeId> nodes;
+  std::sample(m_peers.own_domain.begin(), m_peers.own_domain.end(),
+              std::back_inserter(nodes), count, m_rng);
+  for (const NodeId& node : nodes) {
+    Offer(node, wants_reply);
+  }
+}
+
+void DistributionProtocol::SendStatus() {
+  for (const NodeId& relay : m_peers.relays) {
+    if (relay != m_options.self) {
+      Send(relay, Status());
+    }
+  }
+  m_next_status = m_now + m_options.status_interval -
+                  Jittered(m_options.status_interval / kJitterShare);
+}
+
+void DistributionProtocol::SendPeriodicMessages() {
+  if (m_now >= m_next_status) {
+    SendStatus();
+  }
+  if (m_options.mode == DistributionMode::kPlatformWatch) {
+    return;
+  }
+  const bool learning = Serving(m_now) == ServingState::kLearning;
+  if (learning && m_now >= m_next_question) {
+    OfferToSome(m_options.gate.min_answers, true);
+    m_next_question = m_now + Jittered(m_options.question_interval);
+  }
+  if (IsRelay() && m_now >= m_next_offer) {
+    OfferToForeignDomains();
+    m_next_offer = m_now + Jittered(m_options.foreign_offer_interval);
+  }
+  const bool digest_due = m_options.digest_interval > Duration::zero() &&
+                          m_now >= m_next_digest && !m_own_domain.empty();
+  if (digest_due) {
+    Offer(m_peers.own_domain[UniformIndex(m_rng, m_peers.own_domain.size())],
+          true);
+    m_next_digest = m_now + Jittered(m_options.digest_interval);
+  }
+}
+
+// Small helpers.
+
+bool DistributionProtocol::IsOwnDomain(const NodeId& node) const {
+  return m_own_domain.count(node) > 0;
+}
+
+bool DistributionProtocol::IsRelay() const {
+  return std::find(m_peers.relays.begin(), m_peers.relays.end(),
+                   m_options.self) != m_peers.relays.end();
+}
+
+bool DistributionProtocol::IsFirstRelay() const {
+  return m_peers.relays.empty() || m_peers.relays.front() == m_options.self;
+}
+
+bool DistributionProtocol::UsesTree() const {
+  return m_options.mode == DistributionMode::kTree ||
+         m_options.mode == DistributionMode::kTreeWholeReleases;
+}
+
+ReleaseName DistributionProtocol::Current() const {
+  return {.revision = m_store.revision(),
+          .digest = m_store.current()->digest};
+}
+
+Duration DistributionProtocol::Jittered(Duration duration) {
+  const Duration half = duration / 2;
+  std::uniform_int_distribution<Duration::rep> jitter(0, half.count());
+  return half + Duration(jitter(m_rng));
+}
+
+void DistributionProtocol::Send(const NodeId& to, PeerMessage message) {
+  m_output.messages.push_back({.to = to, .message = std::move(message)});
+}
+
+DistributionOutput DistributionProtocol::TakeOutput() {
+  return std::exchange(m_output, {});
+}
+
+}  // namespace banyantrail
--- /dev/null
+++ b/packages/distribution/banyantrail/distribution/release_store.cc
@@ -0,0 +1,246 @@
+#include "banyantrail/distribution/release_store.h"
+
+#include <set>
+#include <utility>
+
+#include "banyantrail/config/release_digest.h"
+
+namespace banyantrail {
+namespace {
+
+/// Refused contents that are remembered; the oldest go first.
+constexpr std::size_t kMaxRefused = 16;
+
+std::size_t SizeOf(const std::vector<ObjectUpdate>& updates) {
+  std::size_t bytes = 0;
+  for (const ObjectUpdate& update : updates) {
+    bytes += update.key.size() + update.json.size();
+  }
+  return bytes;
+}
+
+std::size_t SizeOf(const ObjectTexts& objects) {
+  std::size_t bytes = 0;
+  for (const auto& [key, json] : objects) {
+    bytes += key.size() + json.size();
+  }
+  return bytes;
+}
+
+bool IsWellFormed(const ReleaseDeltaMessage& message) {
+  if (message.to_revision <= message.from_revision) {
+    return false;
+  }
+  std::set<std::string_view> keys;
+  for (const ObjectUpdate& update : message.updates) {
+    if (update.key.empty() || !keys.insert(update.key).second) {
+      return false;
+    }
+  }
+  return true;
+}
+
+ObjectTexts WithUpdates(ObjectTexts objects,
+                        const std::vector<ObjectUpdate>& updates) {
+  for (const ObjectUpdate& update : updates) {
+    if (update.json.empty()) {
+      objects.erase(update.key);
+    } else {
+      objects[update.key] = update.json;
+    }
+  }
+  return objects;
+}
+
+std::vector<ObjectUpdate> ToUpdates(std::map<std::string, std::string> merged) {
+  std::vector<ObjectUpdate> updates;
+  updates.reserve(merged.size());
+  for (auto& [key, json] : merged) {
+    updates.push_back({.key = key, .json = std::move(json)});
+  }
+  return updates;
+}
+
+}  // namespace
+
+std::string_view ToString(ReleaseRefusal refusal) {
+  switch (refusal) {
+    case ReleaseRefusal::kDigestMismatch:
+      return "digest_mismatch";
+    case ReleaseRefusal::kDoesNotCompile:
+      return "does_not_compile";
+    case ReleaseRefusal::kMalformed:
+      return "malformed";
+  }
+  return "unknown";
+}
+
+std::vector<ObjectUpdate> DiffOf(const ObjectTexts& from,
+                                 const ObjectTexts& to) {
+  std::vector<ObjectUpdate> updates;
+  for (const auto& [key, json] : to) {
+    const auto old = from.find(key);
+    if (old == from.end() || old->second != json) {
+      updates.push_back({.key = key, .json = json});
+    }
+  }
+  for (const auto& [key, json] : from) {
+    if (to.count(key) == 0) {
+      updates.push_back({.key = key, .json = ""});
+    }
+  }
+  return updates;
+}
+
+ReleaseStore::ReleaseStore(Options options) : m_options(std::move(options)) {}
+
+ApplyResult ReleaseStore::Apply(const ReleaseDeltaMessage& message) {
+  if (!IsWellFormed(message)) {
+    return Refuse({.revision = message.to_revision,
+                   .digest = message.to_digest,
+                   .reason = ReleaseRefusal::kMalformed,
+                   .detail = "the delta contradicts itself"});
+  }
+  const bool newer = message.to_revision > revision();
+  if (m_options.only_greater_revisions && !newer) {
+    return {.outcome = ApplyOutcome::kAlreadyHave};
+  }
+  const bool whole = message.from_revision == 0;
+  if (!whole && message.from_revision != revision()) {
+    return {.outcome = ApplyOutcome::kNeedsParent};
+  }
+  ObjectTexts base = whole ? ObjectTexts() : m_current->objects;
+  Release next{.revision = message.to_revision,
+               .digest = message.to_digest,
+               .change = message.change,
+               .objects = WithUpdates(std::move(base), message.updates)};
+  std::vector<ObjectUpdate> updates =
+      whole ? DiffOf(m_current->objects, next.objects) : message.updates;
+  return Take(std::move(next), std::move(updates));
+}
+
+ApplyResult ReleaseStore::Apply(Release release) {
+  if (m_options.only_greater_revisions && release.revision <= revision()) {
+    return {.outcome = ApplyOutcome::kAlreadyHave};
+  }
+  std::vector<ObjectUpdate> updates =
+      DiffOf(m_current->objects, release.objects);
+  return Take(std::move(release), std::move(updates));
+}
+
+ApplyResult ReleaseStore::Take(Release release,
+                               std::vector<ObjectUpdate> updates) {
+  const std::string digest = DigestOf(release.objects);
+  if (m_options.verify_digest && digest != release.digest) {
+    return Refuse({.revision = release.revision,
+                   .digest = release.digest,
+                   .reason = ReleaseRefusal::kDigestMismatch,
+                   .detail = "the content has digest " + digest});
+  }
+  if (IsRefusedForGood(release.revision, release.digest)) {
+    return {.outcome = ApplyOutcome::kRefused, .refused = m_last_refused};
+  }
+  if (m_options.compile) {
+    const std::vector<Fault> faults = m_options.compile(release);
+    if (!faults.empty()) {
+      return Refuse({.revision = release.revision,
+                     .digest = release.digest,
+                     .reason = ReleaseRefusal::kDoesNotCompile,
+                     .detail = faults.front().place + ": " +
+                               faults.front().message});
+    }
+  }
+  Remember(std::move(updates), release);
+  m_current = std::make_shared<const Release>(std::move(release));
+  if (m_last_refused && m_last_refused->revision <= revision()) {
+    m_last_refused.reset();
+  }
+  return {.outcome = ApplyOutcome::kApplied};
+}
+
+ApplyResult ReleaseStore::Refuse(RefusedRelease refused) {
+  if (refused.reason == ReleaseRefusal::kDoesNotCompile) {
+    m_refused_for_good[refused.revision] = refused.digest;
+    if (m_refused_for_good.size() > kMaxRefused) {
+      m_refused_for_good.erase(m_refused_for_good.begin());
+    }
+  }
+  const bool is_newest =
+      !m_last_refused || refused.revision >= m_last_refused->revision;
+  if (refused.revision > revision() && is_newest) {
+    m_last_refused = refused;
+  }
+  return {.outcome = ApplyOutcome::kRefused, .refused = std::move(refused)};
+}
+
+bool ReleaseStore::IsRefusedForGood(Revision revision,
+                                    const std::string& digest) const {
+  const auto found = m_refused_for_good.find(revision);
+  return found != m_refused_for_good.end() && found->second == digest;
+}
+
+void ReleaseStore::Remember(std::vector<ObjectUpdate> updates,
+                            const Release& next) {
+  const std::size_t bytes = SizeOf(updates);
+  m_window.push_back({.from_revision = m_current->revision,
+                      .from_digest = m_current->digest,
+                      .to_revision = next.revision,
+                      .updates = std::move(updates),
+                      .bytes = bytes});
+  m_window_bytes += bytes;
+  while (m_window.size() > m_options.max_deltas ||
+         m_window_bytes > m_options.max_delta_bytes) {
+    m_window_bytes -= m_window.front().bytes;
+    m_window.pop_front();
+  }
+}
+
+std::optional<std::size_t> ReleaseStore::WindowIndex(
+    Revision from,
+    const std::string& digest) const {
+  for (std::size_t i = 0; i < m_window.size(); ++i) {
+    const WindowEntry& entry = m_window[i];
+    if (entry.from_revision == from && entry.from_digest == digest) {
+      return i;
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<ReleaseDeltaMessage> ReleaseStore::DeltaFrom(
+    Revision have_revision,
+    const std::string& have_digest) const {
+  if (have_revision >= revision()) {
+    return std::nullopt;
+  }
+  const std::optional<std::size_t> start =
+      WindowIndex(have_revision, have_digest);
+  if (have_revision == 0 || !start) {
+    return WholeRelease();
+  }
+  std::map<std::string, std::string> merged;
+  for (std::size_t i = *start; i < m_window.size(); ++i) {
+    for (const ObjectUpdate& update : m_window[i].updates) {
+      merged[update.key] = update.json;
+    }
+  }
+  ReleaseDeltaMessage delta{.from_revision = have_revision,
+                            .to_revision = revision(),
+                            .to_digest = m_current->digest,
+                            .updates = ToUpdates(std::move(merged)),
+                            .change = m_current->change};
+  if (SizeOf(delta.updates) >= SizeOf(m_current->objects)) {
+    return WholeRelease();
+  }
+  return delta;
+}
+
+ReleaseDeltaMessage ReleaseStore::WholeRelease() const {
+  return {.from_revision = 0,
+          .to_revision = revision(),
+          .to_digest = m_current->digest,
+          .updates = ToUpdates(m_current->objects),
+          .change = m_current->change};
+}
+
+}  // namespace banyantrail
--- /dev/null
+++ b/tests/distribution/release_store_test.cc
@@ -0,0 +1,172 @@
+#include "banyantrail/distribution/release_store.h"
+
+#include <CppUTest/TestHarness.h>
+#include <rapidcheck.h>
+
+#include "distribution/message_queue.h"
+
+using banyantrail::ApplyOutcome;
+using banyantrail::Fault;
+using banyantrail::Release;
+using banyantrail::ReleaseDeltaMessage;
+using banyantrail::ReleaseRefusal;
+using banyantrail::ReleaseStore;
+using banyantrail::Revision;
+using banyantrail::testing::MakeRelease;
+
+namespace {
+
+constexpr Revision kNewest = 12;
+
+/// Messages that a node may receive: the delta or the whole of each pair of
+/// revisions, some of them damaged.
+ReleaseDeltaMessage MessageBetween(Revision from, Revision to, bool damaged) {
+  const Release target = MakeRelease(to);
+  ReleaseDeltaMessage message{.from_revision = from,
+                              .to_revision = to,
+                              .to_digest = target.digest,
+                              .change = target.change};
+  const banyantrail::ObjectTexts base =
+      from == 0 ? banyantrail::ObjectTexts() : MakeRelease(from).objects;
+  message.updates = banyantrail::DiffOf(base, target.objects);
+  if (damaged) {
+    message.updates.pop_back();
+  }
+  return message;
+}
+
+/// The first break of the promise in a random run, or an empty text.
+std::string RunRandomMessages(std::uint64_t seed,
+                              ReleaseStore::Options options) {
+  banyantrail::Rng rng(seed);
+  ReleaseStore store(std::move(options));
+  Revision last = 0;
+  for (int step = 0; step < 60; ++step) {
+    const Revision to = 1 + banyantrail::UniformIndex(rng, kNewest);
+    const Revision from = banyantrail::UniformIndex(rng, to);
+    const bool damaged = banyantrail::UniformIndex(rng, 4) == 0;
+    store.Apply(MessageBetween(from, to, damaged));
+    if (store.revision() < last) {
+      return "the revision decreased";
+    }
+    last = store.revision();
+    if (last > 0 && *store.current() != MakeRelease(last)) {
+      return "the content is no accepted release";
+    }
+  }
+  return "";
+}
+
+/// Runs seeds until one breaks the promise; whether any did.
+bool AnySeedBreaks(const ReleaseStore::Options& options) {
+  for (std::uint64_t seed = 0; seed < 50; ++seed) {
+    if (!RunRandomMessages(seed, options).empty()) {
+      return true;
+    }
+  }
+  return false;
+}
+
+ReleaseStore StoreAt(Revision revision) {
+  ReleaseStore store({});
+  for (Revision next = 1; next <= revision; ++next) {
+    store.Apply(MakeRelease(next));
+  }
+  return store;
+}
+
+}  // namespace
+
+TEST_GROUP(ReleaseStore){};
+
+TEST(ReleaseStore, NeverDecreasesAndAlwaysHoldsAnAcceptedReleaseAsAWhole) {
+  CHECK(rc::check([](std::uint64_t seed) {
+    RC_ASSERT(RunRandomMessages(seed, {}).empty());
+  }));
+}
+
+TEST(ReleaseStore, WithoutTheOrderOfRevisionsThePromiseBreaks) {
+  CHECK(AnySeedBreaks({.only_greater_revisions = false}));
+}
+
+TEST(ReleaseStore, WithoutTheDigestThePromiseBreaks) {
+  CHECK(AnySeedBreaks({.verify_digest = false}));
+}
+
+TEST(ReleaseStore, EveryDeltaInTheWindowLeadsToTheSameRelease) {
+  const ReleaseStore sender = StoreAt(kNewest);
+  for (Revision have = 0; have < kNewest; ++have) {
+    ReleaseStore receiver({});
+    if (have > 0) {
+      receiver.Apply(MakeRelease(have));
+    }
+    const auto delta = sender.DeltaFrom(have, receiver.current()->digest);
+    LONGS_EQUAL(have, delta->from_revision);
+    CHECK(receiver.Apply(*delta).outcome == ApplyOutcome::kApplied);
+    CHECK(*receiver.current() == *sender.current());
+  }
+}
+
+TEST(ReleaseStore, SendsTheWholeReleaseBeyondTheWindow) {
+  ReleaseStore sender({.max_deltas = 2});
+  for (Revision next = 1; next <= 5; ++next) {
+    sender.Apply(MakeRelease(next));
+  }
+  LONGS_EQUAL(3, sender.DeltaFrom(3, MakeRelease(3).digest)->from_revision);
+  LONGS_EQUAL(0, sender.DeltaFrom(2, MakeRelease(2).digest)->from_revision);
+}
+
+TEST(ReleaseStore, SendsTheWholeReleaseToAPeerWithOtherContent) {
+  LONGS_EQUAL(0, StoreAt(5).DeltaFrom(4, "another digest")->from_revision);
+}
+
+TEST(ReleaseStore, HasNothingForAPeerThatIsNotBehind) {
+  CHECK(!StoreAt(5).DeltaFrom(5, MakeRelease(5).digest));
+  CHECK(!StoreAt(5).DeltaFrom(6, ""));
+}
+
+TEST(ReleaseStore, AsksForTheParentOfADeltaItCannotBase) {
+  ReleaseStore store = StoreAt(3);
+  const auto result = store.Apply(MessageBetween(4, 5, false));
+  CHECK(result.outcome == ApplyOutcome::kNeedsParent);
+  LONGS_EQUAL(3, store.revision());
+}
+
+TEST(ReleaseStore, KeepsTheAppliedReleaseWhenANewOneDoesNotCompile) {
+  int compiled = 0;
+  ReleaseStore store({.compile = [&compiled](const Release& release) {
+    ++compiled;
+    return release.revision == 2
+               ? std::vector<Fault>{{.place = "rule", .message = "no service"}}
+               : std::vector<Fault>();
+  }});
+  store.Apply(MakeRelease(1));
+  const auto refused = store.Apply(MessageBetween(1, 2, false));
+  CHECK(refused.refused->reason == ReleaseRefusal::kDoesNotCompile);
+  CHECK(*store.current() == MakeRelease(1));
+  LONGS_EQUAL(2, store.last_refused()->revision);
+  CHECK(store.IsRefusedForGood(2, MakeRelease(2).digest));
+
+  store.Apply(MessageBetween(0, 2, false));
+  LONGS_EQUAL(2, compiled);
+  store.Apply(MessageBetween(0, 3, false));
+  LONGS_EQUAL(3, store.revision());
+  CHECK(!store.last_refused());
+}
+
+TEST(ReleaseStore, RefusesADamagedDeltaButNotForGood) {
+  ReleaseStore store = StoreAt(1);
+  const auto refused = store.Apply(MessageBetween(1, 2, true));
+  CHECK(refused.refused->reason == ReleaseRefusal::kDigestMismatch);
+  CHECK(store.Apply(MessageBetween(1, 2, false)).outcome ==
+        ApplyOutcome::kApplied);
+}
+
+TEST(ReleaseStore, RefusesAMessageThatContradictsItself) {
+  ReleaseStore store = StoreAt(1);
+  ReleaseDeltaMessage repeated = MessageBetween(1, 2, false);
+  repeated.updates.push_back(repeated.updates.front());
+  CHECK(store.Apply(repeated).refused->reason == ReleaseRefusal::kMalformed);
+  const ReleaseDeltaMessage backwards{.from_revision = 3, .to_revision = 2};
+  CHECK(store.Apply(backwards).refused->reason == ReleaseRefusal::kMalformed);
+}
