Add stand-ins for the platform and for a backend server

Cause: the system cannot be run or tested end to end without the platform's object API and without backend servers.

Change: platform_stand_in serves the object API of docs/PROTOCOLS.md from memory, with a budget of calls, fault switches (outage, delay, lost answers) and counters. backend_server_stand_in runs requests in slots, announces itself, sheds, drains on SIGTERM, keeps to deadlines, notices callers that hang up, streams uploads, and writes a record of each run. The store and the budget are pure and tested apart from HTTP.

Ruled out: the server of packages/net for the backend server, because it holds whole bodies, and for the platform, because it cannot close a connection without an answer.

--- /dev/null
+++ b/tests/standins/backend_session.cc
@@ -0,0 +1,417 @@
+#include "standins/backend_session.h"
+
+#include <unistd.h>
+
+#include <array>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/write.hpp>
+#include <charconv>
+#include <limits>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "banyantrail/net/http_client.h"
+#include "banyantrail/net/http_server.h"
+#include "banyantrail/wire/mesh_headers.h"
+#include "standins/sha256_stream.h"
+
+namespace banyantrail::standins {
+namespace {
+
+using nlohmann::json;
+
+constexpr unsigned kHttp11 = 11;
+constexpr std::size_t kPieceBytes = 64U << 10U;
+constexpr int kCrashExitStatus = 134;
+constexpr std::string_view kControlPrefix = "/standin/";
+constexpr std::string_view kRequestIdHeader = "x-test-request-id";
+constexpr std::string_view kCrashHeader = "x-test-crash";
+constexpr std::size_t kMaxControlBytes = 64U << 10U;
+/// How much of a shed upload is read so that its sender sees the answer.
+constexpr std::uint64_t kMaxDiscardedBytes = 256U << 10U;
+constexpr milliseconds kDiscardTimeout{500};
+constexpr milliseconds kDefaultNextTimeout{5000};
+
+boost::beast::string_view View(std::string_view text) {
+  return {text.data(), text.size()};
+}
+
+std::optional<milliseconds> ParseMilliseconds(const std::string& text) {
+  std::int64_t value = 0;
+  const char* end = text.data() + text.size();
+  if (text.empty() || std::from_chars(text.data(), end, value).ptr != end) {
+    return std::nullopt;
+  }
+  return milliseconds(value);
+}
+
+/// Whether the peer has closed its side. Call it when the socket is readable.
+bool IsClosedByPeer(asio::ip::tcp::socket& socket) {
+  std::array<char, 1> byte{};
+  boost::system::error_code error;
+  socket.non_blocking(true, error);
+  const std::size_t size = socket.receive(
+      asio::buffer(byte), asio::socket_base::message_peek, error);
+  return error != asio::error::would_block && (error || size == 0);
+}
+
+/// The content of an answer of `bytes` bytes to the request with this id.
+std::string PatternPiece(const std::string& request_id) {
+  const std::string unit = (request_id.empty() ? "-" : request_id) + "\n";
+  std::string piece;
+  while (piece.size() + unit.size() <= kPieceBytes) {
+    piece += unit;
+  }
+  return piece;
+}
+
+/// A slot that is in use for the life of the object.
+class SlotHold {
+ public:
+  explicit SlotHold(std::uint32_t& busy) : m_busy(busy) { ++m_busy; }
+  SlotHold(const SlotHold&) = delete;
+  SlotHold& operator=(const SlotHold&) = delete;
+  ~SlotHold() { --m_busy; }
+
+ private:
+  std::uint32_t& m_busy;
+};
+
+/// "http://IP:PORT/path" split into the server and the path.
+struct NextCall {
+  IpEndpoint server;
+  std::string path;
+};
+
+NextCall ParseNextCall(const std::string& url) {
+  constexpr std::string_view kScheme = "http://";
+  const std::string rest =
+      url.starts_with(kScheme) ? url.substr(kScheme.size()) : url;
+  const std::size_t slash = rest.find('/');
+  return {.server = ParseIpEndpoint(rest.substr(0, slash)),
+          .path = slash == std::string::npos ? "/" : rest.substr(slash)};
+}
+
+}  // namespace
+
+BackendSession::BackendSession(BackendServer& server, beast::tcp_stream stream)
+    : m_server(server),
+      m_connection(server.m_next_connection++),
+      m_stream(std::move(stream)) {}
+
+asio::awaitable<void> BackendSession::Run() {
+  while (m_keep_alive) {
+    const bool go_on = co_await ServeRequest();
+    if (!go_on) {
+      co_return;
+    }
+  }
+}
+
+asio::awaitable<bool> BackendSession::ServeRequest() {
+  Parser parser;
+  parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+  boost::system::error_code error;
+  co_await http::async_read_header(
+      m_stream, m_buffer, parser,
+      asio::redirect_error(asio::use_awaitable, error));
+  if (error) {
+    co_return false;
+  }
+  const auto target = parser.get().target();
+  m_target = ParseRequestTarget({target.data(), target.size()});
+  m_request_id = Header(parser, kRequestIdHeader);
+  m_deadline_text = Header(parser, kDeadlineHeader);
+  m_depth = Header(parser, kDepthHeader);
+  m_keep_alive = parser.get().keep_alive() && !m_server.m_draining;
+
+  if (m_target.path.starts_with(kControlPrefix)) {
+    co_return co_await ServeControl(parser);
+  }
+  if (m_server.IsSilent(m_connection)) {
+    co_await SwallowForever();
+    co_return false;
+  }
+  if (m_target.path == "/health" || m_target.path == "/load") {
+    co_await ReadBody(parser, nullptr);
+    co_await SendWhole(m_target.path == "/health" ? m_server.Health()
+                                                  : m_server.Load());
+    co_return true;
+  }
+  if (m_server.m_refusing || m_server.m_busy >= m_server.m_options.slots) {
+    co_await Shed(parser);
+    co_return m_keep_alive;
+  }
+  co_return co_await RunInSlot(parser);
+}
+
+asio::awaitable<bool> BackendSession::ServeControl(Parser& parser) {
+  std::string body;
+  co_await ReadBody(parser, &body);
+  if (m_target.path == "/standin/faults") {
+    co_await SendWhole(m_server.SetFaults(body));
+  } else {
+    co_await SendWhole(m_server.CountersResponse());
+  }
+  co_return true;
+}
+
+asio::awaitable<void> BackendSession::Shed(Parser& parser) {
+  ++m_server.m_counters.shed;
+  HttpResponse response = JsonResponse(http::status::service_unavailable,
+                                       R"({"error":"no free slot"})");
+  response.set(View(kOutcomeHeader), View(kOutcomeNotRun));
+  const bool was_whole = parser.is_done();
+  m_keep_alive = m_keep_alive && was_whole;
+  co_await SendWhole(std::move(response));
+  if (was_whole) {
+    co_return;
+  }
+  // Closing with unread bytes would reset the connection and could destroy the
+  // answer on its way.
+  boost::system::error_code ignored;
+  m_stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  std::vector<char> piece(kPieceBytes);
+  std::uint64_t discarded = 0;
+  m_stream.expires_after(kDiscardTimeout);
+  while (!ignored && discarded < kMaxDiscardedBytes) {
+    discarded += co_await m_stream.async_read_some(
+        asio::buffer(piece),
+        asio::redirect_error(asio::use_awaitable, ignored));
+  }
+}
+
+asio::awaitable<void> BackendSession::SwallowForever() {
+  std::vector<char> piece(kPieceBytes);
+  boost::system::error_code error;
+  while (!error) {
+    co_await m_stream.async_read_some(
+        asio::buffer(piece), asio::redirect_error(asio::use_awaitable, error));
+  }
+}
+
+asio::awaitable<BackendSession::ReceivedBody> BackendSession::ReadBody(
+    Parser& parser,
+    std::string* text) {
+  ReceivedBody body;
+  Sha256Stream hash;
+  std::vector<char> piece(kPieceBytes);
+  while (!parser.is_done()) {
+    parser.get().body().data = piece.data();
+    parser.get().body().size = piece.size();
+    boost::system::error_code error;
+    co_await http::async_read(m_stream, m_buffer, parser,
+                              asio::redirect_error(asio::use_awaitable, error));
+    if (error && error != http::error::need_buffer) {
+      throw boost::system::system_error(error);
+    }
+    const std::size_t size = piece.size() - parser.get().body().size;
+    hash.Update({piece.data(), size});
+    body.bytes += size;
+    if (text != nullptr && text->size() < kMaxControlBytes) {
+      text->append(piece.data(), size);
+    }
+  }
+  body.sha256 = hash.Finish();
+  co_return body;
+}
+
+asio::awaitable<bool> BackendSession::RunInSlot(Parser& parser) {
+  const SlotHold slot(m_server.m_busy);
+  const TimePoint arrived = SystemClock().Now();
+  if (parser.get()[http::field::expect] == "100-continue") {
+    http::response<http::empty_body> go_on(http::status::continue_, kHttp11);
+    co_await http::async_write(m_stream, go_on, asio::use_awaitable);
+  }
+  ReceivedBody body = co_await ReadBody(parser, nullptr);
+
+  m_run = ++m_server.m_counters.started;
+  Record("run_start", parser);
+  if (!Header(parser, kCrashHeader).empty()) {
+    _exit(kCrashExitStatus);
+  }
+  const auto asked = milliseconds(QueryNumber(
+      m_target, "ms",
+      static_cast<std::uint64_t>(m_server.m_options.service_time.count())));
+  std::optional<milliseconds> deadline = ParseMilliseconds(m_deadline_text);
+  if (deadline) {
+    *deadline -=
+        std::chrono::duration_cast<milliseconds>(SystemClock().Now() - arrived);
+  }
+  const RunOutcome outcome = co_await OccupySlot(
+      m_server.ServiceTime(asked, SystemClock().Now()), deadline);
+  if (outcome != RunOutcome::kDone) {
+    ++m_server.m_counters.cancelled;
+    Record("run_cancel", parser);
+  }
+  if (outcome == RunOutcome::kCallerGone) {
+    co_return false;
+  }
+  if (outcome == RunOutcome::kDeadline) {
+    co_await SendWhole(JsonResponse(http::status::gateway_timeout,
+                                    R"({"error":"deadline exceeded"})"));
+    co_return true;
+  }
+  HttpResponse response = co_await Echo(parser, body);
+  ++m_server.m_counters.ended;
+  Record("run_end", parser);
+
+  if (m_server.IsSilent(m_connection)) {
+    co_await SwallowForever();
+    co_return false;
+  }
+  if (m_server.m_faults.cut_answers > 0) {
+    --m_server.m_faults.cut_answers;
+    co_await SendCut();
+    co_return false;
+  }
+  const std::uint64_t bytes = QueryNumber(m_target, "bytes", 0);
+  if (bytes > 0 && response.result() == http::status::ok) {
+    co_await SendGenerated(bytes);
+  } else {
+    co_await SendWhole(std::move(response));
+  }
+  co_return true;
+}
+
+asio::awaitable<BackendSession::RunOutcome> BackendSession::OccupySlot(
+    milliseconds time,
+    std::optional<milliseconds> deadline) {
+  struct Wait {
+    explicit Wait(const asio::any_io_executor& executor) : timer(executor) {}
+    asio::steady_timer timer;
+    bool finished = false;
+    bool caller_gone = false;
+  };
+  const bool cut_short = deadline && *deadline < time;
+  auto wait = std::make_shared<Wait>(m_stream.get_executor());
+  wait->timer.expires_after(cut_short ? *deadline : time);
+  asio::ip::tcp::socket& socket = m_stream.socket();
+  socket.async_wait(asio::socket_base::wait_read,
+                    [wait, &socket](const boost::system::error_code& error) {
+                      if (!error && !wait->finished && IsClosedByPeer(socket)) {
+                        wait->caller_gone = true;
+                        wait->timer.cancel();
+                      }
+                    });
+  boost::system::error_code ignored;
+  co_await wait->timer.async_wait(
+      asio::redirect_error(asio::use_awaitable, ignored));
+  wait->finished = true;
+  socket.cancel(ignored);
+  if (wait->caller_gone) {
+    co_return RunOutcome::kCallerGone;
+  }
+  co_return cut_short ? RunOutcome::kDeadline : RunOutcome::kDone;
+}
+
+asio::awaitable<HttpResponse> BackendSession::Echo(const Parser& parser,
+                                                   const ReceivedBody& body) {
+  const auto method = parser.get().method_string();
+  json answer = {{"server", m_server.m_options.server_id},
+                 {"service", m_server.m_options.service},
+                 {"method", std::string(method)},
+                 {"path", m_target.path},
+                 {"request_id", m_request_id},
+                 {"body_bytes", body.bytes},
+                 {"body_sha256", body.sha256},
+                 {"run", m_run}};
+  http::status status = http::status::ok;
+  if (m_target.query.contains("next")) {
+    const std::string failure = co_await CallNext();
+    if (!failure.empty()) {
+      status = http::status::bad_gateway;
+      answer["next_error"] = failure;
+    }
+  }
+  if (m_server.DrawFailure()) {
+    status = http::status::internal_server_error;
+  }
+  HttpResponse response = JsonResponse(status, answer.dump());
+  response.set(View(kRequestIdHeader), m_request_id);
+  co_return response;
+}
+
+asio::awaitable<std::string> BackendSession::CallNext() {
+  const std::string url = m_target.query.at("next");
+  const NextCall next = ParseNextCall(url);
+  const std::uint64_t hops = QueryNumber(m_target, "hops", 1);
+  std::string target = next.path;
+  if (hops > 1) {
+    target += (target.find('?') == std::string::npos ? "?" : "&");
+    target +=
+        "hops=" + std::to_string(hops - 1) + "&next=" + EncodeQueryValue(url);
+  }
+  HttpRequest request(http::verb::get, target, kHttp11);
+  request.set(View(kRequestIdHeader), m_request_id);
+  if (!m_depth.empty()) {
+    request.set(View(kDepthHeader), m_depth);
+  }
+  const milliseconds timeout =
+      ParseMilliseconds(m_deadline_text).value_or(kDefaultNextTimeout);
+  request.set(View(kDeadlineHeader), std::to_string(timeout.count()));
+  HttpClient client(m_stream.get_executor(), {.server = next.server});
+  try {
+    const HttpResponse answer =
+        co_await client.Request(std::move(request), timeout);
+    if (answer.result() != http::status::ok) {
+      co_return "status " + std::to_string(answer.result_int());
+    }
+  } catch (const HttpClientError& error) {
+    co_return error.message();
+  }
+  co_return "";
+}
+
+asio::awaitable<void> BackendSession::SendWhole(HttpResponse response) {
+  response.keep_alive(m_keep_alive);
+  response.prepare_payload();
+  co_await http::async_write(m_stream, response, asio::use_awaitable);
+}
+
+asio::awaitable<void> BackendSession::SendGenerated(std::uint64_t bytes) {
+  http::response<http::empty_body> head(http::status::ok, kHttp11);
+  head.set(http::field::content_type, "text/plain");
+  head.set(View(kRequestIdHeader), m_request_id);
+  head.content_length(bytes);
+  head.keep_alive(m_keep_alive);
+  http::response_serializer<http::empty_body> serializer(head);
+  co_await http::async_write_header(m_stream, serializer, asio::use_awaitable);
+  const std::string piece = PatternPiece(m_request_id);
+  while (bytes > 0) {
+    const std::size_t size = std::min<std::uint64_t>(bytes, piece.size());
+    co_await asio::async_write(m_stream, asio::buffer(piece.data(), size),
+                               asio::use_awaitable);
+    bytes -= size;
+  }
+}
+
+asio::awaitable<void> BackendSession::SendCut() {
+  constexpr std::string_view kCutAnswer =
+      "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+      "Content-Length: 1000\r\n\r\n{\"server\":\"";
+  co_await asio::async_write(m_stream,
+                             asio::buffer(kCutAnswer.data(), kCutAnswer.size()),
+                             asio::use_awaitable);
+}
+
+std::string BackendSession::Header(const Parser& parser,
+                                   std::string_view name) const {
+  return std::string(parser.get()[View(name)]);
+}
+
+void BackendSession::Record(std::string_view event, const Parser& parser) {
+  m_server.m_log.Write(
+      {.event = event,
+       .run = m_run,
+       .request_id = m_request_id,
+       .idempotency_key = Header(parser, kIdempotencyKeyHeader),
+       .method = std::string(parser.get().method_string()),
+       .path = m_target.path});
+}
+
+}  // namespace banyantrail::standins
--- /dev/null
+++ b/tests/standins/backend_session.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "banyantrail/net/asio.h"
+#include "banyantrail/net/http_types.h"
+#include "standins/backend_server.h"
+#include "standins/request_target.h"
+
+namespace banyantrail::standins {
+
+/// One connection to the backend server.
+class BackendSession {
+ public:
+  BackendSession(BackendServer& server, beast::tcp_stream stream);
+
+  asio::awaitable<void> Run();
+
+ private:
+  using Parser = http::request_parser<http::buffer_body>;
+
+  /// What is known of a request once its body has arrived.
+  struct ReceivedBody {
+    std::uint64_t bytes = 0;
+    std::string sha256;
+  };
+
+  /// How the time in the slot ended.
+  enum class RunOutcome { kDone, kCallerGone, kDeadline };
+
+  asio::awaitable<bool> ServeRequest();
+  asio::awaitable<bool> ServeControl(Parser& parser);
+  asio::awaitable<void> Shed(Parser& parser);
+  asio::awaitable<void> SwallowForever();
+  asio::awaitable<ReceivedBody> ReadBody(Parser& parser, std::string* text);
+  asio::awaitable<RunOutcome> OccupySlot(milliseconds time,
+                                         std::optional<milliseconds> deadline);
+  asio::awaitable<bool> RunInSlot(Parser& parser);
+  asio::awaitable<HttpResponse> Echo(const Parser& parser,
+                                     const ReceivedBody& body);
+  asio::awaitable<std::string> CallNext();
+  asio::awaitable<void> SendWhole(HttpResponse response);
+  asio::awaitable<void> SendGenerated(std::uint64_t bytes);
+  asio::awaitable<void> SendCut();
+  std::string Header(const Parser& parser, std::string_view name) const;
+  void Record(std::string_view event, const Parser& parser);
+
+  BackendServer& m_server;
+  std::uint64_t m_connection;
+  beast::tcp_stream m_stream;
+  beast::flat_buffer m_buffer;
+  RequestTarget m_target;
+  std::string m_request_id;
+  std::string m_deadline_text;
+  std::string m_depth;
+  std::uint64_t m_run = 0;
+  bool m_keep_alive = true;
+};
+
+}  // namespace banyantrail::standins
--- /dev/null
+++ b/tests/standins/platform_service.cc
@@ -0,0 +1,265 @@
+#include "standins/platform_service.h"
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+#include <string_view>
+#include <utility>
+
+#include "banyantrail/net/http_server.h"
+
+namespace banyantrail::standins {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::string_view kObjectsPath = "/objects/";
+constexpr milliseconds kMaxWatchWait{60'000};
+
+HttpResponse Answer(http::status status, const json& body) {
+  return JsonResponse(status, body.dump());
+}
+
+HttpResponse Refusal(http::status status, const std::string& error) {
+  return Answer(status, {{"error", error}});
+}
+
+/// The number in an If-Match header; absent without one. Throws
+/// std::invalid_argument if it is no number.
+std::optional<std::uint64_t> IfMatch(const HttpRequest& request) {
+  const auto header = request.find(http::field::if_match);
+  if (header == request.end()) {
+    return std::nullopt;
+  }
+  const auto text = header->value();
+  std::uint64_t version = 0;
+  const char* end = text.data() + text.size();
+  if (std::from_chars(text.data(), end, version).ptr != end || text.empty()) {
+    throw std::invalid_argument("If-Match holds no version number");
+  }
+  return version;
+}
+
+json ToJson(const StoredObject& object) {
+  return {{"key", object.key},
+          {"version", object.version},
+          {"value", json::parse(object.value)}};
+}
+
+json ToEvent(const StoredObject& object) {
+  json event = {{"key", object.key},
+                {"version", object.version},
+                {"deleted", object.deleted}};
+  event["value"] = object.deleted ? json(nullptr) : json::parse(object.value);
+  return event;
+}
+
+HttpResponse ToResponse(const WriteResult& result) {
+  switch (result.status) {
+    case WriteStatus::kDone:
+      return Answer(http::status::ok, {{"version", result.version}});
+    case WriteStatus::kVersionMismatch:
+      return Answer(http::status::precondition_failed,
+                    {{"version", result.version}});
+    case WriteStatus::kNotFound:
+      return Refusal(http::status::not_found, "no such object");
+    case WriteStatus::kTooLarge:
+      return Refusal(http::status::payload_too_large, "value above 1 MB");
+  }
+  return Refusal(http::status::internal_server_error, "unknown result");
+}
+
+/// The "value" of a PUT body, as JSON text.
+std::string ValueOf(const HttpRequest& request) {
+  return json::parse(request.body()).at("value").dump();
+}
+
+}  // namespace
+
+PlatformService::PlatformService(asio::any_io_executor executor,
+                                 Options options)
+    : m_executor(std::move(executor)),
+      m_writes(options.writes_per_second, SystemClock().Now()),
+      m_reads(options.reads_per_second, SystemClock().Now()) {}
+
+asio::awaitable<std::optional<HttpResponse>> PlatformService::Handle(
+    HttpRequest request) {
+  std::string failure;
+  try {
+    if (request.target() == "/standin/faults") {
+      co_return SetFaults(request.body());
+    }
+    if (request.target() == "/standin/counters") {
+      co_return Counters();
+    }
+    co_return co_await HandleObjectApi(std::move(request));
+  } catch (const std::exception& error) {
+    failure = error.what();
+  }
+  co_return Refusal(http::status::bad_request, failure);
+}
+
+asio::awaitable<std::optional<HttpResponse>> PlatformService::HandleObjectApi(
+    HttpRequest request) {
+  if (m_faults.outage) {
+    co_return std::nullopt;
+  }
+  const RequestTarget target =
+      ParseRequestTarget({request.target().data(), request.target().size()});
+  const bool is_object = target.path.starts_with(kObjectsPath);
+  const std::string key =
+      is_object
+          ? target.path.substr(kObjectsPath.size())
+          : (target.query.contains("prefix") ? target.query.at("prefix") : "");
+  if (!key.empty() && !IsValidKey(key)) {
+    co_return Refusal(http::status::bad_request, "bad key");
+  }
+  const bool is_write = is_object && request.method() != http::verb::get;
+  if (!TakeBudget(is_write, key)) {
+    co_return Refusal(http::status::too_many_requests, "over budget");
+  }
+  if (m_faults.delay.count() > 0) {
+    asio::steady_timer delay(m_executor);
+    delay.expires_after(m_faults.delay);
+    co_await delay.async_wait(asio::use_awaitable);
+  }
+  if (m_faults.outage) {
+    co_return std::nullopt;
+  }
+  if (is_write) {
+    co_return HandleWrite(request, key);
+  }
+  if (is_object) {
+    co_return HandleRead(key);
+  }
+  if (target.path == "/list") {
+    co_return HandleList(target);
+  }
+  if (target.path == "/watch") {
+    co_return co_await HandleWatch(target);
+  }
+  co_return Refusal(http::status::not_found, "no such path");
+}
+
+std::optional<HttpResponse> PlatformService::HandleRead(
+    const std::string& key) {
+  const auto object = m_store.Get(key);
+  if (!object) {
+    return Refusal(http::status::not_found, "no such object");
+  }
+  return Answer(http::status::ok, ToJson(*object));
+}
+
+std::optional<HttpResponse> PlatformService::HandleWrite(
+    const HttpRequest& request,
+    const std::string& key) {
+  WriteResult result;
+  if (request.method() == http::verb::put) {
+    result = m_store.Put(key, ValueOf(request), IfMatch(request));
+  } else if (request.method() == http::verb::delete_) {
+    result = m_store.Delete(key, IfMatch(request));
+  } else {
+    return Refusal(http::status::method_not_allowed, "use GET, PUT or DELETE");
+  }
+  if (result.status != WriteStatus::kDone) {
+    return ToResponse(result);
+  }
+  WakeWatches(key);
+  if (m_faults.lose_answers > 0) {
+    --m_faults.lose_answers;
+    return std::nullopt;
+  }
+  return ToResponse(result);
+}
+
+HttpResponse PlatformService::HandleList(const RequestTarget& target) {
+  json objects = json::array();
+  for (const StoredObject& object : m_store.List(target.query.at("prefix"))) {
+    objects.push_back(ToJson(object));
+  }
+  return Answer(http::status::ok, {{"version", m_store.version()},
+                                   {"objects", std::move(objects)}});
+}
+
+asio::awaitable<std::optional<HttpResponse>> PlatformService::HandleWatch(
+    RequestTarget target) {
+  ++m_counters.watches;
+  const std::string prefix = target.query.at("prefix");
+  const std::uint64_t after = QueryNumber(target, "after", 0);
+  const auto asked = milliseconds(QueryNumber(target, "wait_ms", 0));
+  const TimePoint deadline =
+      SystemClock().Now() + std::min(asked, kMaxWatchWait);
+
+  std::vector<StoredObject> changes = m_store.ChangesAfter(prefix, after);
+  while (changes.empty() && SystemClock().Now() < deadline) {
+    const auto left =
+        std::chrono::ceil<milliseconds>(deadline - SystemClock().Now());
+    co_await WaitForChange(prefix, left);
+    if (m_faults.outage) {
+      co_return std::nullopt;
+    }
+    changes = m_store.ChangesAfter(prefix, after);
+  }
+  json events = json::array();
+  for (const StoredObject& object : changes) {
+    events.push_back(ToEvent(object));
+  }
+  co_return Answer(http::status::ok, {{"version", m_store.version()},
+                                      {"events", std::move(events)}});
+}
+
+asio::awaitable<void> PlatformService::WaitForChange(std::string prefix,
+                                                     milliseconds wait) {
+  const std::uint64_t id = m_next_watch++;
+  const auto [entry, inserted] = m_watches.emplace(
+      id, Watch{std::move(prefix), asio::steady_timer(m_executor)});
+  entry->second.timer.expires_after(wait);
+  boost::system::error_code ignored;
+  co_await entry->second.timer.async_wait(
+      asio::redirect_error(asio::use_awaitable, ignored));
+  m_watches.erase(id);
+}
+
+void PlatformService::WakeWatches(const std::string& key) {
+  for (auto& [id, watch] : m_watches) {
+    if (key.starts_with(watch.prefix)) {
+      watch.timer.cancel();
+    }
+  }
+}
+
+bool PlatformService::TakeBudget(bool is_write, const std::string& key) {
+  const TimePoint now = SystemClock().Now();
+  const bool granted = is_write ? m_writes.TryTake(now) : m_reads.TryTake(now);
+  if (!granted) {
+    ++m_counters.rejected;
+    return false;
+  }
+  ++(is_write ? m_counters.writes : m_counters.reads);
+  ++m_counters.by_prefix[key.substr(0, key.find('/'))];
+  return true;
+}
+
+HttpResponse PlatformService::SetFaults(const std::string& body) {
+  const json faults = json::parse(body);
+  m_faults.outage = faults.value("outage", m_faults.outage);
+  m_faults.delay =
+      milliseconds(faults.value("delay_ms", m_faults.delay.count()));
+  m_faults.lose_answers = faults.value("lose_answers", m_faults.lose_answers);
+  if (m_faults.outage) {
+    for (auto& [id, watch] : m_watches) {
+      watch.timer.cancel();
+    }
+  }
+  return Answer(http::status::ok, json::object());
+}
+
+HttpResponse PlatformService::Counters() const {
+  return Answer(http::status::ok, {{"reads", m_counters.reads},
+                                   {"writes", m_counters.writes},
+                                   {"watches", m_counters.watches},
+                                   {"waiting", m_watches.size()},
+                                   {"rejected", m_counters.rejected},
+                                   {"by_prefix", m_counters.by_prefix}});
+}
+
+}  // namespace banyantrail::standins
--- /dev/null
+++ b/tests/standins/token_bucket.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <algorithm>
+
+#include "banyantrail/core/clock.h"
+
+namespace banyantrail::standins {
+
+/// A rate limit that lets one second's worth through at once.
+class TokenBucket {
+ public:
+  TokenBucket(double per_second, TimePoint now)
+      : m_per_second(per_second), m_tokens(per_second), m_refilled(now) {}
+
+  /// Takes one token; false when the budget is used up.
+  bool TryTake(TimePoint now) {
+    const std::chrono::duration<double> elapsed = now - m_refilled;
+    m_tokens = std::min(
+        m_per_second, m_tokens + std::max(0.0, elapsed.count()) * m_per_second);
+    m_refilled = now;
+    if (m_tokens < 1) {
+      return false;
+    }
+    m_tokens -= 1;
+    return true;
+  }
+
+ private:
+  double m_per_second;
+  double m_tokens;
+  TimePoint m_refilled;
+};
+
+}  // namespace banyantrail::standins
