--- a/cmake/BanyantrailTargets.cmake
+++ b/cmake/BanyantrailTargets.cmake
@@ -62,6 +62,9 @@
   add_executable(${name} ${ARG_SOURCES}
                          ${CMAKE_SOURCE_DIR}/tests/support/test_main.cc)
   target_include_directories(${name} PRIVATE ${CMAKE_SOURCE_DIR}/tests)
+  # Otherwise CppUTest redefines `new` as a macro, which breaks the headers of
+  # other libraries that come after its own.
+  target_compile_definitions(${name} PRIVATE CPPUTEST_MEM_LEAK_DETECTION_DISABLED)
   target_link_libraries(${name} PRIVATE ${ARG_DEPS} ${CPPUTEST_LIBRARY} rapidcheck)
   add_test(NAME ${name} COMMAND ${name})
   set_tests_properties(${name} PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261204"
--- /dev/null
+++ b/packages/config/banyantrail/config/compile.cc
@@ -0,0 +1,266 @@
+#include "banyantrail/config/compile.h"
+
+#include <algorithm>
+#include <iterator>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <utility>
+
+#include "banyantrail/config/json_text.h"
+#include "banyantrail/config/object_json.h"
+#include "banyantrail/config/selector_match.h"
+
+namespace banyantrail {
+namespace {
+
+constexpr unsigned kAllPercent = 100;
+
+using Faults = std::vector<Fault>;
+
+std::string Place(const ConfigObject& object, std::string_view field) {
+  return ToString(KeyOf(object)) + ": " + std::string(field);
+}
+
+void Append(Faults found, Faults& faults) {
+  std::ranges::move(found, std::back_inserter(faults));
+}
+
+void AddObject(ConfigObject object, CompiledConfig& config) {
+  if (auto* service = std::get_if<ServiceObject>(&object)) {
+    config.services.push_back(std::move(*service));
+  } else if (auto* selector = std::get_if<SelectorObject>(&object)) {
+    config.selectors.push_back(std::move(*selector));
+  } else if (auto* rank = std::get_if<RankObject>(&object)) {
+    config.ranks.push_back(std::move(*rank));
+  } else if (auto* route = std::get_if<RoutingRuleObject>(&object)) {
+    config.routing_rules.push_back(std::move(*route));
+  } else if (auto* alert = std::get_if<AlertRuleObject>(&object)) {
+    config.alert_rules.push_back(std::move(*alert));
+  }
+}
+
+void ReadObject(const std::string& key,
+                const std::string& text,
+                CompiledConfig& config,
+                Faults& faults) {
+  JsonTextResult json = ParseJsonText(text, key);
+  if (!json.faults.empty()) {
+    Append(std::move(json.faults), faults);
+    return;
+  }
+  ObjectParseResult parsed = ParseObject(json.value, "");
+  if (!parsed.object) {
+    Append(std::move(parsed.faults), faults);
+    return;
+  }
+  if (ToString(KeyOf(*parsed.object)) != key) {
+    faults.push_back({.place = key,
+                      .message = "is stored under another key than its own, " +
+                                 ToString(KeyOf(*parsed.object)),
+                      .remedy = "store it under its own kind and name"});
+    return;
+  }
+  AddObject(std::move(*parsed.object), config);
+}
+
+void CheckSize(const ObjectTexts& objects, Faults& faults) {
+  std::size_t bytes = 0;
+  for (const auto& [key, text] : objects) {
+    bytes += key.size() + text.size();
+  }
+  if (objects.size() > kMaxReleaseObjects) {
+    faults.push_back(
+        {.place = "release",
+         .message = "has " + std::to_string(objects.size()) + " objects",
+         .remedy = "keep to " + std::to_string(kMaxReleaseObjects)});
+  }
+  if (bytes > kMaxReleaseBytes) {
+    faults.push_back({.place = "release",
+                      .message = "has " + std::to_string(bytes) + " bytes",
+                      .remedy = "keep to " + std::to_string(kMaxReleaseBytes)});
+  }
+}
+
+/// Typed objects by name, for resolving references.
+template <typename Name, typename Object>
+std::unordered_map<Name, const Object*> ByName(
+    const std::vector<Object>& objects) {
+  std::unordered_map<Name, const Object*> by_name;
+  for (const Object& object : objects) {
+    by_name.emplace(object.name, &object);
+  }
+  return by_name;
+}
+
+struct Index {
+  std::unordered_map<ServiceName, const ServiceObject*> services;
+  std::unordered_map<SelectorName, const SelectorObject*> selectors;
+  std::unordered_map<RankName, const RankObject*> ranks;
+};
+
+Index IndexOf(const CompiledConfig& config) {
+  return {.services = ByName<ServiceName>(config.services),
+          .selectors = ByName<SelectorName>(config.selectors),
+          .ranks = ByName<RankName>(config.ranks)};
+}
+
+template <typename Name, typename Object>
+void CheckReference(const ConfigObject& from,
+                    std::string_view kind,
+                    const Name& name,
+                    const std::unordered_map<Name, const Object*>& known,
+                    Faults& faults) {
+  if (!known.contains(name)) {
+    faults.push_back({.place = Place(from, kind),
+                      .message = "names " + std::string(kind) + " \"" +
+                                 name.str() + "\", which is not declared",
+                      .remedy = "declare " + std::string(kind) + "/" +
+                                name.str() + " or name another"});
+  }
+}
+
+void CheckReferences(const CompiledConfig& config,
+                     const Index& index,
+                     Faults& faults) {
+  for (const RoutingRuleObject& rule : config.routing_rules) {
+    CheckReference(rule, "selector", rule.selector, index.selectors, faults);
+    CheckReference(rule, "service", rule.service, index.services, faults);
+    CheckReference(rule, "rank", rule.rank, index.ranks, faults);
+  }
+  for (const AlertRuleObject& rule : config.alert_rules) {
+    CheckReference(rule, "selector", rule.selector, index.selectors, faults);
+  }
+}
+
+void CheckSelectors(const CompiledConfig& config, Faults& faults) {
+  for (const SelectorObject& selector : config.selectors) {
+    if (!CanOverlap(selector, selector)) {
+      faults.push_back(
+          {.place = Place(selector, "match"),
+           .message = "contradicts itself, no proxy can ever match",
+           .remedy = "remove one of the contradicting requirements"});
+    }
+  }
+}
+
+void CheckShares(const CompiledConfig& config, Faults& faults) {
+  unsigned sum = 0;
+  for (const RankObject& rank : config.ranks) {
+    sum += rank.share_percent;
+  }
+  if (sum > kAllPercent) {
+    faults.push_back(
+        {.place = "rank: share_percent",
+         .message = "the shares of all ranks sum to " + std::to_string(sum),
+         .remedy = "lower them to a sum of at most 100"});
+  }
+}
+
+void CheckPriorities(const CompiledConfig& config, Faults& faults) {
+  std::map<unsigned, const RankObject*> by_priority;
+  for (const RankObject& rank : config.ranks) {
+    const auto [holder, is_new] = by_priority.emplace(rank.priority, &rank);
+    if (!is_new) {
+      faults.push_back({.place = Place(rank, "priority"),
+                        .message = std::to_string(rank.priority) +
+                                   " is the priority of rank/" +
+                                   holder->second->name.str() + " too",
+                        .remedy = "give each rank a priority of its own"});
+    }
+  }
+}
+
+bool MethodsOverlap(const RoutingRuleObject& left,
+                    const RoutingRuleObject& right) {
+  if (left.methods.empty() || right.methods.empty()) {
+    return true;
+  }
+  return std::ranges::any_of(left.methods, [&](const std::string& method) {
+    return std::ranges::find(right.methods, method) != right.methods.end();
+  });
+}
+
+bool SelectorsOverlap(const RoutingRuleObject& left,
+                      const RoutingRuleObject& right,
+                      const Index& index) {
+  const auto left_found = index.selectors.find(left.selector);
+  const auto right_found = index.selectors.find(right.selector);
+  if (left_found == index.selectors.end() ||
+      right_found == index.selectors.end()) {
+    return false;  // Reported as an unresolved reference.
+  }
+  return CanOverlap(*left_found->second, *right_found->second);
+}
+
+Fault AmbiguityFault(const RoutingRuleObject& left,
+                     const RoutingRuleObject& right) {
+  return {.place = Place(right, "path_prefix"),
+          .message = "routing_rule/" + left.name.str() +
+                     " claims the same requests, " + right.path_prefix +
+                     ", on the same proxies",
+          .remedy =
+              "give the two different methods, or selectors that "
+              "exclude each other"};
+}
+
+using RulesOfPrefix = std::vector<const RoutingRuleObject*>;
+
+void CheckPrefix(const RulesOfPrefix& rules,
+                 const Index& index,
+                 Faults& faults) {
+  if (rules.size() > kMaxRulesPerPrefix) {
+    faults.push_back(
+        {.place = Place(*rules.back(), "path_prefix"),
+         .message = rules.back()->path_prefix + " has " +
+                    std::to_string(rules.size()) + " routing rules",
+         .remedy = "keep to " + std::to_string(kMaxRulesPerPrefix)});
+    return;
+  }
+  for (std::size_t right = 0; right < rules.size(); ++right) {
+    for (std::size_t left = 0; left < right; ++left) {
+      if (MethodsOverlap(*rules[left], *rules[right]) &&
+          SelectorsOverlap(*rules[left], *rules[right], index)) {
+        faults.push_back(AmbiguityFault(*rules[left], *rules[right]));
+      }
+    }
+  }
+}
+
+void CheckAmbiguity(const CompiledConfig& config,
+                    const Index& index,
+                    Faults& faults) {
+  std::map<std::string, RulesOfPrefix> by_prefix;
+  for (const RoutingRuleObject& rule : config.routing_rules) {
+    by_prefix[rule.path_prefix].push_back(&rule);
+  }
+  for (const auto& [prefix, rules] : by_prefix) {
+    CheckPrefix(rules, index, faults);
+  }
+}
+
+}  // namespace
+
+CompileResult CompileRelease(const Release& release) {
+  CompileResult result;
+  CheckSize(release.objects, result.faults);
+  if (!result.faults.empty()) {
+    return result;
+  }
+  CompiledConfig config{.revision = release.revision};
+  for (const auto& [key, text] : release.objects) {
+    ReadObject(key, text, config, result.faults);
+  }
+  const Index index = IndexOf(config);
+  CheckReferences(config, index, result.faults);
+  CheckSelectors(config, result.faults);
+  CheckShares(config, result.faults);
+  CheckPriorities(config, result.faults);
+  CheckAmbiguity(config, index, result.faults);
+  if (result.faults.empty()) {
+    result.config = std::move(config);
+  }
+  return result;
+}
+
+}  // namespace banyantrail
--- /dev/null
+++ b/packages/config/banyantrail/config/compile.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <cstddef>
+#include <optional>
+#include <vector>
+
+#include "banyantrail/config/release.h"
+
+namespace banyantrail {
+
+/// Objects in one release.
+inline constexpr std::size_t kMaxReleaseObjects = 20'000;
+/// Bytes of all keys and canonical texts of one release. A whole release has to
+/// fit into one frame between nodes (8 MiB) with its framing.
+inline constexpr std::size_t kMaxReleaseBytes = std::size_t{6} << 20U;
+/// Routing rules that may share one path prefix, told apart by selector or
+/// method.
+inline constexpr std::size_t kMaxRulesPerPrefix = 256;
+
+/// A configuration ready for use, or every fault that speaks against it.
+struct CompileResult {
+  /// Empty when there are faults: a release is taken whole or not at all.
+  std::optional<CompiledConfig> config;
+  std::vector<Fault> faults;
+};
+
+/// Checks a release as a whole: every text, every reference, ranks, and that
+/// no two routing rules can claim the same request on the same proxy. Depends
+/// on the release alone, so each node comes to the same result.
+CompileResult CompileRelease(const Release& release);
+
+}  // namespace banyantrail
--- /dev/null
+++ b/packages/config/banyantrail/config/json_object_reader.cc
@@ -0,0 +1,252 @@
+#include "banyantrail/config/json_object_reader.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace banyantrail {
+namespace {
+
+using nlohmann::json;
+
+/// Bytes of a wrong value that a fault repeats.
+constexpr std::size_t kMaxShownBytes = 60;
+
+std::string Shown(const json& value) {
+  std::string text = value.dump(-1, ' ', false, json::error_handler_t::replace);
+  if (text.size() > kMaxShownBytes) {
+    text.resize(kMaxShownBytes);
+    text += "...";
+  }
+  return text;
+}
+
+std::string ElementField(std::string_view key, std::size_t index) {
+  return std::string(key) + "[" + std::to_string(index) + "]";
+}
+
+std::string Joined(const std::set<std::string, std::less<>>& words) {
+  std::string text;
+  for (const std::string& word : words) {
+    text += (text.empty() ? "" : ", ") + word;
+  }
+  return text;
+}
+
+}  // namespace
+
+JsonObjectReader::JsonObjectReader(const json& json,
+                                   std::string place,
+                                   std::vector<Fault>& faults)
+    : m_json(&json), m_place(std::move(place)), m_faults(&faults) {
+  if (!json.is_object()) {
+    AddFault("", std::string("is a JSON ") + json.type_name(),
+             "write a JSON object");
+  }
+}
+
+std::string JsonObjectReader::RequiredString(std::string_view key,
+                                             const TextRule& rule) {
+  const json* value = FindRequired(key);
+  return value == nullptr ? "" : CheckedString(key, *value, rule);
+}
+
+std::string JsonObjectReader::OptionalString(std::string_view key,
+                                             const TextRule& rule,
+                                             std::string fallback) {
+  const json* value = Find(key);
+  return value == nullptr ? std::move(fallback)
+                          : CheckedString(key, *value, rule);
+}
+
+std::uint64_t JsonObjectReader::RequiredInteger(std::string_view key,
+                                                IntegerBounds bounds) {
+  const json* value = FindRequired(key);
+  return value == nullptr ? bounds.min : CheckedInteger(key, *value, bounds);
+}
+
+std::uint64_t JsonObjectReader::OptionalInteger(std::string_view key,
+                                                IntegerBounds bounds,
+                                                std::uint64_t fallback) {
+  const json* value = Find(key);
+  return value == nullptr ? fallback : CheckedInteger(key, *value, bounds);
+}
+
+bool JsonObjectReader::OptionalBool(std::string_view key, bool fallback) {
+  const json* value = Find(key);
+  if (value == nullptr) {
+    return fallback;
+  }
+  if (!value->is_boolean()) {
+    AddFault(key, "is " + Shown(*value) + ", not a boolean",
+             "write true or false");
+    return fallback;
+  }
+  return value->get<bool>();
+}
+
+std::vector<std::string> JsonObjectReader::OptionalStrings(
+    std::string_view key,
+    const TextRule& rule,
+    std::size_t max_count) {
+  std::vector<std::string> strings;
+  for (const json& element : OptionalArray(key, max_count)) {
+    strings.push_back(
+        CheckedString(ElementField(key, strings.size()), element, rule));
+  }
+  return strings;
+}
+
+std::vector<std::string> JsonObjectReader::OptionalStringSet(
+    std::string_view key,
+    const TextRule& rule,
+    std::size_t max_count) {
+  std::vector<std::string> strings = OptionalStrings(key, rule, max_count);
+  std::ranges::sort(strings);
+  const auto twice = std::ranges::adjacent_find(strings);
+  if (twice != strings.end()) {
+    AddFault(key, "holds " + Shown(*twice) + " twice", "write it once");
+  }
+  return strings;
+}
+
+std::map<std::string, std::string> JsonObjectReader::OptionalStringMap(
+    std::string_view key,
+    const TextRule& key_rule,
+    const TextRule& value_rule,
+    std::size_t max_count) {
+  std::map<std::string, std::string> entries;
+  const json object = OptionalObject(key, max_count);
+  for (const auto& [name, value] : object.items()) {
+    const std::string field = std::string(key) + "." + name;
+    CheckedString(field, name, key_rule);
+    entries[name] = CheckedString(field, value, value_rule);
+  }
+  return entries;
+}
+
+std::vector<json> JsonObjectReader::OptionalArray(std::string_view key,
+                                                  std::size_t max_count) {
+  const json* value = Find(key);
+  if (value == nullptr) {
+    return {};
+  }
+  if (!value->is_array()) {
+    AddFault(key, "is " + Shown(*value) + ", not an array",
+             "write an array [...]");
+    return {};
+  }
+  if (!CheckCount(key, *value, max_count)) {
+    return {};
+  }
+  return *value;
+}
+
+json JsonObjectReader::OptionalObject(std::string_view key,
+                                      std::size_t max_count) {
+  const json* value = Find(key);
+  if (value == nullptr) {
+    return json::object();
+  }
+  if (!value->is_object()) {
+    AddFault(key, "is " + Shown(*value) + ", not an object",
+             "write an object {...}");
+    return json::object();
+  }
+  if (!CheckCount(key, *value, max_count)) {
+    return json::object();
+  }
+  return *value;
+}
+
+void JsonObjectReader::Finish() {
+  if (!m_json->is_object()) {
+    return;
+  }
+  for (const auto& [key, value] : m_json->items()) {
+    if (!m_known_keys.contains(key)) {
+      AddFault(key, "is an unknown key",
+               "remove it or use one of: " + Joined(m_known_keys));
+    }
+  }
+}
+
+std::string JsonObjectReader::PlaceOf(std::string_view field) const {
+  if (field.empty()) {
+    return m_place;
+  }
+  return m_place + ": " + std::string(field);
+}
+
+void JsonObjectReader::AddFault(std::string_view field,
+                                std::string message,
+                                std::string remedy) {
+  m_faults->push_back(Fault{.place = PlaceOf(field),
+                            .message = std::move(message),
+                            .remedy = std::move(remedy)});
+}
+
+const json* JsonObjectReader::Find(std::string_view key) {
+  m_known_keys.emplace(key);
+  if (!m_json->is_object()) {
+    return nullptr;
+  }
+  const auto found = m_json->find(std::string(key));
+  return found == m_json->end() ? nullptr : &*found;
+}
+
+const json* JsonObjectReader::FindRequired(std::string_view key) {
+  const json* value = Find(key);
+  if (value == nullptr && m_json->is_object()) {
+    AddFault(key, "is missing", "add it");
+  }
+  return value;
+}
+
+std::string JsonObjectReader::CheckedString(std::string_view field,
+                                            const json& value,
+                                            const TextRule& rule) {
+  if (!value.is_string()) {
+    AddFault(field, "is " + Shown(value) + ", not a string",
+             "write " + std::string(rule.allowed));
+    return "";
+  }
+  const auto& text = value.get_ref<const std::string&>();
+  if (!rule.accepts(text)) {
+    AddFault(field, "holds " + Shown(value) + ", which is not allowed",
+             "write " + std::string(rule.allowed));
+  }
+  return text;
+}
+
+std::uint64_t JsonObjectReader::CheckedInteger(std::string_view key,
+                                               const json& value,
+                                               IntegerBounds bounds) {
+  const std::string remedy = "write a whole number from " +
+                             std::to_string(bounds.min) + " to " +
+                             std::to_string(bounds.max);
+  if (!value.is_number_integer()) {
+    AddFault(key, "is " + Shown(value) + ", not a whole number", remedy);
+    return bounds.min;
+  }
+  const bool in_bounds = value.is_number_unsigned() &&
+                         value.get<std::uint64_t>() >= bounds.min &&
+                         value.get<std::uint64_t>() <= bounds.max;
+  if (!in_bounds) {
+    AddFault(key, "is " + Shown(value) + ", which is out of bounds", remedy);
+    return bounds.min;
+  }
+  return value.get<std::uint64_t>();
+}
+
+bool JsonObjectReader::CheckCount(std::string_view key,
+                                  const json& value,
+                                  std::size_t max_count) {
+  if (value.size() <= max_count) {
+    return true;
+  }
+  AddFault(key, "holds " + std::to_string(value.size()) + " entries",
+           "write at most " + std::to_string(max_count));
+  return false;
+}
+
+}  // namespace banyantrail
--- /dev/null
+++ b/packages/config/banyantrail/config/json_object_reader.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "banyantrail/config/release.h"
+#include "banyantrail/config/text_rules.h"
+
+namespace banyantrail {
+
+/// Inclusive bounds of an integer field.
+struct IntegerBounds {
+  std::uint64_t min = 0;
+  std::uint64_t max = UINT64_MAX;
+};
+
+/// Reads the fields of one JSON object and collects every fault instead of
+/// stopping at the first. A field that is missing or wrong reads as its
+/// fallback, so the caller looks at the faults before it uses the values.
+class JsonObjectReader {
+ public:
+  /// `place` names the object in faults. `faults` receives them and must
+  /// outlive the reader, as must `json`.
+  JsonObjectReader(const nlohmann::json& json,
+                   std::string place,
+                   std::vector<Fault>& faults);
+
+  std::string RequiredString(std::string_view key, const TextRule& rule);
+  std::string OptionalString(std::string_view key,
+                             const TextRule& rule,
+                             std::string fallback);
+  std::uint64_t RequiredInteger(std::string_view key, IntegerBounds bounds);
+  std::uint64_t OptionalInteger(std::string_view key,
+                                IntegerBounds bounds,
+                                std::uint64_t fallback);
+  bool OptionalBool(std::string_view key, bool fallback);
+
+  /// Strings in the order of the input.
+  std::vector<std::string> OptionalStrings(std::string_view key,
+                                           const TextRule& rule,
+                                           std::size_t max_count);
+  /// Strings whose order means nothing: sorted, each only once.
+  std::vector<std::string> OptionalStringSet(std::string_view key,
+                                             const TextRule& rule,
+                                             std::size_t max_count);
+  std::map<std::string, std::string> OptionalStringMap(
+      std::string_view key,
+      const TextRule& key_rule,
+      const TextRule& value_rule,
+      std::size_t max_count);
+
+  /// The elements of an array, none when it is absent or wrong.
+  std::vector<nlohmann::json> OptionalArray(std::string_view key,
+                                            std::size_t max_count);
+  /// The entries of an object, an empty object when it is absent or wrong.
+  nlohmann::json OptionalObject(std::string_view key, std::size_t max_count);
+
+  /// Reports every key that was not asked for. Call it last.
+  void Finish();
+
+  /// Where a field stands: "routing_rule/orders: service".
+  std::string PlaceOf(std::string_view field) const;
+  void AddFault(std::string_view field,
+                std::string message,
+                std::string remedy);
+
+ private:
+  const nlohmann::json* Find(std::string_view key);
+  const nlohmann::json* FindRequired(std::string_view key);
+  std::string CheckedString(std::string_view field,
+                            const nlohmann::json& value,
+                            const TextRule& rule);
+  std::uint64_t CheckedInteger(std::string_view key,
+                               const nlohmann::json& value,
+                               IntegerBounds bounds);
+  bool CheckCount(std::string_view key,
+                  const nlohmann::json& value,
+                  std::size_t max_count);
+
+  const nlohmann::json* m_json;
+  std::string m_place;
+  std::vector<Fault>* m_faults;
+  std::set<std::string, std::less<>> m_known_keys;
+};
+
+}  // namespace banyantrail
--- /dev/null
+++ b/tests/config/selector_match_test.cc
@@ -0,0 +1,115 @@
+#include "banyantrail/config/selector_match.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <rapidcheck.h>
+#include <vector>
+
+using banyantrail::CanOverlap;
+using banyantrail::Chooses;
+using banyantrail::ExplainSelector;
+using banyantrail::LabelOperator;
+using banyantrail::LabelRequirement;
+using banyantrail::Labels;
+using banyantrail::SelectorObject;
+
+namespace {
+
+const std::vector<std::string> kKeys = {"tier", "zone"};
+const std::vector<std::string> kValues = {"a", "b", "c"};
+
+LabelRequirement ArbitraryRequirement() {
+  LabelRequirement requirement{
+      .key = *rc::gen::elementOf(kKeys),
+      .op = *rc::gen::element(LabelOperator::kIn, LabelOperator::kNotIn,
+                              LabelOperator::kExists, LabelOperator::kAbsent)};
+  if (requirement.op == LabelOperator::kIn ||
+      requirement.op == LabelOperator::kNotIn) {
+    requirement.values =
+        *rc::gen::nonEmpty(rc::gen::container<std::vector<std::string>>(
+            rc::gen::elementOf(kValues)));
+  }
+  return requirement;
+}
+
+SelectorObject ArbitrarySelector() {
+  SelectorObject selector;
+  const int count = *rc::gen::inRange(0, 4);
+  for (int i = 0; i < count; ++i) {
+    selector.requirements.push_back(ArbitraryRequirement());
+  }
+  return selector;
+}
+
+/// Every set of labels over kKeys, with one value that no selector names.
+std::vector<Labels> AllLabels() {
+  std::vector<Labels> all;
+  for (const char* tier : {"", "a", "b", "c", "other"}) {
+    for (const char* zone : {"", "a", "b", "c", "other"}) {
+      Labels labels = {{"tier", tier}, {"zone", zone}};
+      std::erase_if(labels,
+                    [](const auto& label) { return label.second.empty(); });
+      all.push_back(labels);
+    }
+  }
+  return all;
+}
+
+bool OverlapByTrial(const SelectorObject& left, const SelectorObject& right) {
+  for (const Labels& labels : AllLabels()) {
+    if (Chooses(left, labels) && Chooses(right, labels)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+}  // namespace
+
+TEST_GROUP(SelectorMatch){};
+
+TEST(SelectorMatch, NamesEachRequirementThatFailed) {
+  const SelectorObject selector{
+      .requirements = {
+          {.key = "tier", .op = LabelOperator::kIn, .values = {"a", "b"}},
+          {.key = "canary", .op = LabelOperator::kAbsent},
+          {.key = "zone", .op = LabelOperator::kExists}}};
+  const auto verdict =
+      ExplainSelector(selector, {{"tier", "c"}, {"canary", "yes"}});
+  CHECK_FALSE(verdict.chosen);
+  STRCMP_EQUAL(
+      "needs tier in [a, b], but the proxy has tier=c; needs canary is absent, "
+      "but the proxy has canary=yes; needs zone exists, but the proxy has no "
+      "label zone",
+      verdict.why.c_str());
+}
+
+TEST(SelectorMatch, ChoosesEveryProxyWithoutRequirements) {
+  CHECK(ExplainSelector(SelectorObject{}, {}).chosen);
+}
+
+TEST(SelectorMatch, NotInHoldsForAbsentLabel) {
+  const SelectorObject selector{
+      .requirements = {
+          {.key = "tier", .op = LabelOperator::kNotIn, .values = {"a"}}}};
+  CHECK(Chooses(selector, {}));
+  CHECK_FALSE(Chooses(selector, {{"tier", "a"}}));
+}
+
+TEST(SelectorMatch, ExplanationAgreesWithDecision) {
+  CHECK(rc::check([] {
+    const SelectorObject selector = ArbitrarySelector();
+    for (const Labels& labels : AllLabels()) {
+      RC_ASSERT(ExplainSelector(selector, labels).chosen ==
+                Chooses(selector, labels));
+    }
+  }));
+}
+
+TEST(SelectorMatch, OverlapIsExact) {
+  CHECK(rc::check([] {
+    const SelectorObject left = ArbitrarySelector();
+    const SelectorObject right = ArbitrarySelector();
+    RC_ASSERT(CanOverlap(left, right) == OverlapByTrial(left, right));
+  }));
+}
