--- a/packages/traffic/banyantrail/traffic/concurrency_limit.cc
+++ b/packages/traffic/banyantrail/traffic/concurrency_limit.cc
@@ -17,68 +17,97 @@
 constexpr double kWeakestDecrease = 0.95;
 constexpr double kShedDecrease = 0.9;
 constexpr double kSlowStartGrowth = 2;
-constexpr double kVarianceWeight = 0.02;
+/// Weight of the newest sample in a rank's mean and variance.
+constexpr double kMeanWeight = 0.02;
+constexpr seconds kEpochLength{1};
+constexpr std::size_t kMinEpochSamples = 30;
+/// A rank without samples for longer starts its window and epoch afresh.
+constexpr seconds kLongestGap{5};
 /// Variance of log latency that even the steadiest rank is taken to have.
 constexpr double kLeastVariance = 0.01;
 constexpr double kShortestSeconds = 1e-6;
 constexpr seconds kFirstCeilingHold{1};
 constexpr seconds kLongestCeilingHold{60};
 
-std::int64_t BucketNumber(TimePoint now) {
-  return now.time_since_epoch() / detail::LatencyHistory::kBucketWidth;
-}
-
 }  // namespace
 
 namespace detail {
 
-void LatencyHistory::Add(double log_latency) {
-  ++count;
-  sum += log_latency;
-  if (!has_mean) {
-    has_mean = true;
-    mean = log_latency;
+void LatencyHistory::Add(Duration latency, TimePoint now) {
+  const double value = std::log(std::max(
+      std::chrono::duration<double>(latency).count(), kShortestSeconds));
+  const bool resumed = !m_has_sample || now - m_last_sample > kLongestGap;
+  m_has_sample = true;
+  m_last_sample = now;
+  if (resumed) {
+    m_mean = value;
+    IgnoreInFlight(now);
     return;
   }
-  const double difference = log_latency - mean;
-  mean += kVarianceWeight * difference;
-  variance = (1 - kVarianceWeight) *
-             (variance + kVarianceWeight * difference * difference);
+  if (now < m_ignore_until) {
+    return;
+  }
+  const double difference = value - m_mean;
+  m_mean += kMeanWeight * difference;
+  m_variance = (1 - kMeanWeight) *
+               (m_variance + kMeanWeight * difference * difference);
+  if (m_epoch.count == 0) {
+    m_epoch_start = now;
+  }
+  for (Sums* sums : {&m_window, &m_epoch}) {
+    ++sums->count;
+    sums->sum += value;
+  }
 }
 
-double LatencyHistory::WindowMean() const {
-  return sum / static_cast<double>(count);
+void LatencyHistory::IgnoreInFlight(TimePoint now) {
+  m_window = {};
+  m_epoch = {};
+  const std::chrono::duration<double> latency(std::exp(m_mean));
+  m_ignore_until = now + std::chrono::duration_cast<Duration>(2 * latency);
 }
 
 void LatencyHistory::CloseWindow(TimePoint now) {
-  if (count == 0) {
-    return;
+  m_window = {};
+  const bool first = !m_has_baseline && m_epoch.count >= kMinWindowSamples;
+  const bool full = m_epoch.count >= kMinEpochSamples &&
+                    now - m_epoch_start >= kEpochLength;
+  if (first || full) {
+    CloseEpoch(now);
   }
-  const std::int64_t number = BucketNumber(now);
-  Bucket& bucket = buckets.at(static_cast<std::size_t>(number) % kBuckets);
-  if (bucket.number != number) {
-    bucket = {.number = number, .least = WindowMean()};
+}
+
+void LatencyHistory::CloseEpoch(TimePoint now) {
+  const std::int64_t number = now.time_since_epoch() / kSlotWidth;
+  Slot& slot = m_slots.at(static_cast<std::size_t>(number) % kSlots);
+  if (slot.number != number) {
+    slot = {.number = number, .least = m_epoch.Mean()};
   }
-  bucket.least = std::min(bucket.least, WindowMean());
-  count = 0;
-  sum = 0;
+  slot.least = std::min(slot.least, m_epoch.Mean());
+  m_epoch = {};
+  m_has_baseline = true;
 }
 
-bool LatencyHistory::HasBaseline(TimePoint now) const {
-  const std::int64_t oldest =
-      BucketNumber(now) - static_cast<std::int64_t>(kBuckets);
-  return std::any_of(
-      buckets.begin(), buckets.end(),
-      [oldest](const Bucket& bucket) { return bucket.number > oldest; });
+bool LatencyHistory::CanCompare(TimePoint now) const {
+  return m_window.count > 0 && std::isfinite(Baseline(now));
+}
+
+double LatencyHistory::Excess(TimePoint now) const {
+  return m_window.Mean() - Baseline(now);
+}
+
+double LatencyHistory::Weight() const {
+  return static_cast<double>(m_window.count) /
+         std::max(m_variance, kLeastVariance);
 }
 
 double LatencyHistory::Baseline(TimePoint now) const {
-  const std::int64_t oldest =
-      BucketNumber(now) - static_cast<std::int64_t>(kBuckets);
+  const std::int64_t oldest = now.time_since_epoch() / kSlotWidth -
+                              static_cast<std::int64_t>(kSlots);
   double least = std::numeric_limits<double>::infinity();
-  for (const Bucket& bucket : buckets) {
-    if (bucket.number > oldest) {
-      least = std::min(least, bucket.least);
+  for (const Slot& slot : m_slots) {
+    if (slot.number > oldest) {
+      least = std::min(least, slot.least);
     }
   }
   return least;
@@ -124,17 +153,11 @@
   if (!m_options.adaptive) {
     return;
   }
-  // Requests admitted before the last decrease tell of the old limit.
-  if (now - latency < m_last_decrease) {
-    return;
-  }
   if (!m_window_open) {
     m_window_open = true;
     m_window_start = now;
   }
-  const double latency_seconds = std::max(
-      std::chrono::duration<double>(latency).count(), kShortestSeconds);
-  m_histories[rank_priority].Add(std::log(latency_seconds));
+  m_histories[rank_priority].Add(latency, now);
   ++m_window_samples;
   m_saturated |= static_cast<double>(in_flight) >= std::floor(m_limit);
   if (WindowIsFull(now)) {
@@ -196,14 +219,11 @@
   double weights = 0;
   double weighted_excess = 0;
   for (const auto& [priority, history] : m_histories) {
-    if (history.count == 0 || !history.HasBaseline(now)) {
-      continue;
+    if (history.CanCompare(now)) {
+      // Ranks with steady latency say more than uploads of any size.
+      weights += history.Weight();
+      weighted_excess += history.Weight() * history.Excess(now);
     }
-    // Ranks with steady latency say more than uploads of any size.
-    const double weight = static_cast<double>(history.count) /
-                          std::max(history.variance, kLeastVariance);
-    weights += weight;
-    weighted_excess += weight * (history.WindowMean() - history.Baseline(now));
   }
   if (weights == 0) {
     return {};
@@ -225,6 +245,9 @@
       std::clamp(factor, kStrongestDecrease, kWeakestDecrease);
   m_limit = std::max(m_limit * bounded, m_options.floor);
   m_last_decrease = now;
+  for (auto& [priority, history] : m_histories) {
+    history.IgnoreInFlight(now);
+  }
 }
 
 void ConcurrencyLimit::RaiseCeiling(TimePoint now) {
--- a/packages/traffic/banyantrail/traffic/concurrency_limit.h
+++ b/packages/traffic/banyantrail/traffic/concurrency_limit.h
@@ -30,30 +30,56 @@
 
 namespace detail {
 
-/// Logarithm of latency of one rank: the window being filled, its spread, and
-/// the least window mean of the last minute, which is the baseline.
-struct LatencyHistory {
-  static constexpr std::size_t kBuckets = 6;
-  static constexpr seconds kBucketWidth{10};
+/// Logarithm of latency of one rank: the window that the next decision rests
+/// on, and the baseline that it is compared with, which is the least mean of an
+/// epoch in the last minute. Epochs are much longer than windows, because just
+/// after a rank's arrivals rise only its fastest requests have ended.
+class LatencyHistory {
+ public:
+  void Add(Duration latency, TimePoint now);
+
+  /// Drops what is in the window and, for about two latencies, what comes.
+  void IgnoreInFlight(TimePoint now);
+
+  /// Empties the window.
+  void CloseWindow(TimePoint now);
+
+  bool CanCompare(TimePoint now) const;
+  /// Mean of the window above the baseline.
+  double Excess(TimePoint now) const;
+  /// The number of samples in the window over their variance.
+  double Weight() const;
 
-  struct Bucket {
+ private:
+  static constexpr std::size_t kSlots = 6;
+  static constexpr seconds kSlotWidth{10};
+
+  struct Slot {
     std::int64_t number = -1;
     double least = 0;
   };
 
-  std::size_t count = 0;
-  double sum = 0;
-  double mean = 0;
-  double variance = 0;
-  bool has_mean = false;
-  std::array<Bucket, kBuckets> buckets;
+  struct Sums {
+    std::size_t count = 0;
+    double sum = 0;
 
-  void Add(double log_latency);
-  double WindowMean() const;
-  /// Enters the window's mean into the baseline and empties the window.
-  void CloseWindow(TimePoint now);
-  bool HasBaseline(TimePoint now) const;
+    double Mean() const { return sum / static_cast<double>(count); }
+  };
+
+  void CloseEpoch(TimePoint now);
   double Baseline(TimePoint now) const;
+
+  bool m_has_sample = false;
+  TimePoint m_last_sample;
+  TimePoint m_ignore_until;
+  double m_mean = 0;
+  /// Starts high, so that few samples say little.
+  double m_variance = 1;
+  Sums m_window;
+  Sums m_epoch;
+  TimePoint m_epoch_start;
+  bool m_has_baseline = false;
+  std::array<Slot, kSlots> m_slots;
 };
 
 }  // namespace detail
--- /dev/null
+++ b/tests/bench/flood_simulation.cc
@@ -0,0 +1,462 @@
+#include "bench/flood_simulation.h"
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <queue>
+#include <random>
+#include <utility>
+
+#include "banyantrail/core/random.h"
+
+namespace banyantrail::bench {
+
+namespace {
+
+constexpr milliseconds kTick{10};
+constexpr milliseconds kRecoveryBucket{500};
+constexpr double kRecovered = 0.99;
+constexpr double kP99 = 0.99;
+
+double ToSeconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+Duration FromSeconds(double value) {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(value));
+}
+
+/// A log-normal variable's mean is above its median by this factor.
+double MeanServiceSeconds(const RankLoad& rank) {
+  return rank.median_service_seconds *
+         std::exp(rank.service_sigma * rank.service_sigma / 2);
+}
+
+struct Request {
+  std::size_t rank = 0;
+  std::size_t service = 0;
+  std::size_t server = 0;
+  TimePoint arrived;
+  TimePoint started;
+  TimePoint deadline;
+  Duration service_time{};
+  bool resent = false;
+};
+
+struct Server {
+  AdmissionQueue queue;
+  std::uint32_t slots = 0;
+  std::size_t running = 0;
+};
+
+enum class EventKind : std::uint8_t { kArrival, kEnd, kTick };
+
+struct Event {
+  TimePoint time;
+  std::uint64_t sequence = 0;
+  EventKind kind = EventKind::kTick;
+  /// Rank of an arrival, request of an end.
+  std::uint64_t subject = 0;
+};
+
+struct Later {
+  bool operator()(const Event& a, const Event& b) const {
+    return std::pair(a.time, a.sequence) > std::pair(b.time, b.sequence);
+  }
+};
+
+struct Bucket {
+  std::uint64_t offered = 0;
+  std::uint64_t good = 0;
+};
+
+/// One flood while it is simulated.
+struct Phase {
+  Flood flood;
+  TimePoint start;
+  TimePoint end;
+  std::vector<RankResult> ranks;
+  std::vector<std::vector<double>> latencies;
+  std::vector<std::map<std::int64_t, Bucket>> buckets;
+};
+
+class Simulation {
+ public:
+  explicit Simulation(const SimulationOptions& options);
+  std::vector<FloodResult> Run();
+
+ private:
+  void AddServers();
+  void AddPhases();
+  void Push(TimePoint time, EventKind kind, std::uint64_t subject);
+  void Handle(const Event& event);
+  void ScheduleArrival(std::size_t rank, TimePoint after);
+  void OnArrival(std::size_t rank);
+  void OnEnd(RequestId id);
+  void OnTick();
+  void Offer(RequestId id);
+  void Start(RequestId id);
+  void Shed(RequestId id);
+  void Apply(const AdmissionChanges& changes);
+  void RecordGood(const Request& request);
+  std::size_t ChooseServer(std::size_t service);
+  double LoadOf(std::size_t server) const;
+  std::size_t ChooseService();
+  Phase* PhaseAt(TimePoint time);
+  double FloodFactor(std::size_t rank, TimePoint time);
+  FloodResult Summarise(Phase& phase) const;
+
+  const SimulationOptions& m_options;
+  std::vector<Server> m_servers;
+  /// First server of each service, and one past the last.
+  std::vector<std::size_t> m_first_server;
+  double m_slots = 0;
+  std::vector<Phase> m_phases;
+  TimePoint m_now;
+  TimePoint m_end;
+  std::priority_queue<Event, std::vector<Event>, Later> m_events;
+  std::uint64_t m_next_sequence = 0;
+  RequestId m_next_request = 1;
+  std::map<RequestId, Request> m_requests;
+  /// One generator for each rank's work and one for choices, so that a policy
+  /// does not change what arrives.
+  std::vector<Rng> m_rank_rngs;
+  Rng m_choice_rng;
+};
+
+Simulation::Simulation(const SimulationOptions& options)
+    : m_options(options),
+      m_now(TimePoint{} + seconds(1000)),
+      m_choice_rng(options.seed) {
+  AddServers();
+  AddPhases();
+  for (std::size_t rank = 0; rank < options.fleet.ranks.size(); ++rank) {
+    m_rank_rngs.emplace_back(options.seed * 1000 + rank);
+    ScheduleArrival(rank, m_now);
+  }
+  Push(m_now + kTick, EventKind::kTick, 0);
+}
+
+void Simulation::AddServers() {
+  for (const ServiceSize& service : m_options.fleet.services) {
+    m_first_server.push_back(m_servers.size());
+    AdmissionOptions admission = m_options.admission;
+    admission.announced_slots = service.slots;
+    for (const RankLoad& rank : m_options.fleet.ranks) {
+      admission.ranks.push_back(
+          {.priority = rank.priority, .share_percent = rank.share_percent});
+    }
+    for (std::size_t i = 0; i < service.upstreams; ++i) {
+      m_servers.push_back(
+          {.queue = AdmissionQueue(admission), .slots = service.slots});
+      m_slots += service.slots;
+    }
+  }
+  m_first_server.push_back(m_servers.size());
+}
+
+void Simulation::AddPhases() {
+  const std::size_t ranks = m_options.fleet.ranks.size();
+  TimePoint start = m_now + m_options.warm_up;
+  for (const Flood& flood : m_options.floods) {
+    m_phases.push_back({.flood = flood,
+                        .start = start,
+                        .end = start + m_options.flood_length,
+                        .ranks = std::vector<RankResult>(ranks),
+                        .latencies = std::vector<std::vector<double>>(ranks),
+                        .buckets =
+                            std::vector<std::map<std::int64_t, Bucket>>(ranks)});
+    start += m_options.flood_length + m_options.pause;
+  }
+  m_end = start;
+}
+
+std::vector<FloodResult> Simulation::Run() {
+  while (!m_events.empty() && m_events.top().time <= m_end) {
+    const Event event = m_events.top();
+    m_events.pop();
+    m_now = event.time;
+    Handle(event);
+  }
+  std::vector<FloodResult> results;
+  for (Phase& phase : m_phases) {
+    results.push_back(Summarise(phase));
+  }
+  return results;
+}
+
+void Simulation::Push(TimePoint time, EventKind kind, std::uint64_t subject) {
+  m_events.push({.time = time,
+                 .sequence = m_next_sequence++,
+                 .kind = kind,
+                 .subject = subject});
+}
+
+void Simulation::Handle(const Event& event) {
+  switch (event.kind) {
+    case EventKind::kArrival:
+      OnArrival(event.subject);
+      break;
+    case EventKind::kEnd:
+      OnEnd(event.subject);
+      break;
+    case EventKind::kTick:
+      OnTick();
+      break;
+  }
+}
+
+void Simulation::ScheduleArrival(std::size_t rank, TimePoint after) {
+  const RankLoad& load = m_options.fleet.ranks[rank];
+  const double rate = FloodFactor(rank, after) * load.demand * m_slots /
+                      MeanServiceSeconds(load);
+  const double gap =
+      std::exponential_distribution<double>(rate)(m_rank_rngs[rank]);
+  Push(after + FromSeconds(gap), EventKind::kArrival, rank);
+}
+
+void Simulation::OnArrival(std::size_t rank) {
+  const RankLoad& load = m_options.fleet.ranks[rank];
+  Rng& rng = m_rank_rngs[rank];
+  std::lognormal_distribution<double> service_time(
+      std::log(load.median_service_seconds), load.service_sigma);
+  const RequestId id = m_next_request++;
+  m_requests[id] = {.rank = rank,
+                    .service = ChooseService(),
+                    .arrived = m_now,
+                    .deadline = m_now + load.deadline,
+                    .service_time = FromSeconds(service_time(rng))};
+  if (Phase* phase = PhaseAt(m_now)) {
+    ++phase->ranks[rank].offered;
+    ++phase->buckets[rank][(m_now - phase->start) / kRecoveryBucket].offered;
+  }
+  Offer(id);
+  ScheduleArrival(rank, m_now);
+}
+
+void Simulation::Offer(RequestId id) {
+  Request& request = m_requests.at(id);
+  request.server = ChooseServer(request.service);
+  const OfferResult result = m_servers[request.server].queue.Offer(
+      id, m_options.fleet.ranks[request.rank].priority, request.deadline,
+      m_now);
+  if (std::holds_alternative<Admitted>(result)) {
+    Start(id);
+  } else if (std::holds_alternative<Refused>(result)) {
+    m_requests.erase(id);
+  }
+}
+
+void Simulation::Start(RequestId id) {
+  Request& request = m_requests.at(id);
+  Server& server = m_servers[request.server];
+  if (server.running >= server.slots) {
+    Shed(id);
+    return;
+  }
+  ++server.running;
+  request.started = m_now;
+  Push(std::min(m_now + request.service_time, request.deadline),
+       EventKind::kEnd, id);
+}
+
+void Simulation::Shed(RequestId id) {
+  Request& request = m_requests.at(id);
+  if (Phase* phase = PhaseAt(m_now)) {
+    ++phase->ranks[request.rank].shed_by_backend_server;
+  }
+  AdmissionQueue& queue = m_servers[request.server].queue;
+  const AdmissionChanges changes =
+      queue.Release(id, {.end = AttemptEnd::kShed}, m_now);
+  // Shed proves not run, so the request is sent once more, elsewhere.
+  if (request.resent) {
+    m_requests.erase(id);
+  } else {
+    request.resent = true;
+    Offer(id);
+  }
+  Apply(changes);
+}
+
+void Simulation::OnEnd(RequestId id) {
+  const Request request = m_requests.at(id);
+  Server& server = m_servers[request.server];
+  --server.running;
+  const Duration latency = m_now - request.started;
+  const bool good = latency >= request.service_time;
+  if (good) {
+    RecordGood(request);
+  }
+  m_requests.erase(id);
+  const AttemptEnd end = good ? AttemptEnd::kAnswered : AttemptEnd::kTimedOut;
+  Apply(server.queue.Release(id, {.end = end, .latency = latency}, m_now));
+}
+
+void Simulation::OnTick() {
+  for (Server& server : m_servers) {
+    Apply(server.queue.Expire(m_now));
+  }
+  Push(m_now + kTick, EventKind::kTick, 0);
+}
+
+void Simulation::Apply(const AdmissionChanges& changes) {
+  for (const RefusedRequest& refused : changes.refused) {
+    m_requests.erase(refused.request);
+  }
+  for (const RequestId admitted : changes.admitted) {
+    Start(admitted);
+  }
+}
+
+void Simulation::RecordGood(const Request& request) {
+  if (Phase* phase = PhaseAt(request.arrived)) {
+    ++phase->ranks[request.rank].good;
+    ++phase
+          ->buckets[request.rank]
+                   [(request.arrived - phase->start) / kRecoveryBucket]
+          .good;
+    phase->latencies[request.rank].push_back(
+        ToSeconds(m_now - request.arrived));
+  }
+  for (Phase& phase : m_phases) {
+    const TimePoint from = std::max(request.started, phase.start);
+    const TimePoint to = std::min(m_now, phase.end);
+    if (to > from) {
+      phase.ranks[request.rank].kept_share +=
+          ToSeconds(to - from) /
+          (m_slots * ToSeconds(m_options.flood_length));
+    }
+  }
+}
+
+std::size_t Simulation::ChooseServer(std::size_t service) {
+  const std::size_t first = m_first_server[service];
+  const std::size_t count = m_first_server[service + 1] - first;
+  const std::size_t one = first + UniformIndex(m_choice_rng, count);
+  const std::size_t other = first + UniformIndex(m_choice_rng, count);
+  return LoadOf(one) <= LoadOf(other) ? one : other;
+}
+
+double Simulation::LoadOf(std::size_t server) const {
+  const AdmissionLoad load = m_servers[server].queue.load();
+  return static_cast<double>(load.in_flight + load.queued) /
+         static_cast<double>(load.limit);
+}
+
+std::size_t Simulation::ChooseService() {
+  const std::size_t server = UniformIndex(m_choice_rng, m_servers.size());
+  const auto above = std::upper_bound(m_first_server.begin(),
+                                      m_first_server.end(), server);
+  return static_cast<std::size_t>(above - m_first_server.begin()) - 1;
+}
+
+Phase* Simulation::PhaseAt(TimePoint time) {
+  for (Phase& phase : m_phases) {
+    if (time >= phase.start && time < phase.end) {
+      return &phase;
+    }
+  }
+  return nullptr;
+}
+
+double Simulation::FloodFactor(std::size_t rank, TimePoint time) {
+  const Phase* phase = PhaseAt(time);
+  const std::uint8_t priority = m_options.fleet.ranks[rank].priority;
+  const bool flooded = phase != nullptr && phase->flood.priority == priority;
+  return flooded ? phase->flood.factor : 1;
+}
+
+FloodResult Simulation::Summarise(Phase& phase) const {
+  FloodResult result{.flood = phase.flood, .ranks = phase.ranks};
+  for (std::size_t rank = 0; rank < result.ranks.size(); ++rank) {
+    RankResult& summary = result.ranks[rank];
+    result.capacity_used += summary.kept_share;
+    std::vector<double>& latencies = phase.latencies[rank];
+    if (!latencies.empty()) {
+      const auto nth = latencies.begin() +
+                       static_cast<std::ptrdiff_t>(
+                           kP99 * static_cast<double>(latencies.size()));
+      std::nth_element(latencies.begin(), nth, latencies.end());
+      summary.p99_seconds = *nth;
+    }
+    for (const auto& [number, bucket] : phase.buckets[rank]) {
+      if (static_cast<double>(bucket.good) <
+          kRecovered * static_cast<double>(bucket.offered)) {
+        summary.recovery_seconds =
+            ToSeconds(kRecoveryBucket) * static_cast<double>(number + 1);
+      }
+    }
+  }
+  return result;
+}
+
+}  // namespace
+
+double RankResult::GoodRatio() const {
+  return offered == 0
+             ? 1
+             : static_cast<double>(good) / static_cast<double>(offered);
+}
+
+Fleet LiushuFleet() {
+  return {.name = "Liushu",
+          .services = {{.name = "catalogue", .upstreams = 6, .slots = 20},
+                       {.name = "order-desk", .upstreams = 5, .slots = 20},
+                       {.name = "upload-counter", .upstreams = 3, .slots = 20}},
+          .ranks = {{.name = "orders",
+                     .priority = 0,
+                     .share_percent = 50,
+                     .demand = 0.20,
+                     .median_service_seconds = 0.08,
+                     .service_sigma = 0.5,
+                     .deadline = seconds(2)},
+                    {.name = "lookups",
+                     .priority = 1,
+                     .share_percent = 30,
+                     .demand = 0.35,
+                     .median_service_seconds = 0.03,
+                     .service_sigma = 0.5,
+                     .deadline = seconds(1)},
+                    {.name = "uploads",
+                     .priority = 2,
+                     .share_percent = 20,
+                     .demand = 0.25,
+                     .median_service_seconds = 0.5,
+                     .service_sigma = 1.5,
+                     .deadline = seconds(60)}}};
+}
+
+Fleet PistaClaraFleet() {
+  return {.name = "Pista Clara",
+          .services = {{.name = "consulta", .upstreams = 5, .slots = 10},
+                       {.name = "cobro", .upstreams = 4, .slots = 10},
+                       {.name = "bitacora", .upstreams = 4, .slots = 10}},
+          .ranks = {{.name = "charges",
+                     .priority = 0,
+                     .share_percent = 60,
+                     .demand = 0.20,
+                     .median_service_seconds = 0.08,
+                     .service_sigma = 0.5,
+                     .deadline = seconds(2)},
+                    {.name = "lookups",
+                     .priority = 1,
+                     .share_percent = 25,
+                     .demand = 0.35,
+                     .median_service_seconds = 0.03,
+                     .service_sigma = 0.5,
+                     .deadline = seconds(1)},
+                    {.name = "logs",
+                     .priority = 2,
+                     .share_percent = 15,
+                     .demand = 0.25,
+                     .median_service_seconds = 0.5,
+                     .service_sigma = 1.5,
+                     .deadline = seconds(60)}}};
+}
+
+std::vector<FloodResult> Simulate(const SimulationOptions& options) {
+  return Simulation(options).Run();
+}
+
+}  // namespace banyantrail::bench
