Merge changes and publish them by one conditional update

Operators race each other, and answers of the platform get lost after a write took effect. A change therefore carries the digests that it was based on and an id of its own.

change merges object by object: an object goes in if it still is as it was at the base, or already is as wanted. release_head and release_loader are the stored shapes, checked when read. release_publisher reads the head, merges, compiles, writes chunks, archives the old head and advances the head by one conditional update. After a lost answer it looks for its own id in the head's recent changes before it tries again; while a conditional write may still be on its way the outcome stays unknown, and once the head has another version the write can no longer take effect. Waiting between attempts was ruled out: a lost race means that another change went in, so there is always progress, and during an outage the refusal should be prompt.

--- a/cmake/BanyantrailTargets.cmake
+++ b/cmake/BanyantrailTargets.cmake
@@ -62,9 +62,6 @@
   add_executable(${name} ${ARG_SOURCES}
                          ${CMAKE_SOURCE_DIR}/tests/support/test_main.cc)
   target_include_directories(${name} PRIVATE ${CMAKE_SOURCE_DIR}/tests)
-  # Otherwise CppUTest redefines `new` as a macro, which breaks the headers of
-  # other libraries that come after its own.
-  target_compile_definitions(${name} PRIVATE CPPUTEST_MEM_LEAK_DETECTION_DISABLED)
   target_link_libraries(${name} PRIVATE ${ARG_DEPS} ${CPPUTEST_LIBRARY} rapidcheck)
   # CppUTest's macro for `new` breaks headers that use placement new.
   target_compile_definitions(${name}
--- /dev/null
+++ b/packages/config/banyantrail/config/release_loader.h
@@ -0,0 +1,147 @@
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "banyantrail/config/object_store.h"
+#include "banyantrail/config/release_digest.h"
+#include "banyantrail/config/release_head.h"
+#include "banyantrail/core/errors.h"
+
+/// Reads releases from the platform's store. All functions throw what the
+/// store throws, and Error{kMalformedMessage}, Error{kDigestMismatch} or
+/// Error{kNotFound} when the store holds something else than a release.
+namespace banyantrail {
+
+/// A head and the version of the store's object that holds it.
+struct VersionedHead {
+  std::uint64_t version = 0;
+  ReleaseHead head;
+
+  friend bool operator==(const VersionedHead&, const VersionedHead&) = default;
+};
+
+/// A line of the history of accepted changes.
+struct HistoryEntry {
+  Revision revision = 0;
+  ChangeId change;
+  std::string author;
+  std::string time;
+  std::string summary;
+
+  friend bool operator==(const HistoryEntry&, const HistoryEntry&) = default;
+};
+
+namespace detail {
+
+template <AsyncObjectStore Store>
+boost::asio::awaitable<ReleaseChunk> LoadChunk(Store& store,
+                                               std::string digest) {
+  const std::string key = ChunkKey(digest);
+  const std::optional<StoredObject> stored = co_await store.Get(key);
+  if (!stored) {
+    throw Error({.kind = ErrorKind::kNotFound,
+                 .message = "the platform lacks " + key,
+                 .remedy = "apply the configuration again from its directory"});
+  }
+  co_return ParseReleaseChunk(stored->value, digest);
+}
+
+inline std::vector<ReleaseChunk> ChunksOf(const Release* held) {
+  return held == nullptr ? std::vector<ReleaseChunk>{}
+                         : SplitIntoChunks(held->objects);
+}
+
+inline HistoryEntry EntryOf(const ReleaseHead& head) {
+  return {.revision = head.revision,
+          .change = head.change,
+          .author = head.author,
+          .time = head.time,
+          .summary = head.summary};
+}
+
+}  // namespace detail
+
+/// The newest release's head, or nothing before the first change.
+template <AsyncObjectStore Store>
+boost::asio::awaitable<std::optional<VersionedHead>> LoadHead(Store& store) {
+  const std::string key(kHeadKey);
+  const std::optional<StoredObject> stored = co_await store.Get(key);
+  if (!stored) {
+    co_return std::nullopt;
+  }
+  VersionedHead head{.version = stored->version,
+                     .head = ParseReleaseHead(stored->value)};
+  co_return head;
+}
+
+/// The release that `head` describes, verified. Chunks that `held`, a release
+/// at hand, has in common with it are not read again; it may be null.
+template <AsyncObjectStore Store>
+boost::asio::awaitable<Release> LoadRelease(
+    Store& store,
+    ReleaseHead head,
+    std::shared_ptr<const Release> held = nullptr) {
+  std::vector<ReleaseChunk> chunks = detail::ChunksOf(held.get());
+  for (const std::string& digest : head.chunks) {
+    const bool is_held = std::ranges::any_of(
+        chunks, [&](const auto& chunk) { return chunk.digest == digest; });
+    if (!is_held) {
+      ReleaseChunk chunk = co_await detail::LoadChunk(store, digest);
+      chunks.push_back(std::move(chunk));
+    }
+  }
+  Release release{.revision = head.revision,
+                  .digest = head.digest,
+                  .change = head.change,
+                  .objects = JoinChunks(head.chunks, chunks, head.digest)};
+  co_return release;
+}
+
+/// The head as it was at a revision, or nothing if there was none or it is
+/// not kept.
+template <AsyncObjectStore Store>
+boost::asio::awaitable<std::optional<ReleaseHead>> LoadHeadAt(
+    Store& store,
+    Revision revision) {
+  const std::optional<VersionedHead> newest = co_await LoadHead(store);
+  if (newest && newest->head.revision == revision) {
+    co_return newest->head;
+  }
+  const std::string key = RevisionKey(revision);
+  const std::optional<StoredObject> stored = co_await store.Get(key);
+  if (!stored) {
+    co_return std::nullopt;
+  }
+  co_return ParseReleaseHead(stored->value);
+}
+
+/// The newest `limit` accepted changes, newest first. Costs one read each.
+template <AsyncObjectStore Store>
+boost::asio::awaitable<std::vector<HistoryEntry>> LoadHistory(
+    Store& store,
+    std::size_t limit) {
+  std::vector<HistoryEntry> history;
+  const std::optional<VersionedHead> newest = co_await LoadHead(store);
+  if (!newest || limit == 0) {
+    co_return history;
+  }
+  history.push_back(detail::EntryOf(newest->head));
+  for (Revision revision = newest->head.revision - 1;
+       revision > 0 && history.size() < limit; --revision) {
+    const std::string key = RevisionKey(revision);
+    const std::optional<StoredObject> stored = co_await store.Get(key);
+    if (!stored) {
+      break;
+    }
+    history.push_back(detail::EntryOf(ParseReleaseHead(stored->value)));
+  }
+  co_return history;
+}
+
+}  // namespace banyantrail
--- /dev/null
+++ b/packages/config/banyantrail/config/release_publisher.h
@@ -0,0 +1,284 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "banyantrail/config/change.h"
+#include "banyantrail/config/compile.h"
+#include "banyantrail/config/object_store.h"
+#include "banyantrail/config/release_head.h"
+#include "banyantrail/config/release_loader.h"
+#include "banyantrail/core/errors.h"
+
+/// Turns a proposed change into the next release in the platform's store.
+namespace banyantrail {
+
+struct PublishOptions {
+  /// Wall-clock time for the history, ISO 8601 in UTC.
+  std::string time;
+  /// How often the change is merged anew after another one won the race.
+  int max_attempts = 16;
+  /// A release at hand, for instance the applied one; saves reads. May be null.
+  std::shared_ptr<const Release> held;
+};
+
+enum class PublishStatus {
+  /// The change is part of `revision`.
+  kAccepted,
+  /// Others changed the same objects; nothing was changed.
+  kConflict,
+  /// The result would not be a valid configuration; nothing was changed.
+  kFaults,
+  /// The platform could not be used; nothing was changed.
+  kNotRun,
+  /// The change may or may not have been accepted. Sending it again under the
+  /// same id settles it.
+  kOutcomeUnknown,
+};
+
+struct PublishOutcome {
+  PublishStatus status = PublishStatus::kNotRun;
+  /// With kAccepted.
+  Revision revision = 0;
+  /// With kAccepted when this call made the revision: the whole of it.
+  std::optional<Release> release;
+  /// With kConflict.
+  std::vector<ChangeConflict> conflicts;
+  /// With kFaults.
+  std::vector<Fault> faults;
+  /// Why, and what to do; empty with kAccepted.
+  std::string message;
+  std::string remedy;
+};
+
+namespace detail {
+
+/// One call of Publish.
+template <AsyncObjectStore Store>
+class Publication {
+ public:
+  Publication(Store& store,
+              const ChangeProposal& proposal,
+              PublishOptions options)
+      : m_store(&store), m_proposal(&proposal), m_options(std::move(options)) {}
+
+  boost::asio::awaitable<PublishOutcome> Run() {
+    std::string failure = "other changes kept coming in between";
+    std::string remedy = "apply again";
+    try {
+      for (int i = 0; i < m_options.max_attempts; ++i) {
+        std::optional<PublishOutcome> outcome = co_await Attempt();
+        if (outcome) {
+          co_return std::move(*outcome);
+        }
+      }
+    } catch (const Error& error) {
+      failure = error.message();
+      remedy = error.remedy();
+    }
+    co_return Refusal(std::move(failure), std::move(remedy));
+  }
+
+ private:
+  /// A write of the head whose answer was lost.
+  struct UnknownWrite {
+    /// The version of the head that the write was conditional on.
+    std::uint64_t expected_version = 0;
+    Revision revision = 0;
+  };
+
+  /// Returns nothing when the change has to be merged anew.
+  boost::asio::awaitable<std::optional<PublishOutcome>> Attempt() {
+    std::optional<VersionedHead> found = co_await LoadHead(*m_store);
+    const VersionedHead base = found ? std::move(*found) : VersionedHead{};
+    if (const auto revision = FindChange(base.head, m_proposal->change)) {
+      co_return Accepted(*revision);
+    }
+    if (IsPastHorizon(base)) {
+      co_return Refusal("too many changes followed a write without answer",
+                        "look for the change in the history");
+    }
+    SettleUnknownWrite(base);
+    Release release = co_await LoadBase(base);
+    MergeResult merged = MergeChange(release, *m_proposal);
+    if (!merged.conflicts.empty()) {
+      co_return Conflict(std::move(merged.conflicts));
+    }
+    if (!merged.changes_anything) {
+      co_return Accepted(base.head.revision);
+    }
+    co_return co_await Advance(base, std::move(merged.objects));
+  }
+
+  boost::asio::awaitable<Release> LoadBase(const VersionedHead& base) {
+    if (base.version == 0) {
+      co_return Release{};
+    }
+    co_return co_await LoadRelease(*m_store, base.head, m_options.held);
+  }
+
+  boost::asio::awaitable<std::optional<PublishOutcome>> Advance(
+      const VersionedHead& base,
+      ObjectTexts objects) {
+    const std::vector<ReleaseChunk> chunks = SplitIntoChunks(objects);
+    const ReleaseHead next =
+        NextHead(base.head, *m_proposal, objects, chunks, m_options.time);
+    Release release{.revision = next.revision,
+                    .digest = next.digest,
+                    .change = next.change,
+                    .objects = std::move(objects)};
+    CompileResult compiled = CompileRelease(release);
+    if (!compiled.config) {
+      co_return Faulty(std::move(compiled.faults));
+    }
+    co_await WriteChunks(base.head, chunks);
+    co_await ArchiveHead(base);
+    const bool advanced = co_await WriteHead(base, next);
+    if (!advanced) {
+      co_return std::nullopt;
+    }
+    PublishOutcome outcome = Accepted(next.revision);
+    outcome.release = std::move(release);
+    co_return outcome;
+  }
+
+  boost::asio::awaitable<void> WriteChunks(
+      const ReleaseHead& base,
+      const std::vector<ReleaseChunk>& chunks) {
+    for (const ReleaseChunk& chunk : chunks) {
+      const bool is_stored =
+          std::ranges::find(base.chunks, chunk.digest) != base.chunks.end();
+      if (!is_stored) {
+        co_await WriteOnce(ChunkKey(chunk.digest), ToJson(chunk));
+      }
+    }
+  }
+
+  boost::asio::awaitable<void> ArchiveHead(const VersionedHead& base) {
+    if (base.version != 0) {
+      co_await WriteOnce(RevisionKey(base.head.revision), ToJson(base.head));
+    }
+  }
+
+  /// Creates an object that never changes. One that exists already is the
+  /// same. A lost answer is settled by reading the object.
+  boost::asio::awaitable<void> WriteOnce(std::string key,
+                                         nlohmann::json value) {
+    for (int i = 0; i < kWriteOnceAttempts; ++i) {
+      if (co_await PutConfirmed(key, value)) {
+        co_return;
+      }
+      const std::optional<StoredObject> stored = co_await m_store->Get(key);
+      if (stored) {
+        co_return;
+      }
+    }
+    throw Error({.kind = ErrorKind::kPlatformUnavailable,
+                 .message = "the platform does not confirm writes",
+                 .remedy = "apply again when the platform is reachable"});
+  }
+
+  /// Whether the store answered; false when the answer was lost.
+  boost::asio::awaitable<bool> PutConfirmed(const std::string& key,
+                                            const nlohmann::json& value) {
+    try {
+      co_await m_store->Put(key, value, kMustNotExist);
+      co_return true;
+    } catch (const Error& error) {
+      if (error.kind() != ErrorKind::kOutcomeUnknown) {
+        throw;
+      }
+    }
+    co_return false;
+  }
+
+  /// Whether this call advanced the head, for certain.
+  boost::asio::awaitable<bool> WriteHead(const VersionedHead& base,
+                                         const ReleaseHead& next) {
+    const std::string key(kHeadKey);
+    const nlohmann::json value = ToJson(next);
+    try {
+      const PutResult result = co_await m_store->Put(key, value, base.version);
+      co_return result.status == PutStatus::kWritten;
+    } catch (const Error& error) {
+      if (error.kind() != ErrorKind::kOutcomeUnknown) {
+        throw;
+      }
+    }
+    m_unknown_write = UnknownWrite{.expected_version = base.version,
+                                   .revision = next.revision};
+    co_return false;
+  }
+
+  /// A conditional write can no longer take effect once the head has another
+  /// version than it expects.
+  void SettleUnknownWrite(const VersionedHead& base) {
+    if (m_unknown_write && m_unknown_write->expected_version != base.version) {
+      m_unknown_write.reset();
+    }
+  }
+
+  /// Whether the head may have forgotten the change of the unknown write.
+  bool IsPastHorizon(const VersionedHead& base) const {
+    return m_unknown_write &&
+           base.head.revision >= m_unknown_write->revision + kMaxRecentChanges;
+  }
+
+  static PublishOutcome Accepted(Revision revision) {
+    return {.status = PublishStatus::kAccepted, .revision = revision};
+  }
+
+  static PublishOutcome Conflict(std::vector<ChangeConflict> conflicts) {
+    return {.status = PublishStatus::kConflict,
+            .conflicts = std::move(conflicts),
+            .message = "others changed the same objects",
+            .remedy = std::string(kConflictRemedy)};
+  }
+
+  static PublishOutcome Faulty(std::vector<Fault> faults) {
+    return {.status = PublishStatus::kFaults,
+            .faults = std::move(faults),
+            .message = "the configuration would not be valid with this change",
+            .remedy = "mend the faults and apply again"};
+  }
+
+  PublishOutcome Refusal(std::string message, std::string remedy) const {
+    if (m_unknown_write) {
+      return {.status = PublishStatus::kOutcomeUnknown,
+              .message = "the answer to the write was lost; " + message,
+              .remedy = "apply again under the same change id"};
+    }
+    return {.status = PublishStatus::kNotRun,
+            .message = std::move(message),
+            .remedy = std::move(remedy)};
+  }
+
+  static constexpr int kWriteOnceAttempts = 4;
+  static constexpr std::uint64_t kMustNotExist = 0;
+
+  Store* m_store;
+  const ChangeProposal* m_proposal;
+  PublishOptions m_options;
+  std::optional<UnknownWrite> m_unknown_write;
+};
+
+}  // namespace detail
+
+/// Merges a change into the newest release and advances the head by one
+/// conditional update. Chunks and the archived old head are written before, so
+/// that whoever sees a head finds all of it. Never throws for what the store
+/// or the proposal did; the outcome says so. `store` and `proposal` must
+/// outlive the coroutine.
+template <AsyncObjectStore Store>
+boost::asio::awaitable<PublishOutcome> Publish(Store& store,
+                                               const ChangeProposal& proposal,
+                                               PublishOptions options) {
+  detail::Publication<Store> publication(store, proposal, std::move(options));
+  co_return co_await publication.Run();
+}
+
+}  // namespace banyantrail
--- /dev/null
+++ b/tests/config/fake_object_store.h
@@ -0,0 +1,140 @@
+#pragma once
+
+#include <utility>
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+
+#include "banyantrail/config/object_store.h"
+#include "banyantrail/core/errors.h"
+#include "banyantrail/core/random.h"
+
+namespace banyantrail::testing {
+
+/// The platform's store in memory. Each call takes a random number of turns
+/// of the event loop, so that concurrent callers interleave by the seed.
+class FakeObjectStore {
+ public:
+  struct Options {
+    std::uint64_t seed = 1;
+    /// Of 100 writes, how many take effect and lose their answer.
+    std::size_t lost_answers = 0;
+    /// Of 100 writes, how many take effect only after the caller was told that
+    /// the outcome is unknown.
+    std::size_t late_effects = 0;
+    /// Of 100 calls, how many find the platform out.
+    std::size_t outages = 0;
+  };
+
+  explicit FakeObjectStore(Options options)
+      : m_options(options), m_rng(options.seed) {}
+
+  boost::asio::awaitable<std::optional<StoredObject>> Get(std::string key) {
+    co_await Delay();
+    ThrowIfOut();
+    const auto found = m_objects.find(key);
+    if (found == m_objects.end()) {
+      co_return std::nullopt;
+    }
+    co_return found->second;
+  }
+
+  boost::asio::awaitable<PutResult> Put(
+      std::string key,
+      nlohmann::json value,
+      std::optional<std::uint64_t> expected_version) {
+    co_await Delay();
+    ThrowIfOut();
+    if (Happens(m_options.late_effects)) {
+      const auto executor = co_await boost::asio::this_coro::executor;
+      ApplyLater(executor, kMaxLateTurns,
+                 [=, this] { Apply(key, value, expected_version); });
+      ThrowUnknown();
+    }
+    const PutResult result = Apply(key, value, expected_version);
+    if (Happens(m_options.lost_answers)) {
+      ThrowUnknown();
+    }
+    co_return result;
+  }
+
+  /// Changes an object as no publisher would.
+  void Corrupt(const std::string& key, nlohmann::json value) {
+    m_objects.at(key).value = std::move(value);
+  }
+  void SetOptions(Options options) { m_options = options; }
+  const std::map<std::string, StoredObject>& objects() const {
+    return m_objects;
+  }
+  std::size_t writes() const { return m_writes; }
+
+ private:
+  static constexpr std::size_t kMaxTurns = 4;
+  static constexpr std::size_t kMaxLateTurns = 40;
+
+  bool Happens(std::size_t percent) {
+    return UniformIndex(m_rng, 100) < percent;
+  }
+
+  boost::asio::awaitable<void> Delay() {
+    const auto executor = co_await boost::asio::this_coro::executor;
+    for (std::size_t left = UniformIndex(m_rng, kMaxTurns); left > 0; --left) {
+      co_await boost::asio::post(executor, boost::asio::use_awaitable);
+    }
+  }
+
+  template <typename Executor>
+  void ApplyLater(Executor executor,
+                  std::size_t turns,
+                  std::function<void()> effect) {
+    boost::asio::post(executor, [=, this] {
+      if (turns == 0) {
+        effect();
+      } else {
+        ApplyLater(executor, turns - 1, effect);
+      }
+    });
+  }
+
+  void ThrowIfOut() {
+    if (Happens(m_options.outages)) {
+      throw Error({.kind = ErrorKind::kPlatformUnavailable,
+                   .message = "the platform is out",
+                   .remedy = "wait"});
+    }
+  }
+
+  [[noreturn]] static void ThrowUnknown() {
+    throw Error({.kind = ErrorKind::kOutcomeUnknown,
+                 .message = "the answer was lost",
+                 .remedy = "look again"});
+  }
+
+  PutResult Apply(const std::string& key,
+                  const nlohmann::json& value,
+                  std::optional<std::uint64_t> expected_version) {
+    const auto found = m_objects.find(key);
+    const std::uint64_t current =
+        found == m_objects.end() ? 0 : found->second.version;
+    if (expected_version && *expected_version != current) {
+      return {.status = PutStatus::kVersionMismatch, .version = current};
+    }
+    ++m_writes;
+    m_objects[key] = {.key = key, .version = ++m_version, .value = value};
+    return {.status = PutStatus::kWritten, .version = m_version};
+  }
+
+  Options m_options;
+  Rng m_rng;
+  std::map<std::string, StoredObject> m_objects;
+  std::uint64_t m_version = 0;
+  std::size_t m_writes = 0;
+};
+
+}  // namespace banyantrail::testing
