--- /dev/null
+++ b/packages/node/banyantrail/node/distribution_actor.cc
@@ -0,0 +1,73 @@
+#include "banyantrail/node/distribution_actor.h"
+
+#include <utility>
+
+#include "banyantrail/node/distribution_peers.h"
+
+namespace banyantrail {
+namespace {
+
+void Deliver(DistributionActorState& state, DistributionOutput output) {
+  if (!output.messages.empty()) {
+    state.options.send(std::move(output.messages));
+  }
+  for (const auto& release : output.applied) {
+    state.options.apply(release);
+  }
+}
+
+void PublishStatus(DistributionActorState& state, TimePoint now) {
+  DistributionStatus status{.serving = state.protocol->Serving(now),
+                            .report = state.protocol->Status(),
+                            .known_revision = state.protocol->floor(),
+                            .counters = state.protocol->counters()};
+  if (status == state.status) {
+    return;
+  }
+  state.status = status;
+  state.options.publish_status(std::move(status));
+}
+
+void TakeMembership(DistributionActorState& state, const MembershipView& view) {
+  state.protocol->OnMembership(PeersOf(view));
+  if (view.joined) {
+    state.protocol->OnFloor(view.greatest_revision);
+  }
+}
+
+}  // namespace
+
+caf::behavior DistributionActor(
+    caf::stateful_actor<DistributionActorState>* self,
+    DistributionActorOptions options,
+    TimePoint start) {
+  DistributionActorState& state = self->state;
+  state.options = std::move(options);
+  state.protocol.emplace(state.options.protocol, start);
+  const auto now = [] { return SystemClock().Now(); };
+  return {
+      [&state](const TickMessage& tick) {
+        Deliver(state, state.protocol->OnTick(tick.now));
+        PublishStatus(state, tick.now);
+      },
+      [&state, now](const PeerMessageReceived& received) {
+        Deliver(state, state.protocol->OnMessage(received.from,
+                                                 received.message, now()));
+      },
+      [&state, now](const PeerUnreachable& peer) {
+        Deliver(state, state.protocol->OnPeerUnreachable(peer.node, now()));
+      },
+      [&state](const MembershipChanged& changed) {
+        TakeMembership(state, *changed.view);
+      },
+      [&state, now](const ReleaseRead& read) {
+        Deliver(state,
+                state.protocol->OnReleaseFromPlatform(*read.release, now()));
+      },
+      [&state](const PlatformHeadRead& head) {
+        state.protocol->OnPlatformHead(head.revision);
+      },
+  };
+}
+
+}  // namespace banyantrail
--- /dev/null
+++ b/packages/node/banyantrail/node/membership_actor.cc
@@ -0,0 +1,85 @@
+#include "banyantrail/node/membership_actor.h"
+
+#include <utility>
+
+namespace banyantrail {
+namespace {
+
+MembershipView TakeView(const MembershipProtocol& protocol) {
+  MembershipView view{
+      .own = protocol.own_record(),
+      .isolated = protocol.is_isolated(),
+      .joined = protocol.has_joined(),
+      .greatest_revision = protocol.table().GreatestAppliedRevision()};
+  view.members.reserve(protocol.table().records().size());
+  for (const auto& [node, record] : protocol.table().records()) {
+    view.members.push_back(record);
+  }
+  return view;
+}
+
+void Deliver(MembershipActorState& state, MembershipOutput output) {
+  if (!output.messages.empty()) {
+    state.options.send(std::move(output.messages));
+  }
+  state.view_is_stale = state.view_is_stale || !output.changed.empty();
+}
+
+bool FlagsChanged(const MembershipActorState& state) {
+  return !state.view || state.view->isolated != state.protocol->is_isolated() ||
+         state.view->joined != state.protocol->has_joined();
+}
+
+void PublishIfStale(MembershipActorState& state) {
+  if (!state.view_is_stale && !FlagsChanged(state)) {
+    return;
+  }
+  state.view_is_stale = false;
+  state.view =
+      std::make_shared<const MembershipView>(TakeView(*state.protocol));
+  state.options.publish(state.view);
+}
+
+}  // namespace
+
+caf::behavior MembershipActor(caf::stateful_actor<MembershipActorState>* self,
+                              MembershipActorOptions options,
+                              TimePoint start) {
+  MembershipActorState& state = self->state;
+  state.options = std::move(options);
+  state.protocol.emplace(state.options.protocol, start);
+  const auto now = [] { return SystemClock().Now(); };
+  return {
+      [&state](const TickMessage& tick) {
+        Deliver(state, state.protocol->OnTick(tick.now));
+        PublishIfStale(state);
+      },
+      [&state, now](const PeerMessageReceived& received) {
+        Deliver(state, state.protocol->OnMessage(received.from,
+                                                 received.message, now()));
+      },
+      [&state, now](const PeerUnreachable& peer) {
+        Deliver(state, state.protocol->OnPeerUnreachable(peer.node, now()));
+      },
+      [&state, now](const BackendServersChanged& changed) {
+        Deliver(state,
+                state.protocol->SetBackendServers(changed.servers, now()));
+        PublishIfStale(state);
+      },
+      [&state, now](const DrainStarted&) {
+        Deliver(state, state.protocol->SetDraining(true, now()));
+      },
+      [&state, now](const LeaveRequested&) {
+        Deliver(state, state.protocol->Leave(now()));
+      },
+      [&state](const SeedsFound& found) {
+        state.protocol->SetSeeds(found.seeds);
+      },
+      [&state](const ReleaseApplied& applied) {
+        state.protocol->SetReleaseDigest(applied.release->revision,
+                                         applied.release->digest);
+      },
+  };
+}
+
+}  // namespace banyantrail
--- a/packages/proxy/banyantrail/proxy/attempt.cc
+++ b/packages/proxy/banyantrail/proxy/attempt.cc
@@ -100,8 +100,9 @@
       co_await ReadAnswerHead(attempt, method);
   if (error) {
     attempt.result = UpstreamResult::kNotRun;
-    attempt.reason = error == beast::error::timeout ? "no_permission_in_time"
-                                                    : "connection_lost";
+    attempt.reason = error == beast::error::timeout
+                         ? RefusalReason::kAnswerTimeout
+                         : RefusalReason::kConnectionLost;
     co_return false;
   }
   if (attempt.answer->get().result() == http::status::continue_) {
@@ -126,11 +127,12 @@
   co_await monitor.Stop();
   if (monitor.caller_gone()) {
     attempt.result = UpstreamResult::kCallerGone;
-    attempt.reason = "caller_gone";
+    attempt.reason = RefusalReason::kCancelled;
   } else if (error) {
     attempt.result = UpstreamResult::kUnknown;
-    attempt.reason =
-        error == beast::error::timeout ? "answer_timeout" : "connection_lost";
+    attempt.reason = error == beast::error::timeout
+                         ? RefusalReason::kAnswerTimeout
+                         : RefusalReason::kConnectionLost;
   } else {
     attempt.result = UpstreamResult::kAnswered;
     attempt.upstream_spent = !monitor.body_sent();
@@ -149,7 +151,7 @@
           ? co_await pool.Connect(options.server, options.deadline)
           : co_await pool.Take(options.server, options.deadline);
   if (!attempt.upstream) {
-    attempt.reason = "connect_failed";
+    attempt.reason = RefusalReason::kConnectFailed;
     co_return attempt;
   }
   attempt.upstream->stream.expires_at(options.deadline);
@@ -162,8 +164,8 @@
   if (error) {
     const bool body_held_back = request.streams;
     attempt.result = written == 0 || body_held_back ? UpstreamResult::kNotRun
-                                                     : UpstreamResult::kUnknown;
-    attempt.reason = "send_failed";
+                                                    : UpstreamResult::kUnknown;
+    attempt.reason = RefusalReason::kConnectionLost;
     co_return attempt;
   }
   if (request.streams && options.ask_before_body &&
--- a/packages/proxy/banyantrail/proxy/attempt.h
+++ b/packages/proxy/banyantrail/proxy/attempt.h
@@ -3,11 +3,11 @@
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <memory>
-#include <string_view>
 
 #include "banyantrail/proxy/connection.h"
 #include "banyantrail/proxy/inbound_request.h"
 #include "banyantrail/proxy/upstream_pool.h"
+#include "banyantrail/traffic/refusal_reason.h"
 
 namespace banyantrail {
 
@@ -28,8 +28,8 @@
   using AnswerParser = http::response_parser<http::buffer_body>;
 
   UpstreamResult result = UpstreamResult::kNotRun;
-  /// snake_case reason of kNotRun and kUnknown, as counted in the metrics.
-  std::string_view reason;
+  /// Why it did not run or why that is unknown. Without meaning for kAnswered.
+  RefusalReason reason = RefusalReason::kCancelled;
   UpstreamPtr upstream;
   std::unique_ptr<AnswerParser> answer;
   /// The upstream connection cannot carry another request.
--- /dev/null
+++ b/packages/proxy/banyantrail/proxy/owner_stage.cc
@@ -0,0 +1,268 @@
+#include "banyantrail/proxy/owner_stage.h"
+
+#include <utility>
+
+#include "banyantrail/proxy/hang_up_watch.h"
+#include "banyantrail/wire/mesh_headers.h"
+
+namespace banyantrail {
+namespace {
+
+/// How long a request waits that names no deadline.
+constexpr Duration kDefaultDeadline = seconds(30);
+
+/// Rank of a request that names none: the least urgent.
+constexpr std::uint32_t kLeastUrgentPriority = 255;
+
+TimePoint DeadlineOf(const http::request_header<>& head) {
+  const auto remaining = NumberField(head, kDeadlineHeader);
+  const TimePoint now = SystemClock().Now();
+  return now +
+         (remaining ? Duration(milliseconds(*remaining)) : kDefaultDeadline);
+}
+
+std::string LoadValue(const AdmissionLoad& load) {
+  const std::size_t demand = load.in_flight + load.queued;
+  return std::to_string(demand) + "/" + std::to_string(load.limit);
+}
+
+/// Whether the backend server itself says that it did not run the request.
+bool IsShed(const Attempt& attempt) {
+  const auto& head = attempt.answer->get();
+  return head.result() == http::status::service_unavailable &&
+         FieldValue(head, kOutcomeHeader) == kOutcomeNotRun;
+}
+
+/// Keeps the owner's headers away from the backend server, but for those meant
+/// for it.
+void StripMeshFields(http::fields& head) {
+  for (const std::string_view name : {kPriorityHeader, kIdempotentHeader,
+                                      kServiceHeader, kBackendServerHeader}) {
+    head.erase(beast::string_view(name.data(), name.size()));
+  }
+}
+
+}  // namespace
+
+OwnerStage::OwnerStage(asio::any_io_executor executor,
+                       UpstreamPool& pool,
+                       Options options)
+    : m_executor(std::move(executor)),
+      m_pool(pool),
+      m_options(std::move(options)) {}
+
+asio::awaitable<void> OwnerStage::Serve(beast::tcp_stream stream) {
+  Downstream downstream(std::move(stream));
+  while (!downstream.must_close) {
+    ReadResult read = co_await ReadRequest(downstream, m_options.limits);
+    if (read.outcome != ReadOutcome::kRequest) {
+      break;
+    }
+    ++m_in_progress;
+    co_await Handle(downstream, read.request);
+    --m_in_progress;
+  }
+  Close(downstream.stream);
+}
+
+asio::awaitable<void> OwnerStage::Handle(Downstream& downstream,
+                                         InboundRequest& request) {
+  Passage passage{.request = request,
+                  .backend = Find(request.head()),
+                  .id = ++m_last_request,
+                  .deadline = DeadlineOf(request.head())};
+  std::optional<RefusalReason> refusal = RefusalFor(passage.backend);
+  if (!refusal) {
+    refusal = co_await Admit(downstream, passage);
+  }
+  if (refusal == RefusalReason::kCancelled) {
+    downstream.must_close = true;
+  } else if (refusal) {
+    co_await Refuse(downstream, request, passage.backend, *refusal);
+  } else {
+    co_await Forward(downstream, passage);
+  }
+}
+
+OwnerStage::BackendPtr OwnerStage::Find(
+    const http::request_header<>& head) const {
+  const BackendServerId id(std::string(FieldValue(head, kBackendServerHeader)));
+  const auto found = m_backends.find(id);
+  if (found == m_backends.end() ||
+      found->second->record.service.str() != FieldValue(head, kServiceHeader)) {
+    return nullptr;
+  }
+  return found->second;
+}
+
+std::optional<RefusalReason> OwnerStage::RefusalFor(
+    const BackendPtr& backend) const {
+  if (!backend) {
+    return RefusalReason::kNoBackendServer;
+  }
+  switch (backend->record.state) {
+    case BackendServerState::kServing:
+      return std::nullopt;
+    case BackendServerState::kDraining:
+      return RefusalReason::kDraining;
+    case BackendServerState::kDown:
+      return RefusalReason::kBackendServerDown;
+  }
+  return std::nullopt;
+}
+
+asio::awaitable<void> OwnerStage::Refuse(Downstream& downstream,
+                                         const InboundRequest& request,
+                                         const BackendPtr& backend,
+                                         RefusalReason reason) {
+  m_options.hooks.count_refusal(reason);
+  // A body that streams stays unread, unless the sender waits for permission.
+  const bool body_unread = request.streams;
+  SystemAnswer answer = RefusalAnswer(reason);
+  if (backend) {
+    answer.load = LoadValue(backend->gate->load());
+  }
+  co_await SendSystemAnswer(downstream, std::move(answer), !body_unread);
+  downstream.must_close = downstream.must_close || body_unread;
+}
+
+asio::awaitable<std::optional<RefusalReason>> OwnerStage::Admit(
+    Downstream& downstream,
+    Passage& passage) {
+  const std::uint32_t priority =
+      NumberField(passage.request.head(), kPriorityHeader)
+          .value_or(kLeastUrgentPriority);
+  AdmissionGate& gate = *passage.backend->gate;
+  HangUpWatch watch(downstream, [&gate, id = passage.id] { gate.Cancel(id); });
+  const std::optional<RefusalReason> refusal = co_await gate.Enter(
+      passage.id, static_cast<std::uint8_t>(priority), passage.deadline);
+  co_await watch.Stop();
+  passage.admitted_at = SystemClock().Now();
+  co_return refusal;
+}
+
+asio::awaitable<void> OwnerStage::Forward(Downstream& downstream,
+                                          Passage& passage) {
+  AttemptOptions options{.server = passage.backend->record.address,
+                         .head = ForwardedHead(passage.request),
+                         .deadline = passage.deadline};
+  StripMeshFields(options.head);
+  SetField(options.head, kDeadlineHeader, RemainingMs(passage.deadline));
+  Attempt attempt = co_await MakeAttempt(m_pool, downstream, passage.request,
+                                         std::move(options));
+  NoteConnect(passage.backend, attempt.reason != RefusalReason::kConnectFailed);
+  switch (attempt.result) {
+    case UpstreamResult::kAnswered:
+      co_await Return(downstream, passage, attempt);
+      co_return;
+    case UpstreamResult::kCallerGone:
+      passage.backend->gate->Cancel(passage.id);
+      downstream.must_close = true;
+      co_return;
+    case UpstreamResult::kNotRun:
+      Leave(passage, AttemptEnd::kFailed);
+      break;
+    case UpstreamResult::kUnknown:
+      Leave(passage, attempt.reason == RefusalReason::kAnswerTimeout
+                         ? AttemptEnd::kTimedOut
+                         : AttemptEnd::kFailed);
+      m_pool.Distrust(passage.backend->record.address);
+      break;
+  }
+  co_await Refuse(downstream, passage.request, passage.backend, attempt.reason);
+}
+
+asio::awaitable<void> OwnerStage::Return(Downstream& downstream,
+                                         Passage& passage,
+                                         Attempt& attempt) {
+  if (IsShed(attempt)) {
+    Leave(passage, AttemptEnd::kShed);
+    co_await Refuse(downstream, passage.request, passage.backend,
+                    RefusalReason::kShedByBackendServer);
+    co_return;
+  }
+  http::response_header<> head = ReturnedHead(attempt);
+  StripInternalAnswerFields(head, false);
+  SetField(head, kLoadHeader, LoadValue(passage.backend->gate->load()));
+  const RelayOutcome outcome =
+      co_await RelayAnswer(attempt, downstream, std::move(head),
+                           !downstream.must_close, passage.deadline);
+  switch (outcome) {
+    case RelayOutcome::kWhole:
+      Leave(passage, AttemptEnd::kAnswered);
+      if (!attempt.upstream_spent) {
+        m_pool.Keep(std::move(attempt.upstream));
+      }
+      break;
+    case RelayOutcome::kNothingSent:
+      Leave(passage, AttemptEnd::kFailed);
+      co_await Refuse(downstream, passage.request, passage.backend,
+                      RefusalReason::kAnswerCut);
+      break;
+    case RelayOutcome::kCut:
+      Leave(passage, AttemptEnd::kFailed);
+      m_options.hooks.count_refusal(RefusalReason::kAnswerCut);
+      break;
+    case RelayOutcome::kCallerGone:
+      passage.backend->gate->Cancel(passage.id);
+      break;
+  }
+}
+
+void OwnerStage::Leave(Passage& passage, AttemptEnd end) {
+  passage.backend->gate->Leave(
+      passage.id,
+      {.end = end, .latency = SystemClock().Now() - passage.admitted_at});
+}
+
+void OwnerStage::NoteConnect(const BackendPtr& backend, bool connected) {
+  constexpr unsigned kFailuresToCallItDown = 2;
+  if (connected) {
+    backend->failed_connects = 0;
+    return;
+  }
+  ++backend->failed_connects;
+  if (backend->failed_connects >= kFailuresToCallItDown) {
+    backend->failed_connects = 0;
+    m_options.hooks.on_unreachable(backend->record.id);
+  }
+}
+
+void OwnerStage::SetBackendServers(
+    const std::vector<BackendServerRecord>& records) {
+  std::map<BackendServerId, BackendPtr> next;
+  for (const BackendServerRecord& record : records) {
+    BackendPtr backend;
+    const auto found = m_backends.find(record.id);
+    if (found == m_backends.end()) {
+      backend = std::make_shared<Backend>();
+      backend->gate = std::make_unique<AdmissionGate>(
+          m_executor,
+          AdmissionOptions{.announced_slots = record.slots, .ranks = m_ranks});
+    } else {
+      backend = found->second;
+      const bool was_serving =
+          backend->record.state == BackendServerState::kServing;
+      const bool is_serving = record.state == BackendServerState::kServing;
+      if (was_serving && !is_serving) {
+        backend->gate->Drain();
+      } else if (!was_serving && is_serving) {
+        backend->gate->Restart(record.slots);
+      } else {
+        backend->gate->SetAnnouncedSlots(record.slots);
+      }
+    }
+    backend->record = record;
+    next[record.id] = std::move(backend);
+  }
+  m_backends = std::move(next);
+}
+
+void OwnerStage::SetRanks(std::vector<RankShare> ranks) {
+  m_ranks = std::move(ranks);
+  for (const auto& [id, backend] : m_backends) {
+    backend->gate->SetRanks(m_ranks);
+  }
+}
+
+}  // namespace banyantrail
--- /dev/null
+++ b/packages/proxy/banyantrail/proxy/owner_stage.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string_view>
+#include <vector>
+
+#include "banyantrail/proxy/admission_gate.h"
+#include "banyantrail/proxy/answer_head.h"
+#include "banyantrail/proxy/answer_relay.h"
+#include "banyantrail/proxy/inbound_request.h"
+#include "banyantrail/proxy/upstream_pool.h"
+#include "banyantrail/wire/member_record.h"
+
+namespace banyantrail {
+
+/// What the owner stage tells the rest of the node.
+struct OwnerStageHooks {
+  std::function<void(RefusalReason)> count_refusal;
+  /// Connections to the backend server fail: it is down until it announces
+  /// itself again.
+  std::function<void(const BackendServerId&)> on_unreachable;
+};
+
+/// The last stage of a request's way: the node beside a backend server admits
+/// the request, forwards it and returns the answer. Serves the mesh listener.
+class OwnerStage {
+ public:
+  struct Options {
+    InboundLimits limits;
+    OwnerStageHooks hooks;
+  };
+
+  OwnerStage(asio::any_io_executor executor,
+             UpstreamPool& pool,
+             Options options);
+
+  /// Serves one connection of another node until it closes.
+  asio::awaitable<void> Serve(beast::tcp_stream stream);
+
+  /// The backend servers beside this node, after a change.
+  void SetBackendServers(const std::vector<BackendServerRecord>& records);
+  /// The ranks of a newly applied configuration.
+  void SetRanks(std::vector<RankShare> ranks);
+
+  /// Requests admitted or waiting, over all backend servers.
+  std::size_t requests_in_progress() const { return m_in_progress; }
+
+ private:
+  struct Backend {
+    BackendServerRecord record;
+    std::unique_ptr<AdmissionGate> gate;
+    unsigned failed_connects = 0;
+  };
+  using BackendPtr = std::shared_ptr<Backend>;
+
+  /// A request on its way through this stage.
+  struct Passage {
+    InboundRequest& request;
+    BackendPtr backend;
+    RequestId id = 0;
+    TimePoint deadline;
+    TimePoint admitted_at{};
+    bool keep_alive = true;
+  };
+
+  asio::awaitable<void> Handle(Downstream& downstream, InboundRequest& request);
+  asio::awaitable<void> Refuse(Downstream& downstream,
+                               const InboundRequest& request,
+                               const BackendPtr& backend,
+                               RefusalReason reason);
+  asio::awaitable<std::optional<RefusalReason>> Admit(Downstream& downstream,
+                                                      Passage& passage);
+  asio::awaitable<void> Forward(Downstream& downstream, Passage& passage);
+  asio::awaitable<void> Return(Downstream& downstream,
+                               Passage& passage,
+                               Attempt& attempt);
+  void Leave(Passage& passage, AttemptEnd end);
+  void NoteConnect(const BackendPtr& backend, bool connected);
+  BackendPtr Find(const http::request_header<>& head) const;
+  std::optional<RefusalReason> RefusalFor(const BackendPtr& backend) const;
+
+  asio::any_io_executor m_executor;
+  UpstreamPool& m_pool;
+  Options m_options;
+  std::map<BackendServerId, BackendPtr> m_backends;
+  std::vector<RankShare> m_ranks;
+  RequestId m_last_request = 0;
+  std::size_t m_in_progress = 0;
+};
+
+}  // namespace banyantrail
--- a/packages/proxy/banyantrail/proxy/system_answer.cc
+++ b/packages/proxy/banyantrail/proxy/system_answer.cc
@@ -28,6 +28,9 @@
   response.set(http::field::content_type, "application/json");
   SetField(response, kOutcomeHeader, outcome);
   SetField(response, kReasonHeader, answer.reason);
+  if (!answer.load.empty()) {
+    SetField(response, kLoadHeader, answer.load);
+  }
   if (answer.retry_after_s > 0) {
     response.set(http::field::retry_after,
                  std::to_string(answer.retry_after_s));
--- a/packages/proxy/banyantrail/proxy/system_answer.h
+++ b/packages/proxy/banyantrail/proxy/system_answer.h
@@ -24,6 +24,8 @@
   std::string reason;
   /// What the caller can do.
   std::string remedy;
+  /// The backend server's load for the node that asked, if it is known.
+  std::string load;
   /// When another try makes sense; 0 for no advice.
   unsigned retry_after_s = 0;
 };
--- a/packages/proxy/banyantrail/proxy/upstream_pool.cc
+++ b/packages/proxy/banyantrail/proxy/upstream_pool.cc
@@ -4,6 +4,21 @@
 #include <utility>
 
 namespace banyantrail {
+namespace {
+
+/// Whether nothing arrived on an idle connection. A server that closed it, or
+/// that sends out of turn, makes it readable.
+bool IsQuiet(Upstream& upstream) {
+  asio::ip::tcp::socket& socket = upstream.stream.socket();
+  boost::system::error_code error;
+  socket.non_blocking(true, error);
+  char byte = 0;
+  socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek,
+                 error);
+  return error == asio::error::would_block;
+}
+
+}  // namespace
 
 UpstreamPool::UpstreamPool(asio::any_io_executor executor, Options options)
     : m_executor(std::move(executor)), m_options(options) {}
@@ -19,11 +34,10 @@
   while (!idle.empty()) {
     UpstreamPtr upstream = std::move(idle.back());
     idle.pop_back();
-    if (upstream->idle_since >= oldest) {
+    if (upstream->idle_since >= oldest && IsQuiet(*upstream)) {
       upstream->reused = true;
       return upstream;
     }
-    idle.clear();
   }
   return nullptr;
 }
--- /dev/null
+++ b/tests/node/peer_transport_test.cc
@@ -0,0 +1,142 @@
+#include "banyantrail/node/peer_transport.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <optional>
+#include <vector>
+
+#include "banyantrail/node/metrics.h"
+#include "net/http_exchange.h"
+
+namespace asio = boost::asio;
+using banyantrail::IpEndpoint;
+using banyantrail::Metrics;
+using banyantrail::milliseconds;
+using banyantrail::NodeId;
+using banyantrail::PeerMessage;
+using banyantrail::PeerTransport;
+using banyantrail::ProbeMessage;
+using banyantrail::TcpListener;
+using banyantrail::test::FreeEndpoint;
+
+namespace {
+
+constexpr milliseconds kConfirmTimeout{100};
+/// The bound for noticing and replacing a silent connection.
+constexpr milliseconds kSilenceBound{3000};
+
+/// A node's transport with what it received.
+struct Peer {
+  Peer(asio::io_context& io, const char* name, IpEndpoint listen)
+      : address(listen),
+        transport(
+            io,
+            metrics,
+            {.listen = listen,
+             .hello = {.node = NodeId(name), .peer_address = listen},
+             .on_message =
+                 [this](const NodeId& from, PeerMessage message) {
+                   senders.push_back(from);
+                   received.push_back(std::move(message));
+                 },
+             .on_unreachable =
+                 [this](const NodeId& node) { unreachable.push_back(node); },
+             .confirm_timeout = kConfirmTimeout}) {}
+
+  IpEndpoint address;
+  Metrics metrics;
+  std::vector<NodeId> senders;
+  std::vector<PeerMessage> received;
+  std::vector<NodeId> unreachable;
+  PeerTransport transport;
+};
+
+PeerMessage Probe(std::uint64_t id) {
+  return ProbeMessage{.probe_id = id};
+}
+
+}  // namespace
+
+TEST_GROUP(PeerTransport) {
+  asio::io_context io;
+  Peer a{io, "a", FreeEndpoint(io)};
+
+  template <typename Condition>
+  bool RunUntil(Condition condition) {
+    const auto deadline = std::chrono::steady_clock::now() + kSilenceBound;
+    while (!condition() && std::chrono::steady_clock::now() < deadline) {
+      io.run_for(milliseconds(10));
+      io.restart();
+    }
+    return condition();
+  }
+};
+
+TEST(PeerTransport, DeliversInOrderAndNamesTheSender) {
+  Peer b{io, "b", FreeEndpoint(io)};
+  a.transport.SetAddress(NodeId("b"), b.address);
+  a.transport.Send(NodeId("b"), Probe(1));
+  a.transport.Send(NodeId("b"), Probe(2));
+  CHECK(RunUntil([&] { return b.received.size() == 2; }));
+  CHECK(b.received[0] == Probe(1));
+  CHECK(b.received[1] == Probe(2));
+  CHECK(b.senders[0] == NodeId("a"));
+}
+
+TEST(PeerTransport, ReceiverCanAnswerWithoutKnowingTheAddressBefore) {
+  Peer b{io, "b", FreeEndpoint(io)};
+  a.transport.Send(b.address, Probe(1));
+  CHECK(RunUntil([&] { return !b.received.empty(); }));
+  b.transport.Send(NodeId("a"), Probe(2));
+  CHECK(RunUntil([&] { return !a.received.empty(); }));
+}
+
+TEST(PeerTransport, ReportsNodeThatNobodyListensFor) {
+  a.transport.SetAddress(NodeId("gone"), FreeEndpoint(io));
+  a.transport.Send(NodeId("gone"), Probe(1));
+  CHECK(RunUntil([&] { return !a.unreachable.empty(); }));
+}
+
+TEST(PeerTransport, ReplacesConnectionThatSwallowsBytes) {
+  const IpEndpoint address = FreeEndpoint(io);
+  // The first connection reads and never confirms; it stays open.
+  std::vector<std::shared_ptr<banyantrail::beast::tcp_stream>> swallowed;
+  {
+    std::optional<TcpListener> silent;
+    TcpListener::Options options{
+        .endpoint = address,
+        .session = [&swallowed](banyantrail::beast::tcp_stream stream)
+            -> asio::awaitable<void> {
+          swallowed.push_back(std::make_shared<banyantrail::beast::tcp_stream>(
+              std::move(stream)));
+          co_return;
+        }};
+    silent.emplace(io, std::move(options));
+    a.transport.SetAddress(NodeId("b"), address);
+    a.transport.Send(NodeId("b"), Probe(1));
+    CHECK(RunUntil([&] { return !swallowed.empty(); }));
+  }
+  io.run_for(milliseconds(10));
+  io.restart();
+  Peer b{io, "b", address};
+  CHECK(RunUntil([&] { return !b.received.empty(); }));
+  CHECK(a.unreachable.empty());
+}
+
+TEST(PeerTransport, SilentPeerIsReportedAsUnreachable) {
+  const IpEndpoint address = FreeEndpoint(io);
+  std::vector<std::shared_ptr<banyantrail::beast::tcp_stream>> swallowed;
+  TcpListener silent(
+      io,
+      {.endpoint = address,
+       .session = [&swallowed](banyantrail::beast::tcp_stream stream)
+           -> asio::awaitable<void> {
+         swallowed.push_back(std::make_shared<banyantrail::beast::tcp_stream>(
+             std::move(stream)));
+         co_return;
+       }});
+  a.transport.SetAddress(NodeId("b"), address);
+  a.transport.Send(NodeId("b"), Probe(1));
+  CHECK(RunUntil([&] { return !a.unreachable.empty(); }));
+  CHECK(swallowed.size() >= 2);
+}
--- /dev/null
+++ b/tests/node/settings_test.cc
@@ -0,0 +1,64 @@
+#include "banyantrail/node/settings.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "banyantrail/core/errors.h"
+
+using banyantrail::Error;
+using banyantrail::ParseNodeSettings;
+
+TEST_GROUP(Settings) {
+  nlohmann::json json = {{"node", "n1"},
+                         {"region", "tw-north"},
+                         {"domain", "a"},
+                         {"listen",
+                          {{"caller", "127.0.0.1:1"},
+                           {"mesh", "127.0.0.1:2"},
+                           {"peer", "127.0.0.1:3"},
+                           {"admin", "127.0.0.1:4"}}},
+                         {"platform", {"127.0.0.1:5"}}};
+
+  /// The one line that an operator sees, or an empty text.
+  std::string Complaint() {
+    try {
+      ParseNodeSettings(json.dump(), "n1.json");
+    } catch (const Error& error) {
+      return error.what();
+    }
+    return {};
+  }
+};
+
+TEST(Settings, TakesWholeSettings) {
+  const auto settings = ParseNodeSettings(json.dump(), "n1.json");
+  STRCMP_EQUAL("n1", settings.node.str().c_str());
+  LONGS_EQUAL(4, settings.listen.admin.port);
+  CHECK(settings.once_only);
+}
+
+TEST(Settings, NamesUnknownKeyAndItsPlace) {
+  json["listen"]["callers"] = "127.0.0.1:9";
+  STRCMP_CONTAINS("n1.json: listen: callers", Complaint().c_str());
+}
+
+TEST(Settings, NamesWrongType) {
+  json["once_only"] = "yes";
+  STRCMP_CONTAINS("once_only", Complaint().c_str());
+}
+
+TEST(Settings, RefusesHostNames) {
+  json["platform"] = {"platform.example:80"};
+  STRCMP_CONTAINS("write it as 127.0.0.1:8080", Complaint().c_str());
+}
+
+TEST(Settings, RefusesValueOutOfBounds) {
+  json["limits"] = {{"max_caller_connections", 0}};
+  STRCMP_CONTAINS("max_caller_connections", Complaint().c_str());
+}
+
+TEST(Settings, RefusesTextThatIsNotJson) {
+  CHECK_THROWS(Error, ParseNodeSettings("{", "n1.json"));
+}
