--- /dev/null
+++ b/packages/traffic/banyantrail/traffic/concurrency_limit.cc
@@ -0,0 +1,267 @@
+#include "banyantrail/traffic/concurrency_limit.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace banyantrail {
+
+namespace {
+
+constexpr milliseconds kWindowLength{100};
+constexpr std::size_t kMinWindowSamples = 10;
+/// Standard errors by which a growth of latency must stand out.
+constexpr double kSignificance = 4;
+/// A single window cuts the limit to no less than this.
+constexpr double kStrongestDecrease = 0.5;
+constexpr double kWeakestDecrease = 0.95;
+constexpr double kShedDecrease = 0.9;
+constexpr double kSlowStartGrowth = 2;
+/// Weight of the newest sample in a rank's mean and variance.
+constexpr double kMeanWeight = 0.02;
+constexpr seconds kEpochLength{1};
+constexpr std::size_t kMinEpochSamples = 30;
+/// A rank without samples for longer starts its window and epoch afresh.
+constexpr seconds kLongestGap{5};
+/// Variance of log latency that even the steadiest rank is taken to have.
+constexpr double kLeastVariance = 0.01;
+constexpr double kShortestSeconds = 1e-6;
+constexpr seconds kFirstCeilingHold{1};
+constexpr seconds kLongestCeilingHold{60};
+
+}  // namespace
+
+namespace detail {
+
+void LatencyHistory::Add(Duration latency, TimePoint now) {
+  const double value = std::log(std::max(
+      std::chrono::duration<double>(latency).count(), kShortestSeconds));
+  const bool resumed = !m_has_sample || now - m_last_sample > kLongestGap;
+  m_has_sample = true;
+  m_last_sample = now;
+  if (resumed) {
+    m_mean = value;
+    IgnoreInFlight(now);
+    return;
+  }
+  if (now < m_ignore_until) {
+    return;
+  }
+  const double difference = value - m_mean;
+  m_mean += kMeanWeight * difference;
+  m_variance = (1 - kMeanWeight) *
+               (m_variance + kMeanWeight * difference * difference);
+  if (m_epoch.count == 0) {
+    m_epoch_start = now;
+  }
+  for (Sums* sums : {&m_window, &m_epoch}) {
+    ++sums->count;
+    sums->sum += value;
+  }
+}
+
+void LatencyHistory::IgnoreInFlight(TimePoint now) {
+  m_window = {};
+  m_epoch = {};
+  const std::chrono::duration<double> latency(std::exp(m_mean));
+  m_ignore_until = now + std::chrono::duration_cast<Duration>(2 * latency);
+}
+
+void LatencyHistory::CloseWindow(TimePoint now) {
+  m_window = {};
+  const bool first = !m_has_baseline && m_epoch.count >= kMinWindowSamples;
+  const bool full = m_epoch.count >= kMinEpochSamples &&
+                    now - m_epoch_start >= kEpochLength;
+  if (first || full) {
+    CloseEpoch(now);
+  }
+}
+
+void LatencyHistory::CloseEpoch(TimePoint now) {
+  const std::int64_t number = now.time_since_epoch() / kSlotWidth;
+  Slot& slot = m_slots.at(static_cast<std::size_t>(number) % kSlots);
+  if (slot.number != number) {
+    slot = {.number = number, .least = m_epoch.Mean()};
+  }
+  slot.least = std::min(slot.least, m_epoch.Mean());
+  m_epoch = {};
+  m_has_baseline = true;
+}
+
+bool LatencyHistory::CanCompare(TimePoint now) const {
+  return m_window.count > 0 && std::isfinite(Baseline(now));
+}
+
+double LatencyHistory::Excess(TimePoint now) const {
+  return m_window.Mean() - Baseline(now);
+}
+
+double LatencyHistory::Weight() const {
+  return static_cast<double>(m_window.count) /
+         std::max(m_variance, kLeastVariance);
+}
+
+double LatencyHistory::Baseline(TimePoint now) const {
+  const std::int64_t oldest = now.time_since_epoch() / kSlotWidth -
+                              static_cast<std::int64_t>(kSlots);
+  double least = std::numeric_limits<double>::infinity();
+  for (const Slot& slot : m_slots) {
+    if (slot.number > oldest) {
+      least = std::min(least, slot.least);
+    }
+  }
+  return least;
+}
+
+}  // namespace detail
+
+ConcurrencyLimit::ConcurrencyLimit(ConcurrencyLimitOptions options,
+                                   std::uint32_t announced_slots)
+    : m_options(options) {
+  Restart(announced_slots);
+}
+
+void ConcurrencyLimit::Restart(std::uint32_t announced_slots) {
+  m_histories.clear();
+  m_window_samples = 0;
+  m_window_open = false;
+  m_has_ceiling = false;
+  m_last_decrease = TimePoint{};
+  m_slots = std::max<double>(announced_slots, 1);
+  m_in_slow_start = m_options.adaptive && m_options.slow_start;
+  m_limit = m_slots;
+  if (m_in_slow_start) {
+    m_limit = std::min(std::ceil(m_slots * m_options.slow_start_fraction),
+                       m_options.slow_start_bound);
+  }
+  m_limit = std::max(m_limit, m_options.floor);
+}
+
+void ConcurrencyLimit::SetAnnouncedSlots(std::uint32_t announced_slots) {
+  const double slots = std::max<double>(announced_slots, 1);
+  if (slots == m_slots) {
+    return;
+  }
+  m_limit = std::max(m_limit * slots / m_slots, m_options.floor);
+  m_slots = slots;
+}
+
+void ConcurrencyLimit::OnLatency(std::uint8_t rank_priority,
+                                 Duration latency,
+                                 std::size_t in_flight,
+                                 TimePoint now) {
+  if (!m_options.adaptive) {
+    return;
+  }
+  if (!m_window_open) {
+    m_window_open = true;
+    m_window_start = now;
+  }
+  m_histories[rank_priority].Add(latency, now);
+  ++m_window_samples;
+  m_saturated |= static_cast<double>(in_flight) >= std::floor(m_limit);
+  if (WindowIsFull(now)) {
+    CloseWindow(now);
+  }
+}
+
+void ConcurrencyLimit::OnShed(std::size_t in_flight, TimePoint now) {
+  if (!m_options.adaptive) {
+    return;
+  }
+  const double proven =
+      std::max(static_cast<double>(in_flight) - 1, m_options.floor);
+  const bool confirmed = m_has_ceiling && proven >= m_proven_ceiling;
+  if (confirmed) {
+    m_ceiling_hold =
+        std::min<Duration>(2 * m_ceiling_hold, kLongestCeilingHold);
+  } else {
+    m_ceiling_hold = kFirstCeilingHold;
+    m_proven_ceiling = proven;
+  }
+  m_has_ceiling = true;
+  m_ceiling = m_proven_ceiling;
+  m_ceiling_until = now + m_ceiling_hold;
+  m_limit = std::min(m_limit, m_ceiling);
+  m_in_slow_start = false;
+  if (!confirmed && now - m_last_decrease >= kWindowLength) {
+    Decrease(kShedDecrease, now);
+  }
+}
+
+bool ConcurrencyLimit::WindowIsFull(TimePoint now) const {
+  return m_window_samples >= kMinWindowSamples &&
+         now - m_window_start >= kWindowLength;
+}
+
+void ConcurrencyLimit::CloseWindow(TimePoint now) {
+  const Overload overload = MeasureOverload(now);
+  const double tolerance = std::log(m_options.latency_tolerance);
+  const double certain = overload.excess - kSignificance * overload.error;
+  const bool saturated = m_saturated;
+  for (auto& [priority, history] : m_histories) {
+    history.CloseWindow(now);
+  }
+  m_window_samples = 0;
+  m_window_open = false;
+  m_saturated = false;
+  RaiseCeiling(now);
+  if (certain > tolerance) {
+    m_in_slow_start = false;
+    Decrease(std::exp(tolerance - overload.excess), now);
+  } else if (saturated && certain <= tolerance / 2) {
+    Increase();
+  }
+}
+
+ConcurrencyLimit::Overload ConcurrencyLimit::MeasureOverload(
+    TimePoint now) const {
+  double weights = 0;
+  double weighted_excess = 0;
+  for (const auto& [priority, history] : m_histories) {
+    if (history.CanCompare(now)) {
+      // Ranks with steady latency say more than uploads of any size.
+      weights += history.Weight();
+      weighted_excess += history.Weight() * history.Excess(now);
+    }
+  }
+  if (weights == 0) {
+    return {};
+  }
+  return {.excess = weighted_excess / weights, .error = 1 / std::sqrt(weights)};
+}
+
+void ConcurrencyLimit::Increase() {
+  double target = m_limit + 1;
+  if (m_in_slow_start) {
+    target = std::min(m_limit * kSlowStartGrowth, m_slots);
+    m_in_slow_start = target < m_slots;
+  }
+  m_limit = std::max(m_limit, std::min(target, MaxLimit()));
+}
+
+void ConcurrencyLimit::Decrease(double factor, TimePoint now) {
+  const double bounded =
+      std::clamp(factor, kStrongestDecrease, kWeakestDecrease);
+  m_limit = std::max(m_limit * bounded, m_options.floor);
+  m_last_decrease = now;
+  for (auto& [priority, history] : m_histories) {
+    history.IgnoreInFlight(now);
+  }
+}
+
+void ConcurrencyLimit::RaiseCeiling(TimePoint now) {
+  if (!m_has_ceiling || now < m_ceiling_until || m_limit < m_ceiling) {
+    return;
+  }
+  m_proven_ceiling = m_ceiling;
+  m_ceiling += 1;
+  m_ceiling_until = now + m_ceiling_hold;
+}
+
+double ConcurrencyLimit::MaxLimit() const {
+  const double bound = m_slots * m_options.max_slots_factor;
+  return m_has_ceiling ? std::min(bound, m_ceiling) : bound;
+}
+
+}  // namespace banyantrail
