--- a/packages/distribution/banyantrail/distribution/distribution_protocol.cc
+++ b/packages/distribution/banyantrail/distribution/distribution_protocol.cc
@@ -458,7 +458,7 @@
          m_options.mode == DistributionMode::kTreeWholeReleases;
 }
 
-ReleaseName DistributionProtocol::Current() const {
+DistributionProtocol::ReleaseName DistributionProtocol::Current() const {
   return {.revision = m_store.revision(),
           .digest = m_store.current()->digest};
 }
--- /dev/null
+++ b/packages/node/banyantrail/node/control_plane.cc
@@ -0,0 +1,258 @@
+#include "banyantrail/node/control_plane.h"
+
+#include <boost/asio/post.hpp>
+#include <caf/all.hpp>
+#include <utility>
+
+#include "banyantrail/config/compile.h"
+#include "banyantrail/core/digest.h"
+#include "banyantrail/node/distribution_actor.h"
+#include "banyantrail/node/membership_actor.h"
+#include "banyantrail/node/routing_actor.h"
+
+namespace banyantrail {
+namespace {
+
+/// How often the actors look at the time.
+constexpr milliseconds kTickInterval{50};
+
+/// Actors do little; one worker that sleeps while there is nothing to do keeps
+/// an idle node's share of its core small.
+constexpr std::size_t kActorThreads = 1;
+
+/// Orders the lives of a node on a VM that keeps nothing. A clock set back is
+/// mended by the membership, which raises over any greater one it hears of.
+Incarnation NewIncarnation() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<Incarnation>(
+      std::chrono::duration_cast<milliseconds>(now).count());
+}
+
+MemberRecord OwnRecord(const NodeSettings& settings, Incarnation incarnation) {
+  return {.node = settings.node,
+          .region = settings.region,
+          .domain = settings.domain,
+          .incarnation = incarnation,
+          .labels = settings.labels,
+          .peer_address = settings.listen.peer,
+          .mesh_address = settings.listen.mesh,
+          .admin_address = settings.listen.admin};
+}
+
+caf::actor_system_config& Configure(caf::actor_system_config& config) {
+  config.set("scheduler.policy", caf::atom("sharing"));
+  config.set("scheduler.max-threads", kActorThreads);
+  return config;
+}
+
+std::vector<Fault> CompileFaults(const Release& release) {
+  return CompileRelease(release).faults;
+}
+
+bool IsForDistribution(const PeerMessage& message) {
+  return std::holds_alternative<ReleaseDeltaMessage>(message) ||
+         std::holds_alternative<ReleaseAckMessage>(message) ||
+         std::holds_alternative<ReleaseRequestMessage>(message) ||
+         std::holds_alternative<ReleaseBusyMessage>(message);
+}
+
+}  // namespace
+
+ControlPlane::ControlPlane(asio::io_context& io,
+                           Metrics& metrics,
+                           const NodeSettings& settings,
+                           ControlPlaneHooks hooks)
+    : m_io(io),
+      m_metrics(metrics),
+      m_hooks(std::move(hooks)),
+      m_transport(io,
+                  metrics,
+                  {.listen = settings.listen.peer,
+                   .hello = {.node = settings.node,
+                             .domain = settings.domain,
+                             .incarnation = NewIncarnation(),
+                             .peer_address = settings.listen.peer},
+                   .on_message =
+                       [this](const NodeId& from, PeerMessage message) {
+                         OnPeerMessage(from, std::move(message));
+                       },
+                   .on_unreachable =
+                       [this](const NodeId& node) { OnUnreachable(node); }}),
+      m_system(Configure(m_config)),
+      m_tick(io) {
+  SpawnActors(settings);
+  asio::co_spawn(io, RunTicks(), asio::detached);
+}
+
+ControlPlane::~ControlPlane() {
+  Stop();
+}
+
+void ControlPlane::SpawnActors(const NodeSettings& settings) {
+  const TimePoint start = SystemClock().Now();
+  const Incarnation incarnation = NewIncarnation();
+  const std::uint64_t seed = Hash64(settings.node.str(), incarnation);
+  const auto send = [this](std::vector<OutgoingMessage> messages) {
+    asio::post(m_io, [this, messages = std::move(messages)] {
+      for (const OutgoingMessage& outgoing : messages) {
+        m_transport.Send(outgoing.to, outgoing.message);
+      }
+    });
+  };
+
+  MembershipActorOptions membership{
+      .protocol = {.own_record = OwnRecord(settings, incarnation),
+                   .seeds = settings.seeds,
+                   .rng_seed = seed},
+      .send = send,
+      .publish = [this](std::shared_ptr<const MembershipView> view) {
+        asio::post(m_io, [this, view] { OnMembers(view); });
+      }};
+  m_membership = m_system.spawn(MembershipActor, std::move(membership), start);
+
+  DistributionActorOptions distribution{
+      .protocol = {.self = settings.node,
+                   .labels = settings.labels,
+                   .mode = settings.distribution_mode,
+                   .store = {.compile = CompileFaults},
+                   .seed = seed},
+      .send = send,
+      .apply =
+          [this](std::shared_ptr<const Release> release) {
+            asio::post(m_io, [this, release] { OnRelease(release); });
+          },
+      .publish_status =
+          [this](DistributionStatus status) {
+            asio::post(m_io, [this, status = std::move(status)] {
+              OnDistribution(status);
+            });
+          }};
+  m_distribution_actor =
+      m_system.spawn(DistributionActor, std::move(distribution), start);
+
+  RoutingActorOptions routing{
+      .labels = settings.labels,
+      .region = settings.region,
+      .domain = settings.domain,
+      .publish = [this](std::shared_ptr<const RoutingSnapshot> snapshot) {
+        asio::post(m_io, [this, snapshot] { OnSnapshot(snapshot); });
+      }};
+  m_routing = m_system.spawn(RoutingActor, std::move(routing));
+}
+
+void ControlPlane::OnPeerMessage(const NodeId& from, PeerMessage message) {
+  if (const auto* report = std::get_if<StatusReportMessage>(&message)) {
+    if (m_on_status) {
+      m_on_status(*report);
+    }
+    return;
+  }
+  if (IsForDistribution(message)) {
+    caf::anon_send(m_distribution_actor,
+                   PeerMessageReceived{from, std::move(message)});
+    return;
+  }
+  if (std::holds_alternative<DigestMessage>(message)) {
+    caf::anon_send(m_distribution_actor, PeerMessageReceived{from, message});
+  }
+  caf::anon_send(m_membership, PeerMessageReceived{from, std::move(message)});
+}
+
+void ControlPlane::OnUnreachable(const NodeId& node) {
+  caf::anon_send(m_membership, PeerUnreachable{node});
+  caf::anon_send(m_distribution_actor, PeerUnreachable{node});
+}
+
+void ControlPlane::OnMembers(std::shared_ptr<const MembershipView> view) {
+  m_members = std::move(view);
+  for (const MemberRecord& record : m_members->members) {
+    m_transport.SetAddress(record.node, record.peer_address);
+  }
+  caf::anon_send(m_distribution_actor, MembershipChanged{m_members});
+  caf::anon_send(m_routing, MembershipChanged{m_members});
+  m_hooks.on_members(m_members);
+}
+
+void ControlPlane::OnRelease(std::shared_ptr<const Release> release) {
+  m_release = std::move(release);
+  caf::anon_send(m_membership, ReleaseApplied{m_release});
+  caf::anon_send(m_routing, ReleaseApplied{m_release});
+}
+
+void ControlPlane::OnSnapshot(std::shared_ptr<const RoutingSnapshot> snapshot) {
+  m_hooks.on_snapshot(std::move(snapshot));
+}
+
+void ControlPlane::OnDistribution(DistributionStatus status) {
+  m_distribution = std::move(status);
+  ExportMetrics();
+}
+
+void ControlPlane::ExportMetrics() {
+  m_metrics.SetGauge("banyantrail_applied_revision",
+                     static_cast<double>(m_release->revision));
+  m_metrics.SetGauge("banyantrail_known_revision",
+                     static_cast<double>(m_distribution.known_revision));
+  m_metrics.SetGauge("banyantrail_members",
+                     static_cast<double>(m_members->members.size()));
+}
+
+asio::awaitable<void> ControlPlane::RunTicks() {
+  boost::system::error_code error;
+  while (!m_stopped) {
+    m_tick.expires_after(kTickInterval);
+    co_await m_tick.async_wait(
+        asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+      co_return;
+    }
+    const TickMessage tick{SystemClock().Now()};
+    caf::anon_send(m_membership, tick);
+    caf::anon_send(m_distribution_actor, tick);
+    caf::anon_send(m_routing, tick);
+  }
+}
+
+void ControlPlane::SetBackendServers(std::vector<BackendServerRecord> servers) {
+  caf::anon_send(m_membership, BackendServersChanged{std::move(servers)});
+}
+
+void ControlPlane::SetSeeds(std::vector<IpEndpoint> seeds) {
+  caf::anon_send(m_membership, SeedsFound{std::move(seeds)});
+}
+
+void ControlPlane::OnReleaseRead(std::shared_ptr<const Release> release) {
+  caf::anon_send(m_distribution_actor, ReleaseRead{std::move(release)});
+}
+
+void ControlPlane::OnPlatformHead(Revision revision) {
+  caf::anon_send(m_distribution_actor, PlatformHeadRead{revision});
+}
+
+void ControlPlane::StartDrain() {
+  caf::anon_send(m_membership, DrainStarted{});
+}
+
+void ControlPlane::Leave() {
+  caf::anon_send(m_membership, LeaveRequested{});
+}
+
+void ControlPlane::SetStatusHandler(
+    std::function<void(const StatusReportMessage&)> handler) {
+  m_on_status = std::move(handler);
+}
+
+void ControlPlane::Stop() {
+  if (m_stopped) {
+    return;
+  }
+  m_stopped = true;
+  m_tick.cancel();
+  m_transport.Stop();
+  for (const caf::actor& actor :
+       {m_membership, m_distribution_actor, m_routing}) {
+    caf::anon_send_exit(actor, caf::exit_reason::user_shutdown);
+  }
+}
+
+}  // namespace banyantrail
--- /dev/null
+++ b/packages/node/banyantrail/node/routing_actor.cc
@@ -0,0 +1,43 @@
+#include "banyantrail/node/routing_actor.h"
+
+#include <utility>
+
+#include "banyantrail/config/compile.h"
+
+namespace banyantrail {
+namespace {
+
+void PublishIfStale(RoutingActorState& state) {
+  if (!state.is_stale || !state.config || !state.view) {
+    return;
+  }
+  state.is_stale = false;
+  const ProxyIdentity proxy{.labels = state.options.labels,
+                            .region = state.options.region,
+                            .domain = state.options.domain};
+  state.options.publish(std::make_shared<const RoutingSnapshot>(
+      *state.config, proxy, state.view->members));
+}
+
+}  // namespace
+
+caf::behavior RoutingActor(caf::stateful_actor<RoutingActorState>* self,
+                           RoutingActorOptions options) {
+  RoutingActorState& state = self->state;
+  state.options = std::move(options);
+  return {
+      [&state](const TickMessage&) { PublishIfStale(state); },
+      [&state](const MembershipChanged& changed) {
+        state.view = changed.view;
+        state.is_stale = true;
+      },
+      [&state](const ReleaseApplied& applied) {
+        // The distribution applies only what compiles.
+        state.config = CompileRelease(*applied.release).config;
+        state.is_stale = true;
+        PublishIfStale(state);
+      },
+  };
+}
+
+}  // namespace banyantrail
--- /dev/null
+++ b/packages/node/banyantrail/node/routing_actor.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <caf/stateful_actor.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+
+#include "banyantrail/node/control_messages.h"
+#include "banyantrail/traffic/routing_snapshot.h"
+
+namespace banyantrail {
+
+/// What the routing actor needs from the rest of the node. `publish` may be
+/// called from any thread.
+struct RoutingActorOptions {
+  Labels labels;
+  RegionId region;
+  DomainId domain;
+  std::function<void(std::shared_ptr<const RoutingSnapshot>)> publish;
+};
+
+struct RoutingActorState {
+  RoutingActorOptions options;
+  std::optional<CompiledConfig> config;
+  std::shared_ptr<const MembershipView> view;
+  bool is_stale = false;
+};
+
+/// Compiles the applied release and the membership into the snapshot that the
+/// request path uses. Publishes at most once per tick.
+caf::behavior RoutingActor(caf::stateful_actor<RoutingActorState>* self,
+                           RoutingActorOptions options);
+
+}  // namespace banyantrail
+
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(banyantrail::RoutingActorOptions)
--- /dev/null
+++ b/packages/proxy/banyantrail/proxy/entry_stage.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string_view>
+
+#include "banyantrail/core/random.h"
+#include "banyantrail/proxy/answer_head.h"
+#include "banyantrail/proxy/answer_relay.h"
+#include "banyantrail/proxy/inbound_request.h"
+#include "banyantrail/proxy/upstream_pool.h"
+#include "banyantrail/traffic/choose.h"
+#include "banyantrail/traffic/routing_snapshot.h"
+
+namespace banyantrail {
+
+/// What the entry stage tells the rest of the node.
+struct EntryStageHooks {
+  std::function<void(std::string_view reason)> count_refusal;
+  std::function<void(std::string_view decision)> count_retry;
+  /// An answer went back to a caller: rank priority, status, time since the
+  /// head arrived.
+  std::function<void(unsigned, unsigned, Duration)> on_answer;
+};
+
+/// The first stage of a request's way: any node takes a caller's request,
+/// routes it by rule, chooses a backend server and forwards the request to the
+/// node beside it. Serves the caller listener.
+class EntryStage {
+ public:
+  struct Options {
+    NodeId self;
+    InboundLimits limits;
+    EntryStageHooks hooks;
+    std::uint64_t seed = 0;
+  };
+
+  EntryStage(asio::any_io_executor executor,
+             UpstreamPool& pool,
+             Options options);
+
+  /// Serves one connection of a caller until it closes.
+  asio::awaitable<void> Serve(beast::tcp_stream stream);
+
+  /// The configuration to route by from now on. Requests under way keep the
+  /// snapshot that they began with.
+  void SetSnapshot(std::shared_ptr<const RoutingSnapshot> snapshot);
+
+  /// Answers carry "Connection: close" from now on, so that callers move to
+  /// other nodes while this one drains.
+  void StartDrain() { m_draining = true; }
+
+  std::size_t requests_in_progress() const { return m_in_progress; }
+
+ private:
+  /// A request on its way through this stage.
+  struct Passage;
+
+  asio::awaitable<void> Handle(Downstream& downstream, InboundRequest& request);
+  asio::awaitable<void> Forward(Downstream& downstream, Passage& passage);
+  asio::awaitable<void> RefuseMalformed(Downstream& downstream,
+                                        HeadRefusal refusal);
+  asio::awaitable<void> Refuse(Downstream& downstream,
+                               Passage& passage,
+                               RefusalReason reason);
+  asio::awaitable<void> Return(Downstream& downstream,
+                               Passage& passage,
+                               Attempt& attempt);
+  AttemptOptions OptionsFor(const Passage& passage,
+                            const ServiceEndpoint& endpoint) const;
+  void NoteResult(const Passage& passage,
+                  const ServiceEndpoint& endpoint,
+                  const Attempt& attempt);
+  bool MayRetry(const Passage& passage, const Attempt& attempt);
+  void Finish(const Passage& passage, unsigned status);
+
+  asio::any_io_executor m_executor;
+  UpstreamPool& m_pool;
+  Options m_options;
+  Rng m_rng;
+  std::shared_ptr<const RoutingSnapshot> m_snapshot;
+  LoadTable m_loads;
+  bool m_draining = false;
+  std::size_t m_in_progress = 0;
+};
+
+}  // namespace banyantrail
--- /dev/null
+++ b/packages/traffic/banyantrail/traffic/routing_snapshot.h
@@ -0,0 +1,121 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "banyantrail/config/release.h"
+#include "banyantrail/core/clock.h"
+#include "banyantrail/core/ids.h"
+#include "banyantrail/core/ip_endpoint.h"
+#include "banyantrail/core/labels.h"
+#include "banyantrail/wire/member_record.h"
+
+namespace banyantrail {
+
+/// A backend server that requests can go to, and the node that owns it.
+struct ServiceEndpoint {
+  BackendServerId id;
+  NodeId owner;
+  DomainId domain;
+  RegionId region;
+  /// Mesh listener of the owner node.
+  IpEndpoint mesh_address;
+  std::uint32_t slots = 0;
+
+  friend bool operator==(const ServiceEndpoint&,
+                         const ServiceEndpoint&) = default;
+};
+
+/// A service with the backend servers that can take new requests.
+struct RoutedService {
+  ServiceName name;
+  std::vector<ServiceEndpoint> endpoints;
+
+  friend bool operator==(const RoutedService&, const RoutedService&) = default;
+};
+
+/// A routing rule that applies to this proxy, with its references resolved.
+struct Route {
+  RuleName rule;
+  std::string path_prefix;
+  /// Empty for every method.
+  std::vector<std::string> methods;
+  /// Position in RoutingSnapshot::services.
+  std::size_t service = 0;
+  std::uint8_t priority = 0;
+  bool idempotent = false;
+  Duration deadline{};
+
+  friend bool operator==(const Route&, const Route&) = default;
+};
+
+/// The priority and the guaranteed share of a rank.
+struct RoutedRank {
+  std::uint8_t priority = 0;
+  std::uint8_t share_percent = 0;
+
+  friend bool operator==(const RoutedRank&, const RoutedRank&) = default;
+};
+
+/// What a proxy is and where it stands, for the compilation of its snapshot.
+struct ProxyIdentity {
+  Labels labels;
+  RegionId region;
+  DomainId domain;
+
+  friend bool operator==(const ProxyIdentity&, const ProxyIdentity&) = default;
+};
+
+/// Why no route was found.
+enum class LookupFailure {
+  kNone,
+  /// No rule of this proxy matches.
+  kNoRoute,
+  /// A rule matches, but no backend server of its service is there.
+  kNoBackendServer,
+};
+
+struct RouteLookup {
+  /// Null unless `failure` is kNone.
+  const Route* route = nullptr;
+  const RoutedService* service = nullptr;
+  LookupFailure failure = LookupFailure::kNone;
+};
+
+/// Everything that the request path needs, compiled from one revision and one
+/// view of the membership. Immutable: a request keeps the snapshot that it
+/// began with, and rules, services and backend servers change in one swap.
+class RoutingSnapshot {
+ public:
+  /// Takes the rules whose selectors choose the proxy, and the backend servers
+  /// that serve on nodes that are alive and do not drain.
+  RoutingSnapshot(const CompiledConfig& config,
+                  const ProxyIdentity& proxy,
+                  const std::vector<MemberRecord>& members);
+
+  /// The rule with the longest prefix of whole path segments that takes the
+  /// method. `path` ends before any query.
+  RouteLookup FindRoute(std::string_view method, std::string_view path) const;
+
+  Revision revision() const { return m_revision; }
+  const std::vector<Route>& routes() const { return m_routes; }
+  const std::vector<RoutedService>& services() const { return m_services; }
+  const std::vector<RoutedRank>& ranks() const { return m_ranks; }
+
+ private:
+  void AddServices(const CompiledConfig& config);
+  void AddEndpoints(const std::vector<MemberRecord>& members);
+  void AddRoutes(const CompiledConfig& config, const ProxyIdentity& proxy);
+
+  Revision m_revision;
+  std::vector<RoutedRank> m_ranks;
+  std::vector<RoutedService> m_services;
+  std::map<ServiceName, std::size_t> m_service_positions;
+  /// Longest prefix first.
+  std::vector<Route> m_routes;
+};
+
+}  // namespace banyantrail
