--- /dev/null
+++ b/packages/proxy/banyantrail/proxy/entry_stage.cc
@@ -0,0 +1,268 @@
+#include "banyantrail/proxy/entry_stage.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "banyantrail/wire/mesh_headers.h"
+
+namespace banyantrail {
+namespace {
+
+constexpr unsigned kMaxAttempts = 3;
+
+std::string_view PathOf(const http::request_header<>& head) {
+  const std::string_view target(head.target().data(), head.target().size());
+  return target.substr(0, target.find('?'));
+}
+
+std::string_view MethodOf(const http::request_header<>& head) {
+  return {head.method_string().data(), head.method_string().size()};
+}
+
+/// The rule's deadline, or the caller's if that is sooner.
+TimePoint DeadlineOf(const http::request_header<>& head, const Route& route) {
+  const TimePoint now = SystemClock().Now();
+  const auto asked = NumberField(head, kDeadlineHeader);
+  const Duration wait =
+      asked ? std::min<Duration>(milliseconds(*asked), route.deadline)
+            : route.deadline;
+  return now + wait;
+}
+
+RefusalReason ReasonOf(LookupFailure failure) {
+  return failure == LookupFailure::kNoBackendServer
+             ? RefusalReason::kNoBackendServer
+             : RefusalReason::kNoRoute;
+}
+
+/// What the owner node says of a request that no backend server answered, or an
+/// empty view for a backend server's answer.
+std::string_view SystemOutcomeOf(const Attempt& attempt) {
+  return FieldValue(attempt.answer->get(), kOutcomeHeader);
+}
+
+/// Whether this attempt provably did not run the request.
+bool ProvedNotRun(const Attempt& attempt) {
+  if (attempt.result == UpstreamResult::kAnswered) {
+    return SystemOutcomeOf(attempt) == kOutcomeNotRun;
+  }
+  return attempt.result == UpstreamResult::kNotRun;
+}
+
+bool IsBackendAnswer(const Attempt& attempt) {
+  return attempt.result == UpstreamResult::kAnswered &&
+         SystemOutcomeOf(attempt).empty();
+}
+
+}  // namespace
+
+struct EntryStage::Passage {
+  InboundRequest& request;
+  std::shared_ptr<const RoutingSnapshot> snapshot;
+  const Route* route = nullptr;
+  const RoutedService* service = nullptr;
+  TimePoint started;
+  TimePoint deadline;
+  /// Backend servers already tried.
+  std::vector<BackendServerId> tried;
+};
+
+EntryStage::EntryStage(asio::any_io_executor executor,
+                       UpstreamPool& pool,
+                       Options options)
+    : m_executor(std::move(executor)),
+      m_pool(pool),
+      m_options(std::move(options)),
+      m_rng(m_options.seed) {}
+
+void EntryStage::SetSnapshot(std::shared_ptr<const RoutingSnapshot> snapshot) {
+  m_snapshot = std::move(snapshot);
+}
+
+asio::awaitable<void> EntryStage::Serve(beast::tcp_stream stream) {
+  Downstream downstream(std::move(stream));
+  while (!downstream.must_close) {
+    ReadResult read = co_await ReadRequest(downstream, m_options.limits);
+    if (read.outcome == ReadOutcome::kClosed) {
+      break;
+    }
+    if (read.outcome == ReadOutcome::kRefused) {
+      co_await RefuseMalformed(downstream, read.refusal);
+      break;
+    }
+    ++m_in_progress;
+    co_await Handle(downstream, read.request);
+    --m_in_progress;
+    downstream.must_close = downstream.must_close || m_draining ||
+                            !read.request.parser->keep_alive();
+  }
+  Close(downstream.stream);
+}
+
+asio::awaitable<void> EntryStage::RefuseMalformed(Downstream& downstream,
+                                                  HeadRefusal refusal) {
+  m_options.hooks.count_refusal(refusal.reason);
+  SystemAnswer answer{
+      .status = refusal.status,
+      .outcome = SystemOutcome::kNotRun,
+      .reason = std::string(refusal.reason),
+      .remedy = "send a well-formed HTTP/1.1 request within the limits"};
+  co_await SendSystemAnswer(downstream, std::move(answer), false);
+}
+
+asio::awaitable<void> EntryStage::Handle(Downstream& downstream,
+                                         InboundRequest& request) {
+  Passage passage{.request = request,
+                  .snapshot = m_snapshot,
+                  .started = SystemClock().Now()};
+  if (!passage.snapshot) {
+    co_await Refuse(downstream, passage, RefusalReason::kNoConfiguration);
+    co_return;
+  }
+  const http::request_header<>& head = request.head();
+  const RouteLookup lookup =
+      passage.snapshot->FindRoute(MethodOf(head), PathOf(head));
+  if (lookup.failure != LookupFailure::kNone) {
+    co_await Refuse(downstream, passage, ReasonOf(lookup.failure));
+    co_return;
+  }
+  passage.route = lookup.route;
+  passage.service = lookup.service;
+  passage.deadline = DeadlineOf(head, *lookup.route);
+  co_await Forward(downstream, passage);
+}
+
+const ServiceEndpoint* EntryStage::Choose(const Passage& passage) {
+  std::vector<const ServiceEndpoint*> own_domain;
+  std::vector<const ServiceEndpoint*> others;
+  for (const ServiceEndpoint& endpoint : passage.service->endpoints) {
+    const bool tried =
+        std::ranges::find(passage.tried, endpoint.id) != passage.tried.end();
+    if (!tried) {
+      (endpoint.domain == m_options.domain ? own_domain : others)
+          .push_back(&endpoint);
+    }
+  }
+  const auto& candidates = own_domain.empty() ? others : own_domain;
+  if (candidates.empty()) {
+    return nullptr;
+  }
+  return candidates[UniformIndex(m_rng, candidates.size())];
+}
+
+AttemptOptions EntryStage::OptionsFor(const Passage& passage,
+                                      const ServiceEndpoint& endpoint) const {
+  AttemptOptions options{.server = endpoint.mesh_address,
+                         .head = ForwardedHead(passage.request),
+                         .deadline = passage.deadline,
+                         .ask_before_body = true};
+  StripInternalFields(options.head);
+  SetField(options.head, kDeadlineHeader, RemainingMs(passage.deadline));
+  SetField(options.head, kPriorityHeader,
+           std::to_string(passage.route->priority));
+  SetField(options.head, kIdempotentHeader,
+           passage.route->idempotent ? "1" : "0");
+  SetField(options.head, kServiceHeader, passage.service->name.str());
+  SetField(options.head, kBackendServerHeader, endpoint.id.str());
+  return options;
+}
+
+asio::awaitable<void> EntryStage::Forward(Downstream& downstream,
+                                          Passage& passage) {
+  while (true) {
+    const ServiceEndpoint* endpoint = Choose(passage);
+    if (endpoint == nullptr) {
+      co_await Refuse(downstream, passage, RefusalReason::kNoBackendServer);
+      co_return;
+    }
+    passage.tried.push_back(endpoint->id);
+    Attempt attempt = co_await MakeAttempt(m_pool, downstream, passage.request,
+                                           OptionsFor(passage, *endpoint));
+    if (attempt.result == UpstreamResult::kCallerGone) {
+      downstream.must_close = true;
+      co_return;
+    }
+    if (attempt.result == UpstreamResult::kUnknown) {
+      m_pool.Distrust(endpoint->mesh_address);
+    }
+    if (MayRetry(passage, attempt)) {
+      continue;
+    }
+    if (attempt.result == UpstreamResult::kAnswered) {
+      co_await Return(downstream, passage, attempt);
+    } else {
+      co_await Refuse(downstream, passage, attempt.reason);
+    }
+    co_return;
+  }
+}
+
+bool EntryStage::MayRetry(const Passage& passage, const Attempt& attempt) {
+  if (IsBackendAnswer(attempt)) {
+    return false;
+  }
+  const bool safe = ProvedNotRun(attempt) || passage.route->idempotent;
+  const bool sendable = !passage.request.body_taken;
+  const bool in_time = SystemClock().Now() < passage.deadline;
+  const bool choice_left =
+      passage.tried.size() < passage.service->endpoints.size();
+  const bool retry = safe && sendable && in_time && choice_left &&
+                     passage.tried.size() < kMaxAttempts;
+  m_options.hooks.count_retry(retry ? "sent_again" : "given_up");
+  return retry;
+}
+
+asio::awaitable<void> EntryStage::Return(Downstream& downstream,
+                                         Passage& passage,
+                                         Attempt& attempt) {
+  const bool made_by_system = !SystemOutcomeOf(attempt).empty();
+  const bool keep_alive = !downstream.must_close && !m_draining &&
+                          passage.request.parser->keep_alive();
+  const unsigned status = attempt.answer->get().result_int();
+  http::response_header<> head = ReturnedHead(attempt);
+  StripInternalAnswerFields(head, made_by_system);
+  const RelayOutcome outcome = co_await RelayAnswer(
+      attempt, downstream, std::move(head), keep_alive, passage.deadline);
+  switch (outcome) {
+    case RelayOutcome::kWhole:
+      Finish(passage, status);
+      if (!attempt.upstream_spent) {
+        m_pool.Keep(std::move(attempt.upstream));
+      }
+      break;
+    case RelayOutcome::kNothingSent:
+      co_await Refuse(downstream, passage, RefusalReason::kAnswerCut);
+      break;
+    case RelayOutcome::kCut:
+      m_options.hooks.count_refusal(ToString(RefusalReason::kAnswerCut));
+      break;
+    case RelayOutcome::kCallerGone:
+      m_options.hooks.count_refusal(ToString(RefusalReason::kCancelled));
+      break;
+  }
+}
+
+asio::awaitable<void> EntryStage::Refuse(Downstream& downstream,
+                                         Passage& passage,
+                                         RefusalReason reason) {
+  m_options.hooks.count_refusal(ToString(reason));
+  SystemAnswer answer = RefusalAnswer(reason);
+  const unsigned status = static_cast<unsigned>(answer.status);
+  const bool body_unread =
+      passage.request.streams && !passage.request.parser->is_done();
+  const bool keep_alive =
+      !body_unread && !m_draining && passage.request.parser->keep_alive();
+  co_await SendSystemAnswer(downstream, std::move(answer), keep_alive);
+  downstream.must_close = downstream.must_close || !keep_alive;
+  Finish(passage, status);
+}
+
+void EntryStage::Finish(const Passage& passage, unsigned status) {
+  const unsigned priority =
+      passage.route == nullptr ? 0 : passage.route->priority;
+  m_options.hooks.on_answer(priority, status,
+                            SystemClock().Now() - passage.started);
+}
+
+}  // namespace banyantrail
--- a/packages/proxy/banyantrail/proxy/entry_stage.h
+++ b/packages/proxy/banyantrail/proxy/entry_stage.h
@@ -10,7 +10,6 @@
 #include "banyantrail/proxy/answer_relay.h"
 #include "banyantrail/proxy/inbound_request.h"
 #include "banyantrail/proxy/upstream_pool.h"
-#include "banyantrail/traffic/choose.h"
 #include "banyantrail/traffic/routing_snapshot.h"
 
 namespace banyantrail {
@@ -30,7 +29,7 @@
 class EntryStage {
  public:
   struct Options {
-    NodeId self;
+    DomainId domain;
     InboundLimits limits;
     EntryStageHooks hooks;
     std::uint64_t seed = 0;
@@ -69,9 +68,7 @@
                                Attempt& attempt);
   AttemptOptions OptionsFor(const Passage& passage,
                             const ServiceEndpoint& endpoint) const;
-  void NoteResult(const Passage& passage,
-                  const ServiceEndpoint& endpoint,
-                  const Attempt& attempt);
+  const ServiceEndpoint* Choose(const Passage& passage);
   bool MayRetry(const Passage& passage, const Attempt& attempt);
   void Finish(const Passage& passage, unsigned status);
 
@@ -80,7 +77,6 @@
   Options m_options;
   Rng m_rng;
   std::shared_ptr<const RoutingSnapshot> m_snapshot;
-  LoadTable m_loads;
   bool m_draining = false;
   std::size_t m_in_progress = 0;
 };
