--- /dev/null
+++ b/tests/standins/call_client.cc
@@ -0,0 +1,135 @@
+#include "standins/call_client.h"
+
+#include <array>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/write.hpp>
+#include <limits>
+
+namespace banyantrail::standins {
+namespace {
+
+constexpr unsigned kHttp11 = 11;
+constexpr std::size_t kSlowPieces = 20;
+
+bool IsOpen(asio::ip::tcp::socket& socket) {
+  std::array<char, 1> byte{};
+  boost::system::error_code error;
+  socket.non_blocking(true, error);
+  socket.receive(asio::buffer(byte), asio::socket_base::message_peek, error);
+  return error == asio::error::would_block;
+}
+
+http::request<http::empty_body> HeadOf(const Call& call,
+                                       const IpEndpoint& server) {
+  http::request<http::empty_body> head;
+  head.version(kHttp11);
+  head.method_string(call.method);
+  head.target(call.target);
+  head.set(http::field::host, ToString(server));
+  for (const auto& [name, value] : call.headers) {
+    head.set(name, value);
+  }
+  if (!call.body.empty() || call.method != "GET") {
+    head.content_length(call.body.size());
+  }
+  return head;
+}
+
+}  // namespace
+
+struct CallClient::Connection {
+  explicit Connection(const asio::any_io_executor& executor,
+                      IpEndpoint connection_server)
+      : server(std::move(connection_server)), stream(executor) {}
+
+  IpEndpoint server;
+  beast::tcp_stream stream;
+  beast::flat_buffer buffer;
+};
+
+CallClient::CallClient(asio::any_io_executor executor)
+    : m_executor(std::move(executor)) {}
+
+CallClient::~CallClient() = default;
+
+CallClient::ConnectionPtr CallClient::TakeIdle(const IpEndpoint& server) {
+  std::deque<ConnectionPtr>& idle = m_idle[server];
+  while (!idle.empty()) {
+    ConnectionPtr connection = std::move(idle.back());
+    idle.pop_back();
+    if (IsOpen(connection->stream.socket())) {
+      return connection;
+    }
+  }
+  return nullptr;
+}
+
+asio::awaitable<CallResult> CallClient::Exchange(IpEndpoint server,
+                                                 Call call,
+                                                 Duration timeout) {
+  const TimePoint deadline = SystemClock().Now() + timeout;
+  boost::system::error_code error;
+  ConnectionPtr connection = TakeIdle(server);
+  if (!connection) {
+    connection = std::make_unique<Connection>(m_executor, server);
+    connection->stream.expires_at(deadline);
+    co_await connection->stream.async_connect(
+        ToTcpEndpoint(server), asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+      co_return CallResult{.end = CallEnd::kNotSent};
+    }
+    connection->stream.socket().set_option(asio::ip::tcp::no_delay(true),
+                                           error);
+  }
+  connection->stream.expires_at(deadline);
+  // An answer may come before the whole body is sent, so a failed write does
+  // not end the exchange.
+  const bool sent_whole = co_await Send(*connection, call);
+
+  http::response_parser<http::string_body> parser;
+  parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+  parser.skip(call.method == "HEAD");
+  co_await http::async_read(connection->stream, connection->buffer, parser,
+                            asio::redirect_error(asio::use_awaitable, error));
+  if (error) {
+    const bool timeout_hit = error == beast::error::timeout;
+    co_return CallResult{.end = timeout_hit ? CallEnd::kTimeout
+                                            : CallEnd::kBroken};
+  }
+  if (sent_whole && parser.get().keep_alive()) {
+    connection->stream.expires_never();
+    m_idle[server].push_back(std::move(connection));
+  }
+  co_return CallResult{.end = CallEnd::kAnswered, .response = parser.release()};
+}
+
+asio::awaitable<bool> CallClient::Send(Connection& connection,
+                                       const Call& call) {
+  auto head = HeadOf(call, connection.server);
+  http::request_serializer<http::empty_body> serializer(head);
+  boost::system::error_code error;
+  co_await http::async_write_header(
+      connection.stream, serializer,
+      asio::redirect_error(asio::use_awaitable, error));
+  const std::size_t pieces = call.body_time.count() > 0 ? kSlowPieces : 1;
+  const std::size_t piece_bytes = call.body.size() / pieces + 1;
+  asio::steady_timer pause(m_executor);
+  std::size_t sent = 0;
+  while (!error && sent < call.body.size()) {
+    if (call.body_time.count() > 0) {
+      pause.expires_after(call.body_time / kSlowPieces);
+      co_await pause.async_wait(asio::use_awaitable);
+    }
+    const std::size_t size = std::min(piece_bytes, call.body.size() - sent);
+    sent += co_await asio::async_write(
+        connection.stream, asio::buffer(call.body.data() + sent, size),
+        asio::redirect_error(asio::use_awaitable, error));
+  }
+  co_return !error;
+}
+
+}  // namespace banyantrail::standins
--- /dev/null
+++ b/tests/standins/latency_record.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <algorithm>
+#include <cmath>
+#include <cstddef>
+#include <vector>
+
+#include "banyantrail/core/clock.h"
+
+namespace banyantrail::standins {
+
+/// Measured times, kept whole so that percentiles are exact.
+class LatencyRecord {
+ public:
+  void Add(Duration latency) {
+    m_micros.push_back(
+        std::chrono::duration<double, std::micro>(latency).count());
+  }
+
+  std::size_t count() const { return m_micros.size(); }
+
+  /// The smallest value that at least `share` of all values do not exceed, in
+  /// microseconds; 0 without any. `share` lies in (0, 1].
+  double Percentile(double share) const {
+    if (m_micros.empty()) {
+      return 0;
+    }
+    std::vector<double> sorted = m_micros;
+    const double rank = std::ceil(share * static_cast<double>(sorted.size()));
+    const std::size_t index = static_cast<std::size_t>(std::max(1.0, rank)) - 1;
+    std::nth_element(sorted.begin(),
+                     sorted.begin() + static_cast<std::ptrdiff_t>(index),
+                     sorted.end());
+    return sorted[index];
+  }
+
+ private:
+  std::vector<double> m_micros;
+};
+
+}  // namespace banyantrail::standins
--- /dev/null
+++ b/tests/standins/load_generator.cc
@@ -0,0 +1,266 @@
+#include "standins/load_generator.h"
+
+#include <random>
+#include <utility>
+
+#include "banyantrail/core/digest.h"
+#include "banyantrail/wire/mesh_headers.h"
+#include "standins/request_target.h"
+
+namespace banyantrail::standins {
+namespace {
+
+using nlohmann::json;
+
+constexpr const char* kRequestIdHeader = "x-test-request-id";
+/// What the caller waits beyond its deadline for a refusal to arrive.
+constexpr milliseconds kGrace{500};
+
+std::int64_t NowMicros() {
+  const auto since_boot = SystemClock().Now().time_since_epoch();
+  return std::chrono::duration_cast<microseconds>(since_boot).count();
+}
+
+std::string HeaderOf(const HttpResponse& response, std::string_view name) {
+  return std::string(response[{name.data(), name.size()}]);
+}
+
+/// Whether a generated body repeats the request's id, see BackendSession.
+bool HoldsPattern(const std::string& body, const std::string& request_id) {
+  const std::string unit = request_id + "\n";
+  for (std::size_t i = 0; i < body.size(); ++i) {
+    if (body[i] != unit[i % unit.size()]) {
+      return false;
+    }
+  }
+  return true;
+}
+
+/// Whether a 200 answer is whole and belongs to the call. An order that was
+/// sent again may get the answer to an earlier sending.
+bool IsRightAnswer(const Call& call,
+                   const std::string& order_id,
+                   const HttpResponse& response) {
+  const std::string request_id = HeaderOf(response, kRequestIdHeader);
+  if (!request_id.starts_with(order_id + ".")) {
+    return false;
+  }
+  const RequestTarget target = ParseRequestTarget(call.target);
+  const std::uint64_t bytes = QueryNumber(target, "bytes", 0);
+  if (bytes > 0) {
+    return response.body().size() == bytes &&
+           HoldsPattern(response.body(), request_id);
+  }
+  const json answer = json::parse(response.body(), nullptr, false);
+  return answer.is_object() && answer.value("request_id", "") == request_id &&
+         answer.value("method", "") == call.method &&
+         answer.value("path", "") == target.path &&
+         answer.value("body_sha256", "") == Sha256Hex(call.body);
+}
+
+CallOutcome OutcomeOf(const Call& call,
+                      const std::string& order_id,
+                      const CallResult& result) {
+  if (result.end == CallEnd::kNotSent) {
+    return CallOutcome::kNotRun;
+  }
+  if (result.end != CallEnd::kAnswered) {
+    return CallOutcome::kUnknown;
+  }
+  const std::string declared = HeaderOf(result.response, kOutcomeHeader);
+  if (declared == kOutcomeNotRun) {
+    return CallOutcome::kNotRun;
+  }
+  if (declared == kOutcomeUnknown) {
+    return CallOutcome::kUnknown;
+  }
+  if (result.response.result() != http::status::ok) {
+    return CallOutcome::kFailed;
+  }
+  return IsRightAnswer(call, order_id, result.response) ? CallOutcome::kOk
+                                                        : CallOutcome::kWrong;
+}
+
+std::string ReasonOf(const CallResult& result) {
+  switch (result.end) {
+    case CallEnd::kNotSent:
+      return "not_connected";
+    case CallEnd::kBroken:
+      return "connection_broken";
+    case CallEnd::kTimeout:
+      return "no_answer";
+    case CallEnd::kAnswered:
+      break;
+  }
+  const std::string reason = HeaderOf(result.response, kReasonHeader);
+  return reason.empty() ? std::to_string(result.response.result_int()) : reason;
+}
+
+}  // namespace
+
+LoadGenerator::LoadGenerator(asio::io_context& io, Options options)
+    : m_io(io),
+      m_plan(std::move(options.plan)),
+      m_client(io.get_executor()),
+      m_rng(m_plan.seed) {
+  if (!options.history_file.empty()) {
+    m_history.open(options.history_file, std::ios::app);
+  }
+}
+
+void LoadGenerator::Start() {
+  for (const RequestClass& request_class : m_plan.classes) {
+    asio::co_spawn(m_io, GenerateClass(request_class), asio::detached);
+  }
+}
+
+asio::awaitable<void> LoadGenerator::GenerateClass(
+    const RequestClass& request_class) {
+  ClassReport& report = m_reports[request_class.name];
+  std::uint32_t& in_flight = m_in_flight[request_class.name];
+  std::exponential_distribution<double> gap(request_class.per_second);
+  asio::steady_timer timer(m_io);
+  const TimePoint end = SystemClock().Now() + m_plan.duration;
+  TimePoint due = SystemClock().Now();
+  for (std::uint64_t number = 1;; ++number) {
+    const std::chrono::duration<double> wait(gap(m_rng));
+    due += std::chrono::duration_cast<Duration>(wait);
+    if (due >= end) {
+      co_return;
+    }
+    timer.expires_at(due);
+    co_await timer.async_wait(asio::use_awaitable);
+    if (in_flight >= request_class.max_in_flight) {
+      ++report.skipped;
+      continue;
+    }
+    const std::string id = m_plan.caller + "-" + request_class.name + "-" +
+                           std::to_string(number);
+    asio::co_spawn(
+        m_io,
+        Fulfil({.request_class = &request_class,
+                .id = id,
+                .key = request_class.idempotency_keys ? "key-" + id : "",
+                .due = due}),
+        asio::detached);
+  }
+}
+
+asio::awaitable<void> LoadGenerator::Fulfil(Order order) {
+  const RequestClass& request_class = *order.request_class;
+  ClassReport& report = m_reports[request_class.name];
+  std::uint32_t& in_flight = m_in_flight[request_class.name];
+  ++in_flight;
+  ++report.sent;
+  CallOutcome outcome = co_await SendOnce(order, 1);
+  for (std::uint32_t resend = 1; resend <= request_class.resends; ++resend) {
+    if (outcome == CallOutcome::kOk || outcome == CallOutcome::kWrong) {
+      break;
+    }
+    asio::steady_timer pause(m_io);
+    pause.expires_after(request_class.resend_pause);
+    co_await pause.async_wait(asio::use_awaitable);
+    ++report.resent;
+    outcome = co_await SendOnce(order, 1 + resend);
+  }
+  const Duration latency = SystemClock().Now() - order.due;
+  ++report.outcomes[ToString(outcome)];
+  if (outcome == CallOutcome::kOk) {
+    report.latency.Add(latency);
+    report.ok_within_deadline += latency <= request_class.deadline ? 1 : 0;
+  }
+  --in_flight;
+}
+
+asio::awaitable<CallOutcome> LoadGenerator::SendOnce(const Order& order,
+                                                     std::uint32_t attempt) {
+  const RequestClass& request_class = *order.request_class;
+  const IpEndpoint target =
+      m_plan.targets[m_next_target++ % m_plan.targets.size()];
+  const std::string request_id = order.id + "." + std::to_string(attempt);
+  const Call call = MakeCall(order, request_id);
+  RecordStart(order, request_id, target, attempt);
+  const CallResult result = co_await m_client.Exchange(
+      target, call, request_class.deadline + request_class.body_time + kGrace);
+  const CallOutcome outcome = OutcomeOf(call, order.id, result);
+  const std::string reason =
+      outcome == CallOutcome::kOk ? "" : ReasonOf(result);
+  if (!reason.empty()) {
+    ++m_reports[request_class.name].reasons[reason];
+  }
+  RecordEnd(request_id, outcome, reason, result);
+  co_return outcome;
+}
+
+Call LoadGenerator::MakeCall(const Order& order,
+                             const std::string& request_id) const {
+  const RequestClass& request_class = *order.request_class;
+  Call call{.method = request_class.method,
+            .target = request_class.path,
+            .body_time = request_class.body_time};
+  call.headers = {
+      {kRequestIdHeader, request_id},
+      {std::string(kDeadlineHeader),
+       std::to_string((request_class.deadline + request_class.body_time)
+                          .count())}};
+  if (!order.key.empty()) {
+    call.headers.emplace_back(std::string(kIdempotencyKeyHeader), order.key);
+  }
+  for (const std::string& header : request_class.headers) {
+    const std::size_t colon = header.find(": ");
+    call.headers.emplace_back(header.substr(0, colon),
+                              header.substr(colon + 2));
+  }
+  if (request_class.body_bytes > 0) {
+    // The same content for every sending of an order.
+    call.body = order.id + "\n";
+    call.body.resize(request_class.body_bytes, 'x');
+  }
+  return call;
+}
+
+void LoadGenerator::RecordStart(const Order& order,
+                                const std::string& request_id,
+                                const IpEndpoint& target,
+                                std::uint32_t attempt) {
+  if (!m_history.is_open()) {
+    return;
+  }
+  const json line = {{"t_us", NowMicros()},
+                     {"event", "call_start"},
+                     {"request", request_id},
+                     {"key", order.key},
+                     {"class", order.request_class->name},
+                     {"method", order.request_class->method},
+                     {"path", order.request_class->path},
+                     {"target", ToString(target)},
+                     {"attempt", attempt}};
+  m_history << line.dump() << "\n";
+}
+
+void LoadGenerator::RecordEnd(const std::string& request_id,
+                              CallOutcome outcome,
+                              const std::string& reason,
+                              const CallResult& result) {
+  if (!m_history.is_open()) {
+    return;
+  }
+  const json line = {{"t_us", NowMicros()},
+                     {"event", "call_end"},
+                     {"request", request_id},
+                     {"outcome", ToString(outcome)},
+                     {"reason", reason},
+                     {"status", result.response.result_int()},
+                     {"answer_to", HeaderOf(result.response, kRequestIdHeader)}};
+  m_history << line.dump() << std::endl;
+}
+
+json LoadGenerator::Report() const {
+  json out = json::object();
+  for (const auto& [name, report] : m_reports) {
+    out[name] = ToJson(report, m_plan.duration);
+  }
+  return out;
+}
+
+}  // namespace banyantrail::standins
--- /dev/null
+++ b/tests/standins/load_generator.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <cstdint>
+#include <fstream>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "banyantrail/core/random.h"
+#include "banyantrail/net/asio.h"
+#include "standins/call_client.h"
+#include "standins/load_plan.h"
+#include "standins/load_report.h"
+
+namespace banyantrail::standins {
+
+/// Sends the requests of a plan at their rates, whatever the answers, and
+/// checks each answer against its request.
+class LoadGenerator {
+ public:
+  struct Options {
+    LoadPlan plan;
+    /// File for the history in JSON lines, see docs/HISTORY.md; empty for none.
+    std::string history_file;
+  };
+
+  LoadGenerator(asio::io_context& io, Options options);
+
+  /// Starts the load; the io_context runs out of work when all is answered.
+  void Start();
+
+  /// The results of all classes, by name.
+  nlohmann::json Report() const;
+
+ private:
+  /// One request, which may be sent several times.
+  struct Order {
+    const RequestClass* request_class = nullptr;
+    std::string id;
+    std::string key;
+    TimePoint due{};
+  };
+
+  asio::awaitable<void> GenerateClass(const RequestClass& request_class);
+  asio::awaitable<void> Fulfil(Order order);
+  asio::awaitable<CallOutcome> SendOnce(const Order& order,
+                                        std::uint32_t attempt);
+  Call MakeCall(const Order& order, const std::string& request_id) const;
+  void RecordStart(const Order& order,
+                   const std::string& request_id,
+                   const IpEndpoint& target,
+                   std::uint32_t attempt);
+  void RecordEnd(const std::string& request_id,
+                 CallOutcome outcome,
+                 const std::string& reason,
+                 const CallResult& result);
+
+  asio::io_context& m_io;
+  LoadPlan m_plan;
+  CallClient m_client;
+  Rng m_rng;
+  std::ofstream m_history;
+  std::size_t m_next_target = 0;
+  std::map<std::string, ClassReport> m_reports;
+  std::map<std::string, std::uint32_t> m_in_flight;
+};
+
+}  // namespace banyantrail::standins
