Keep the fleet's membership in a pure protocol

Backend servers announce themselves, so the nodes have to agree on who is there without a list and without a store of their own.

Records merge as a join: the greater incarnation wins, within one the greater sequence gives the content and the greater state the state. Ordering by (incarnation, state, sequence) alone was ruled out: a suspicion raised on an older sequence would take back a drain that crossed it. The applied revision is a maximum over all lives, so a node replaced in place learns from its peers what it had served.

Failure detection walks a ring inside the failure domain, so the detection time has a bound that does not depend on luck; probing random members was ruled out for that reason. Deaths are held back by a node that hears from nobody, or that polls its domain after a notable loss and hears from less than half.

Changes go down trees with explicit subtrees, then a few rounds to random members, then anti-entropy by bucket hashes; ended records do not count in the hashes, so dropping them at different times makes no difference.

--- a/packages/core/banyantrail/core/ip_endpoint.h
+++ b/packages/core/banyantrail/core/ip_endpoint.h
@@ -13,6 +13,8 @@
   std::string address;
   std::uint16_t port = 0;
 
+  // clang-tidy 14 takes the body of a defaulted comparison for a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   friend auto operator<=>(const IpEndpoint&, const IpEndpoint&) = default;
   friend bool operator==(const IpEndpoint&, const IpEndpoint&) = default;
 
--- /dev/null
+++ b/packages/membership/banyantrail/membership/failure_detector.cc
@@ -0,0 +1,403 @@
+#include "banyantrail/membership/failure_detector.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "banyantrail/core/digest.h"
+#include "banyantrail/membership/member_merge.h"
+
+namespace banyantrail {
+namespace {
+
+/// Domains below this size cannot tell from their own members alone who is cut
+/// off, so answers from other domains count as contact too.
+constexpr std::size_t kMinDomainSizeForOwnContact = 3;
+
+/// With fewer live members there is no third one that could answer, so silence
+/// says nothing about who is cut off.
+constexpr std::size_t kMinFleetSizeForContact = 3;
+
+std::size_t LiveMemberCount(const MembershipTable& table) {
+  std::size_t count = 0;
+  for (const auto& [domain, members] : table.live_members()) {
+    count += members.size();
+  }
+  return count;
+}
+
+/// Position on the ring; the id breaks ties of the hash.
+std::pair<std::uint64_t, NodeId> RingPosition(const NodeId& node) {
+  return {Hash64(node.str()), node};
+}
+
+}  // namespace
+
+FailureDetector::FailureDetector(Options options)
+    : m_options(std::move(options)) {}
+
+FailureDetector::Actions FailureDetector::Tick(const MembershipTable& table,
+                                               TimePoint now,
+                                               Rng& rng) {
+  Actions actions;
+  if (!m_last_contact) {
+    m_last_contact = now;
+  }
+  ForgetOldDeaths(now);
+  RefreshProbedMembers(table, now);
+  UpdateIsolation(table, now, actions);
+  for (auto& [node, member] : m_probed) {
+    AdvanceProbe(node, member, table, now, rng, actions);
+  }
+  ConfirmDeaths(now, actions);
+  ExpireRelayedProbes(now, actions);
+  return actions;
+}
+
+FailureDetector::Actions FailureDetector::OnProbe(const NodeId& from,
+                                                  const ProbeMessage& probe,
+                                                  TimePoint now) {
+  Actions actions;
+  if (probe.target.empty() || probe.target == m_options.self) {
+    actions.acks.push_back(
+        {.to = from,
+         .message = {.probe_id = probe.probe_id, .target = m_options.self}});
+    return actions;
+  }
+  const std::uint64_t relayed_id = m_next_probe_id++;
+  m_relayed.emplace(relayed_id,
+                    RelayedProbe{.asker = from,
+                                 .asker_probe_id = probe.probe_id,
+                                 .target = probe.target,
+                                 .until = now + m_options.relayed_timeout});
+  actions.probes.push_back(
+      {.to = probe.target, .message = {.probe_id = relayed_id}});
+  return actions;
+}
+
+FailureDetector::Actions FailureDetector::OnAck(const NodeId& from,
+                                                const ProbeAckMessage& ack,
+                                                TimePoint now) {
+  Actions actions;
+  if (m_counts_any_contact || m_contacts.contains(from)) {
+    m_last_contact = now;
+  }
+  if (m_poll && m_poll->probe_id == ack.probe_id) {
+    m_poll->answered.insert(from);
+  }
+  const auto relayed = m_relayed.find(ack.probe_id);
+  if (relayed != m_relayed.end() && relayed->second.target == ack.target) {
+    actions.acks.push_back(
+        {.to = relayed->second.asker,
+         .message = {.probe_id = relayed->second.asker_probe_id,
+                     .target = ack.target}});
+    m_relayed.erase(relayed);
+    return actions;
+  }
+  const auto probed = m_probed.find(ack.target);
+  if (probed != m_probed.end() && probed->second.probe_id == ack.probe_id) {
+    ProbedMember& member = probed->second;
+    member.is_failing = false;
+    member.is_unreachable = false;
+    if (member.phase != Phase::kIdle) {
+      member.phase = Phase::kIdle;
+      member.until = now + m_options.probe_interval;
+    }
+  }
+  return actions;
+}
+
+void FailureDetector::OnPeerUnreachable(const NodeId& node, TimePoint now) {
+  const auto probed = m_probed.find(node);
+  if (probed != m_probed.end() && probed->second.phase != Phase::kIndirect) {
+    probed->second.until = now;
+  }
+}
+
+void FailureDetector::OnRecordChanged(const MemberRecord& record,
+                                      TimePoint now) {
+  if (record.domain != m_options.domain) {
+    m_suspicions.erase(record.node);
+    m_recent_deaths.erase(record.node);
+    return;
+  }
+  switch (record.state) {
+    case MemberState::kAlive:
+      m_suspicions.erase(record.node);
+      m_recent_deaths.erase(record.node);
+      break;
+    case MemberState::kSuspect: {
+      Suspicion& suspicion = m_suspicions[record.node];
+      if (suspicion.incarnation != record.incarnation) {
+        suspicion = {.incarnation = record.incarnation, .since = now};
+      }
+      break;
+    }
+    case MemberState::kDead:
+      m_suspicions.erase(record.node);
+      m_recent_deaths[record.node] = now;
+      break;
+    case MemberState::kLeft:
+      m_suspicions.erase(record.node);
+      m_recent_deaths.erase(record.node);
+      break;
+  }
+}
+
+void FailureDetector::RefreshProbedMembers(const MembershipTable& table,
+                                           TimePoint now) {
+  std::set<NodeId> wanted;
+  std::size_t responsive = 0;
+  for (const NodeId& node : RingAfterSelf(table)) {
+    if (responsive == m_options.successor_count) {
+      break;
+    }
+    wanted.insert(node);
+    const auto probed = m_probed.find(node);
+    const bool is_failing =
+        probed != m_probed.end() && probed->second.is_failing;
+    responsive += is_failing || m_suspicions.contains(node) ? 0 : 1;
+  }
+  std::erase_if(m_probed, [&wanted](const auto& entry) {
+    return !wanted.contains(entry.first);
+  });
+  for (const NodeId& node : wanted) {
+    m_probed.try_emplace(node, ProbedMember{.until = now});
+  }
+}
+
+std::vector<NodeId> FailureDetector::RingAfterSelf(
+    const MembershipTable& table) const {
+  const auto domain = table.live_members().find(m_options.domain);
+  if (domain == table.live_members().end()) {
+    return {};
+  }
+  std::vector<std::pair<std::uint64_t, NodeId>> ring;
+  for (const NodeId& node : domain->second) {
+    if (node != m_options.self) {
+      ring.push_back(RingPosition(node));
+    }
+  }
+  std::sort(ring.begin(), ring.end());
+  const auto first =
+      std::upper_bound(ring.begin(), ring.end(), RingPosition(m_options.self));
+  std::rotate(ring.begin(), first, ring.end());
+  std::vector<NodeId> nodes;
+  nodes.reserve(ring.size());
+  for (auto& [hash, node] : ring) {
+    nodes.push_back(std::move(node));
+  }
+  return nodes;
+}
+
+void FailureDetector::UpdateIsolation(const MembershipTable& table,
+                                      TimePoint now,
+                                      Actions& actions) {
+  const auto domain = table.live_members().find(m_options.domain);
+  m_contacts = domain == table.live_members().end() ? std::set<NodeId>{}
+                                                    : domain->second;
+  m_counts_any_contact = m_contacts.size() < kMinDomainSizeForOwnContact;
+  if (!m_options.holds_deaths_when_isolated) {
+    return;
+  }
+  m_can_be_cut_off = m_contacts.size() > 1 &&
+                     LiveMemberCount(table) >= kMinFleetSizeForContact;
+  UpdatePoll(now, actions);
+  const bool was_isolated = m_is_isolated;
+  m_is_isolated = IsCutOff(now) || m_is_minority;
+  if (was_isolated && !m_is_isolated) {
+    RestartTimers(now);
+  }
+}
+
+void FailureDetector::UpdatePoll(TimePoint now, Actions& actions) {
+  if (!HasNotableLoss()) {
+    m_poll.reset();
+    m_has_majority = true;
+    m_is_minority = false;
+    return;
+  }
+  if (!m_poll || now - m_poll->started >= m_options.poll_interval) {
+    StartPoll(now, actions);
+  }
+  // The node itself counts as one that answers.
+  m_has_majority = 2 * (m_poll->answered.size() + 1) >= RecentDomainSize();
+  if (m_has_majority) {
+    m_is_minority = false;
+  } else if (now - m_poll->started >= m_options.direct_timeout) {
+    m_is_minority = true;
+  }
+}
+
+void FailureDetector::StartPoll(TimePoint now, Actions& actions) {
+  m_poll = Poll{.probe_id = m_next_probe_id++, .started = now};
+  for (const NodeId& node : m_contacts) {
+    if (node != m_options.self) {
+      actions.probes.push_back(
+          {.to = node, .message = {.probe_id = m_poll->probe_id}});
+    }
+  }
+}
+
+bool FailureDetector::IsCutOff(TimePoint now) const {
+  return m_can_be_cut_off &&
+         now - *m_last_contact >=
+             m_options.direct_timeout + m_options.indirect_timeout;
+}
+
+bool FailureDetector::HasNotableLoss() const {
+  std::set<NodeId> lost;
+  for (const auto& [node, suspicion] : m_suspicions) {
+    lost.insert(node);
+  }
+  for (const auto& [node, member] : m_probed) {
+    if (member.is_unreachable) {
+      lost.insert(node);
+    }
+  }
+  return !lost.empty() &&
+         m_options.poll_divisor * (lost.size() + m_recent_deaths.size()) >=
+             RecentDomainSize();
+}
+
+std::size_t FailureDetector::RecentDomainSize() const {
+  return m_contacts.size() + m_recent_deaths.size();
+}
+
+void FailureDetector::RestartTimers(TimePoint now) {
+  for (auto& [node, suspicion] : m_suspicions) {
+    suspicion.since = now;
+  }
+  for (auto& [node, member] : m_probed) {
+    member = ProbedMember{.until = now};
+  }
+}
+
+void FailureDetector::AdvanceProbe(const NodeId& node,
+                                   ProbedMember& member,
+                                   const MembershipTable& table,
+                                   TimePoint now,
+                                   Rng& rng,
+                                   Actions& actions) {
+  if (now < member.until) {
+    return;
+  }
+  switch (member.phase) {
+    case Phase::kIdle:
+      StartProbe(node, member, now, actions);
+      break;
+    case Phase::kDirect:
+      member.is_failing = true;
+      member.phase = Phase::kIndirect;
+      member.until = now + m_options.indirect_timeout;
+      AskHelpers(node, member, table, rng, actions);
+      break;
+    case Phase::kIndirect:
+      member.is_unreachable = true;
+      Suspect(node, table, now, actions);
+      StartProbe(node, member, now, actions);
+      break;
+  }
+}
+
+void FailureDetector::StartProbe(const NodeId& node,
+                                 ProbedMember& member,
+                                 TimePoint now,
+                                 Actions& actions) {
+  member.phase = Phase::kDirect;
+  member.probe_id = m_next_probe_id++;
+  member.until = now + m_options.direct_timeout;
+  actions.probes.push_back(
+      {.to = node, .message = {.probe_id = member.probe_id}});
+}
+
+void FailureDetector::AskHelpers(const NodeId& node,
+                                 const ProbedMember& member,
+                                 const MembershipTable& table,
+                                 Rng& rng,
+                                 Actions& actions) {
+  if (!m_options.asks_helpers) {
+    return;
+  }
+  for (NodeId& helper : ChooseHelpers(node, table, rng)) {
+    actions.probes.push_back(
+        {.to = std::move(helper),
+         .message = {.probe_id = member.probe_id, .target = node}});
+  }
+}
+
+std::vector<NodeId> FailureDetector::ChooseHelpers(const NodeId& target,
+                                                   const MembershipTable& table,
+                                                   Rng& rng) const {
+  std::vector<NodeId> helpers;
+  for (const bool own_domain : {true, false}) {
+    std::vector<NodeId> candidates;
+    for (const auto& [domain, members] : table.live_members()) {
+      if ((domain == m_options.domain) == own_domain) {
+        candidates.insert(candidates.end(), members.begin(), members.end());
+      }
+    }
+    std::erase_if(candidates, [&](const NodeId& node) {
+      const auto probed = m_probed.find(node);
+      return node == m_options.self || node == target ||
+             m_suspicions.contains(node) ||
+             (probed != m_probed.end() && probed->second.is_failing);
+    });
+    const std::size_t missing = m_options.helper_count - helpers.size();
+    std::sample(candidates.begin(), candidates.end(),
+                std::back_inserter(helpers), missing, rng);
+  }
+  return helpers;
+}
+
+void FailureDetector::Suspect(const NodeId& node,
+                              const MembershipTable& table,
+                              TimePoint now,
+                              Actions& actions) {
+  if (IsCutOff(now)) {
+    return;
+  }
+  const MemberRecord* record = table.Find(node);
+  Suspicion& suspicion = m_suspicions[node];
+  if (suspicion.incarnation != record->incarnation) {
+    suspicion = {.incarnation = record->incarnation, .since = now};
+  }
+  if (!suspicion.is_own) {
+    suspicion.is_own = true;
+    actions.suspected.push_back(node);
+  }
+}
+
+void FailureDetector::ConfirmDeaths(TimePoint now, Actions& actions) {
+  if (m_is_isolated || !m_has_majority) {
+    return;
+  }
+  for (const auto& [node, suspicion] : m_suspicions) {
+    const Duration wait =
+        m_options.suspicion_timeout +
+        (suspicion.is_own ? Duration::zero() : m_options.suspicion_slack);
+    if (now - suspicion.since >= wait) {
+      actions.dead.push_back(
+          {.node = node, .is_own_finding = suspicion.is_own});
+    }
+  }
+}
+
+void FailureDetector::ExpireRelayedProbes(TimePoint now, Actions& actions) {
+  std::erase_if(m_relayed, [&](const auto& entry) {
+    const RelayedProbe& relayed = entry.second;
+    if (now < relayed.until) {
+      return false;
+    }
+    actions.acks.push_back(
+        {.to = relayed.asker, .message = {.probe_id = relayed.asker_probe_id}});
+    return true;
+  });
+}
+
+void FailureDetector::ForgetOldDeaths(TimePoint now) {
+  std::erase_if(m_recent_deaths, [&](const auto& entry) {
+    return now - entry.second >= m_options.recent_death_window;
+  });
+}
+
+}  // namespace banyantrail
--- /dev/null
+++ b/packages/membership/banyantrail/membership/member_merge.cc
@@ -0,0 +1,73 @@
+#include "banyantrail/membership/member_merge.h"
+
+#include <algorithm>
+#include <string>
+
+namespace banyantrail {
+namespace {
+
+/// The record without the fields that merge on their own.
+MemberRecord ContentOf(MemberRecord record) {
+  record.state = MemberState::kAlive;
+  record.applied_revision = 0;
+  return record;
+}
+
+std::string EncodedContentOf(const MemberRecord& record) {
+  msgpack::sbuffer buffer;
+  msgpack::pack(buffer, ContentOf(record));
+  return {buffer.data(), buffer.size()};
+}
+
+/// Orders contents of equal version. Two lives of a node that took the same
+/// incarnation are the only source of such records.
+const MemberRecord& NewerContent(const MemberRecord& left,
+                                 const MemberRecord& right) {
+  if (left.sequence != right.sequence) {
+    return left.sequence > right.sequence ? left : right;
+  }
+  return EncodedContentOf(left) < EncodedContentOf(right) ? right : left;
+}
+
+MemberRecord MergeLife(const MemberRecord& left, const MemberRecord& right) {
+  if (left.incarnation != right.incarnation) {
+    return left.incarnation > right.incarnation ? left : right;
+  }
+  MemberRecord merged = NewerContent(left, right);
+  merged.state = std::max(left.state, right.state);
+  return merged;
+}
+
+}  // namespace
+
+MemberVersion VersionOf(const MemberRecord& record) {
+  return {.node = record.node,
+          .incarnation = record.incarnation,
+          .sequence = record.sequence,
+          .state = record.state};
+}
+
+bool IsNewerThan(const MemberVersion& candidate, const MemberVersion& known) {
+  if (candidate.incarnation != known.incarnation) {
+    return candidate.incarnation > known.incarnation;
+  }
+  return candidate.sequence > known.sequence || candidate.state > known.state;
+}
+
+MemberRecord MergeRecords(const MemberRecord& left, const MemberRecord& right) {
+  MemberRecord merged = MergeLife(left, right);
+  merged.applied_revision =
+      std::max(left.applied_revision, right.applied_revision);
+  return merged;
+}
+
+MemberRecord StateNoticeOf(const MemberRecord& record) {
+  return {.node = record.node,
+          .region = record.region,
+          .domain = record.domain,
+          .incarnation = record.incarnation,
+          .state = record.state,
+          .applied_revision = record.applied_revision};
+}
+
+}  // namespace banyantrail
--- /dev/null
+++ b/packages/membership/banyantrail/membership/membership_protocol.cc
@@ -0,0 +1,339 @@
+#include "banyantrail/membership/membership_protocol.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+#include <variant>
+
+#include "banyantrail/membership/member_merge.h"
+
+namespace banyantrail {
+namespace {
+
+/// Copies the identity of the own record into the options of a part.
+template <typename PartOptions>
+PartOptions WithIdentity(PartOptions options, const MemberRecord& own_record) {
+  options.self = own_record.node;
+  options.domain = own_record.domain;
+  return options;
+}
+
+/// Probes and digests reach members that the sender keeps contact with, so they
+/// show whether the sender knows what is believed of it.
+bool IsContact(const PeerMessage& message) {
+  return std::holds_alternative<ProbeMessage>(message) ||
+         std::holds_alternative<DigestMessage>(message);
+}
+
+/// Whether the sender says that it has less of the configuration than it is
+/// known to have applied, as a node does that was replaced in place.
+bool IsBehindItself(const MemberRecord& sender, const PeerMessage& message) {
+  const auto* digest = std::get_if<DigestMessage>(&message);
+  return digest != nullptr && digest->revision < sender.applied_revision;
+}
+
+}  // namespace
+
+MembershipProtocol::MembershipProtocol(Options options, TimePoint now)
+    : m_self(options.own_record.node),
+      m_refutes_suspicions(options.refutes_suspicions),
+      m_rng(options.rng_seed),
+      m_table(options.table),
+      m_failure_detector(
+          WithIdentity(options.failure_detector, options.own_record)),
+      m_update_spreader(
+          WithIdentity(options.update_spreader, options.own_record)),
+      m_anti_entropy(WithIdentity(options.anti_entropy, options.own_record)) {
+  MemberRecord own = std::move(options.own_record);
+  own.sequence = std::max<std::uint64_t>(own.sequence, 1);
+  own.state = MemberState::kAlive;
+  m_table.Merge(own, now);
+  m_anti_entropy.SetSeeds(std::move(options.seeds));
+}
+
+MembershipOutput MembershipProtocol::OnTick(TimePoint now) {
+  MembershipOutput output;
+  if (m_has_left) {
+    return output;
+  }
+  m_table.Expire(now);
+  Take(m_failure_detector.Tick(m_table, now, m_rng), now, output);
+  Append(m_anti_entropy.Tick(m_table, now, m_rng), output);
+  Append(m_update_spreader.Tick(m_table, now, m_rng), output);
+  NoteIsolation(now);
+  return output;
+}
+
+MembershipOutput MembershipProtocol::OnMessage(const NodeId& from,
+                                               const PeerMessage& message,
+                                               TimePoint now) {
+  MembershipOutput output;
+  if (m_has_left || from == m_self) {
+    return output;
+  }
+  std::visit([&](const auto& body) { Handle(from, body, now, output); },
+             message);
+  NoteSender(from, message, output);
+  return output;
+}
+
+MembershipOutput MembershipProtocol::OnPeerUnreachable(const NodeId& node,
+                                                       TimePoint now) {
+  m_failure_detector.OnPeerUnreachable(node, now);
+  return OnTick(now);
+}
+
+MembershipOutput MembershipProtocol::SetBackendServers(
+    std::vector<BackendServerRecord> servers,
+    TimePoint now) {
+  MemberRecord record = own_record();
+  record.backend_servers = std::move(servers);
+  return PublishOwn(std::move(record), now);
+}
+
+MembershipOutput MembershipProtocol::SetDraining(bool draining, TimePoint now) {
+  MemberRecord record = own_record();
+  record.draining = draining;
+  return PublishOwn(std::move(record), now);
+}
+
+MembershipOutput MembershipProtocol::SetLabels(Labels labels, TimePoint now) {
+  MemberRecord record = own_record();
+  record.labels = std::move(labels);
+  return PublishOwn(std::move(record), now);
+}
+
+MembershipOutput MembershipProtocol::Leave(TimePoint now) {
+  MembershipOutput output;
+  if (m_has_left) {
+    return output;
+  }
+  RaiseState(m_self, MemberState::kLeft, now, output);
+  m_update_spreader.Add(m_self, SpreadScope::kFleet);
+  Append(m_update_spreader.Flush(m_table, now, m_rng), output);
+  m_has_left = true;
+  return output;
+}
+
+void MembershipProtocol::SetReleaseDigest(Revision revision,
+                                          std::string digest) {
+  m_table.NoteAppliedRevision(m_self, revision);
+  m_anti_entropy.SetReleaseDigest(revision, std::move(digest));
+}
+
+void MembershipProtocol::NoteAppliedRevision(const NodeId& node,
+                                             Revision revision) {
+  m_table.NoteAppliedRevision(node, revision);
+}
+
+void MembershipProtocol::SetSeeds(std::vector<IpEndpoint> seeds) {
+  m_anti_entropy.SetSeeds(std::move(seeds));
+}
+
+const MemberRecord& MembershipProtocol::own_record() const {
+  return *m_table.Find(m_self);
+}
+
+void MembershipProtocol::Handle(const NodeId& from,
+                                const DigestMessage& digest,
+                                TimePoint now,
+                                MembershipOutput& output) {
+  m_table.NoteAppliedRevision(from, digest.revision);
+  output.received_release = {.from = from,
+                             .revision = digest.revision,
+                             .digest = digest.release_digest};
+  Append(m_anti_entropy.OnDigest(from, digest, m_table, now, m_rng), output);
+}
+
+void MembershipProtocol::Handle(const NodeId& from,
+                                const MembershipPullMessage& pull,
+                                TimePoint now,
+                                MembershipOutput& output) {
+  Append(m_anti_entropy.OnPull(from, pull, m_table, now), output);
+}
+
+void MembershipProtocol::Handle(const NodeId& from,
+                                const MembershipUpdateMessage& update,
+                                TimePoint now,
+                                MembershipOutput& output) {
+  Append(m_update_spreader.Forward(update), output);
+  for (const MemberRecord& record : update.records) {
+    MergeReceived(from, record, now, output);
+  }
+}
+
+void MembershipProtocol::Handle(const NodeId& from,
+                                const ProbeMessage& probe,
+                                TimePoint now,
+                                MembershipOutput& output) {
+  Take(m_failure_detector.OnProbe(from, probe, now), now, output);
+}
+
+void MembershipProtocol::Handle(const NodeId& from,
+                                const ProbeAckMessage& ack,
+                                TimePoint now,
+                                MembershipOutput& output) {
+  Take(m_failure_detector.OnAck(from, ack, now), now, output);
+}
+
+void MembershipProtocol::NoteSender(const NodeId& from,
+                                    const PeerMessage& message,
+                                    MembershipOutput& output) {
+  const MemberRecord* sender = m_table.Find(from);
+  if (sender != nullptr) {
+    m_anti_entropy.OnHeardFrom(sender->domain);
+  }
+  if (!IsContact(message)) {
+    return;
+  }
+  if (sender == nullptr) {
+    output.messages.push_back(
+        {.to = from, .message = MembershipPullMessage{.wanted = {from}}});
+  } else if (sender->state != MemberState::kAlive ||
+             IsBehindItself(*sender, message)) {
+    output.messages.push_back({.to = from,
+                               .message = MembershipUpdateMessage{
+                                   .records = {StateNoticeOf(*sender)}}});
+  }
+}
+
+void MembershipProtocol::MergeReceived(const NodeId& from,
+                                       const MemberRecord& record,
+                                       TimePoint now,
+                                       MembershipOutput& output) {
+  if (record.node == m_self) {
+    MergeOwn(record, now, output);
+    return;
+  }
+  switch (m_table.Merge(record, now)) {
+    case MergeResult::kUnchanged:
+      break;
+    case MergeResult::kForgotten:
+      ++m_counters.stale_records_refused;
+      if (IsLive(record.state)) {
+        MemberRecord notice = StateNoticeOf(record);
+        notice.state = MemberState::kDead;
+        output.messages.push_back(
+            {.to = from,
+             .message = MembershipUpdateMessage{.records = {notice}}});
+      }
+      break;
+    case MergeResult::kChanged: {
+      const MemberRecord& merged = *m_table.Find(record.node);
+      output.changed.insert(record.node);
+      m_failure_detector.OnRecordChanged(merged, now);
+      m_update_spreader.AddRumour(record.node);
+      EndFormerOwnerOfAddress(merged, now, output);
+      break;
+    }
+  }
+}
+
+void MembershipProtocol::MergeOwn(const MemberRecord& record,
+                                  TimePoint now,
+                                  MembershipOutput& output) {
+  m_table.NoteAppliedRevision(m_self, record.applied_revision);
+  const MemberRecord& own = own_record();
+  const bool is_newer = IsNewerThan(VersionOf(record), VersionOf(own));
+  if (!is_newer || !m_refutes_suspicions) {
+    return;
+  }
+  ++m_counters.own_refutations;
+  MemberRecord refutation = own;
+  refutation.incarnation = record.incarnation + 1;
+  m_table.Merge(refutation, now);
+  output.changed.insert(m_self);
+  m_update_spreader.Add(m_self, SpreadScope::kFleet);
+}
+
+void MembershipProtocol::RaiseState(const NodeId& node,
+                                    MemberState state,
+                                    TimePoint now,
+                                    MembershipOutput& output) {
+  const MemberRecord* record = m_table.Find(node);
+  if (record == nullptr) {
+    return;
+  }
+  MemberRecord raised = *record;
+  raised.state = state;
+  if (m_table.Merge(raised, now) == MergeResult::kChanged) {
+    output.changed.insert(node);
+    m_failure_detector.OnRecordChanged(*m_table.Find(node), now);
+  }
+}
+
+void MembershipProtocol::EndFormerOwnerOfAddress(const MemberRecord& record,
+                                                 TimePoint now,
+                                                 MembershipOutput& output) {
+  if (record.state != MemberState::kAlive || record.peer_address.port == 0) {
+    return;
+  }
+  std::vector<NodeId> former_owners;
+  for (const auto& [node, other] : m_table.records()) {
+    if (other.peer_address == record.peer_address && node != record.node &&
+        node != m_self && IsLive(other.state) &&
+        other.incarnation < record.incarnation) {
+      former_owners.push_back(node);
+    }
+  }
+  for (const NodeId& node : former_owners) {
+    RaiseState(node, MemberState::kDead, now, output);
+  }
+}
+
+void MembershipProtocol::Take(FailureDetector::Actions actions,
+                              TimePoint now,
+                              MembershipOutput& output) {
+  for (FailureDetector::OutgoingProbe& probe : actions.probes) {
+    output.messages.push_back(
+        {.to = std::move(probe.to), .message = std::move(probe.message)});
+  }
+  for (FailureDetector::OutgoingAck& ack : actions.acks) {
+    output.messages.push_back(
+        {.to = std::move(ack.to), .message = std::move(ack.message)});
+  }
+  for (const NodeId& node : actions.suspected) {
+    ++m_counters.suspicions_raised;
+    RaiseState(node, MemberState::kSuspect, now, output);
+    m_update_spreader.Add(node, SpreadScope::kOwnDomain);
+  }
+  for (const FailureDetector::Death& death : actions.dead) {
+    RaiseState(death.node, MemberState::kDead, now, output);
+    if (death.is_own_finding) {
+      ++m_counters.deaths_found;
+      m_update_spreader.Add(death.node, SpreadScope::kFleet);
+    }
+  }
+}
+
+void MembershipProtocol::NoteIsolation(TimePoint now) {
+  if (is_isolated() && !m_was_isolated) {
+    ++m_counters.isolations;
+  }
+  if (!is_isolated() && m_was_isolated) {
+    m_anti_entropy.RestartJoin(now);
+  }
+  m_was_isolated = is_isolated();
+}
+
+void MembershipProtocol::Append(std::vector<OutgoingMessage> messages,
+                                MembershipOutput& output) {
+  std::move(messages.begin(), messages.end(),
+            std::back_inserter(output.messages));
+}
+
+MembershipOutput MembershipProtocol::PublishOwn(MemberRecord record,
+                                                TimePoint now) {
+  MembershipOutput output;
+  if (record == own_record() || m_has_left) {
+    return output;
+  }
+  ++record.sequence;
+  m_table.Merge(record, now);
+  output.changed.insert(m_self);
+  m_update_spreader.Add(m_self, SpreadScope::kFleet);
+  Append(m_update_spreader.Tick(m_table, now, m_rng), output);
+  return output;
+}
+
+}  // namespace banyantrail
--- /dev/null
+++ b/packages/membership/banyantrail/membership/membership_table.cc
@@ -0,0 +1,150 @@
+#include "banyantrail/membership/membership_table.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "banyantrail/core/digest.h"
+#include "banyantrail/membership/member_merge.h"
+
+namespace banyantrail {
+namespace {
+
+std::uint64_t HashOf(const MemberRecord& record) {
+  std::uint64_t hash = Hash64(record.node.str());
+  for (const std::uint64_t part : {record.incarnation, record.sequence,
+                                   static_cast<std::uint64_t>(record.state)}) {
+    const std::string bytes = std::to_string(part);
+    hash = Hash64(bytes, hash);
+  }
+  return hash;
+}
+
+}  // namespace
+
+MembershipTable::MembershipTable(Options options)
+    : m_options(options),
+      m_hashes(options.bucket_count),
+      m_buckets(options.bucket_count) {}
+
+MergeResult MembershipTable::Merge(const MemberRecord& record, TimePoint now) {
+  if (record.incarnation <= ForgottenIncarnation(record.node)) {
+    return MergeResult::kForgotten;
+  }
+  const auto found = m_records.find(record.node);
+  if (found == m_records.end()) {
+    AddToIndexes(record, now);
+    m_records.emplace(record.node, record);
+    return MergeResult::kChanged;
+  }
+  MemberRecord& known = found->second;
+  MemberRecord merged = MergeRecords(known, record);
+  known.applied_revision = merged.applied_revision;
+  if (merged == known) {
+    return MergeResult::kUnchanged;
+  }
+  RemoveFromIndexes(known);
+  AddToIndexes(merged, now);
+  known = std::move(merged);
+  return MergeResult::kChanged;
+}
+
+void MembershipTable::NoteAppliedRevision(const NodeId& node,
+                                          Revision revision) {
+  const auto found = m_records.find(node);
+  if (found != m_records.end()) {
+    Revision& known = found->second.applied_revision;
+    known = std::max(known, revision);
+  }
+}
+
+void MembershipTable::Expire(TimePoint now) {
+  while (!m_ended.empty() && m_ended.front().until <= now) {
+    const EndedRecord ended = std::move(m_ended.front());
+    m_ended.pop_front();
+    Forget(ended, now);
+  }
+  while (!m_forgotten_order.empty() &&
+         (m_forgotten_order.front().until <= now ||
+          m_forgotten_order.size() > m_options.max_forgotten)) {
+    const EndedRecord& oldest = m_forgotten_order.front();
+    const auto found = m_forgotten.find(oldest.node);
+    if (found != m_forgotten.end() && found->second == oldest.incarnation) {
+      m_forgotten.erase(found);
+    }
+    m_forgotten_order.pop_front();
+  }
+}
+
+const MemberRecord* MembershipTable::Find(const NodeId& node) const {
+  const auto found = m_records.find(node);
+  return found == m_records.end() ? nullptr : &found->second;
+}
+
+bool MembershipTable::IsLiveMember(const NodeId& node) const {
+  const MemberRecord* record = Find(node);
+  return record != nullptr && IsLive(record->state);
+}
+
+Revision MembershipTable::GreatestAppliedRevision() const {
+  Revision greatest = 0;
+  for (const auto& [node, record] : m_records) {
+    greatest = std::max(greatest, record.applied_revision);
+  }
+  return greatest;
+}
+
+Incarnation MembershipTable::ForgottenIncarnation(const NodeId& node) const {
+  const auto found = m_forgotten.find(node);
+  return found == m_forgotten.end() ? 0 : found->second;
+}
+
+void MembershipTable::AddToIndexes(const MemberRecord& record, TimePoint now) {
+  const std::size_t bucket = BucketOf(record.node);
+  m_buckets[bucket].insert(record.node);
+  if (IsLive(record.state)) {
+    m_hashes[bucket] += HashOf(record);
+    m_live_members[record.domain].insert(record.node);
+    return;
+  }
+  if (record.state == MemberState::kDead) {
+    m_dead_members.insert(record.node);
+  }
+  m_ended.push_back({.until = now + m_options.ended_record_ttl,
+                     .node = record.node,
+                     .incarnation = record.incarnation});
+}
+
+void MembershipTable::RemoveFromIndexes(const MemberRecord& record) {
+  const std::size_t bucket = BucketOf(record.node);
+  m_buckets[bucket].erase(record.node);
+  m_dead_members.erase(record.node);
+  if (!IsLive(record.state)) {
+    return;
+  }
+  m_hashes[bucket] -= HashOf(record);
+  const auto domain = m_live_members.find(record.domain);
+  domain->second.erase(record.node);
+  if (domain->second.empty()) {
+    m_live_members.erase(domain);
+  }
+}
+
+std::size_t MembershipTable::BucketOf(const NodeId& node) const {
+  return Hash64(node.str()) % m_options.bucket_count;
+}
+
+void MembershipTable::Forget(const EndedRecord& ended, TimePoint now) {
+  const auto found = m_records.find(ended.node);
+  if (found == m_records.end() || IsLive(found->second.state) ||
+      found->second.incarnation != ended.incarnation) {
+    return;
+  }
+  RemoveFromIndexes(found->second);
+  m_records.erase(found);
+  m_forgotten[ended.node] = ended.incarnation;
+  m_forgotten_order.push_back({.until = now + m_options.forgotten_ttl,
+                               .node = ended.node,
+                               .incarnation = ended.incarnation});
+}
+
+}  // namespace banyantrail
--- a/packages/wire/banyantrail/wire/member_record.h
+++ b/packages/wire/banyantrail/wire/member_record.h
@@ -49,7 +49,8 @@
 
 /// The record of one node. Only that node raises `incarnation` and `sequence`;
 /// others may only raise `state` within an incarnation, and the node refutes
-/// them with a greater incarnation.
+/// them with a greater incarnation. A record with sequence 0 is a state notice:
+/// it carries a state and no content.
 struct MemberRecord {
   NodeId node;
   RegionId region;
@@ -64,7 +65,9 @@
   IpEndpoint peer_address;
   IpEndpoint mesh_address;
   IpEndpoint admin_address;
-  /// The greatest revision that the node had applied when it wrote the record.
+  /// The greatest revision that the node is known to have applied. It only
+  /// grows, also over a restart of the node, and changes without a new
+  /// sequence.
   Revision applied_revision = 0;
   std::vector<BackendServerRecord> backend_servers;
 
@@ -85,6 +88,18 @@
                  backend_servers)
 };
 
+/// Which version of a member's record a node holds, without the content.
+struct MemberVersion {
+  NodeId node;
+  Incarnation incarnation = 0;
+  std::uint64_t sequence = 0;
+  MemberState state = MemberState::kAlive;
+
+  friend bool operator==(const MemberVersion&, const MemberVersion&) = default;
+
+  MSGPACK_DEFINE(node, incarnation, sequence, state)
+};
+
 }  // namespace banyantrail
 
 MSGPACK_ADD_ENUM(banyantrail::BackendServerState)
--- a/packages/wire/banyantrail/wire/peer_messages.h
+++ b/packages/wire/banyantrail/wire/peer_messages.h
@@ -92,7 +92,8 @@
 struct DigestMessage {
   Revision revision = 0;
   std::string release_digest;
-  /// One hash per bucket of the membership table.
+  /// One hash per bucket of the membership table. Empty in a reply, because the
+  /// receiver of the first digest already compared them.
   std::vector<std::uint64_t> membership_hashes;
   /// The sender wants a DigestMessage back.
   bool wants_reply = false;
@@ -101,13 +102,18 @@
   MSGPACK_DEFINE(revision, release_digest, membership_hashes, wants_reply)
 };
 
-/// Asks for the member records in the given buckets, and offers the sender's.
+/// Asks for the member records in the given buckets that are newer than what
+/// the sender knows, and for single records by name.
 struct MembershipPullMessage {
   std::vector<std::uint32_t> buckets;
+  /// What the sender holds in `buckets`.
+  std::vector<MemberVersion> known;
+  /// Records wanted whatever their bucket.
+  std::vector<NodeId> wanted;
 
   friend bool operator==(const MembershipPullMessage&,
                          const MembershipPullMessage&) = default;
-  MSGPACK_DEFINE(buckets)
+  MSGPACK_DEFINE(buckets, known, wanted)
 };
 
 /// Member records, either new or asked for.
@@ -131,7 +137,9 @@
   MSGPACK_DEFINE(probe_id, target)
 };
 
-/// The answer to a probe; `target` is the member found alive.
+/// The answer to a probe; `target` is the member found alive. An empty target
+/// says that the member probed on the receiver's behalf did not answer, which
+/// still proves that the receiver is not cut off.
 struct ProbeAckMessage {
   std::uint64_t probe_id = 0;
   NodeId target;
