--- a/packages/config/banyantrail/config/compile.cc
+++ b/packages/config/banyantrail/config/compile.cc
@@ -97,26 +97,41 @@
   std::unordered_map<ServiceName, const ServiceObject*> services;
   std::unordered_map<SelectorName, const SelectorObject*> selectors;
   std::unordered_map<RankName, const RankObject*> ranks;
+  std::set<std::string> assumed_keys;
 };
 
-Index IndexOf(const CompiledConfig& config) {
+Index IndexOf(const CompiledConfig& config, const CompileOptions& options) {
   return {.services = ByName<ServiceName>(config.services),
           .selectors = ByName<SelectorName>(config.selectors),
-          .ranks = ByName<RankName>(config.ranks)};
+          .ranks = ByName<RankName>(config.ranks),
+          .assumed_keys = options.assumed_keys};
 }
 
-template <typename Name, typename Object>
-void CheckReference(const ConfigObject& from,
-                    std::string_view kind,
-                    const Name& name,
-                    const std::unordered_map<Name, const Object*>& known,
-                    Faults& faults) {
-  if (!known.contains(name)) {
-    faults.push_back({.place = Place(from, kind),
-                      .message = "names " + std::string(kind) + " \"" +
-                                 name.str() + "\", which is not declared",
-                      .remedy = "declare " + std::string(kind) + "/" +
-                                name.str() + " or name another"});
+/// Whether a reference resolves, or its target has faults of its own.
+template <typename Name, typename Known>
+bool IsDeclared(std::string_view kind,
+                const Name& name,
+                const Known& known,
+                const Index& index) {
+  return known.contains(name) ||
+         index.assumed_keys.contains(std::string(kind) + "/" + name.str());
+}
+
+Fault DanglingReference(const ConfigObject& from,
+                        const std::string& kind,
+                        const std::string& name) {
+  return {
+      .place = Place(from, kind),
+      .message = "names " + kind + " \"" + name + "\", which is not declared",
+      .remedy = "declare " + kind + "/" + name + " or name another"};
+}
+
+void CheckSelectorOf(const ConfigObject& rule,
+                     const SelectorName& name,
+                     const Index& index,
+                     Faults& faults) {
+  if (!IsDeclared("selector", name, index.selectors, index)) {
+    faults.push_back(DanglingReference(rule, "selector", name.str()));
   }
 }
 
@@ -124,12 +139,16 @@
                      const Index& index,
                      Faults& faults) {
   for (const RoutingRuleObject& rule : config.routing_rules) {
-    CheckReference(rule, "selector", rule.selector, index.selectors, faults);
-    CheckReference(rule, "service", rule.service, index.services, faults);
-    CheckReference(rule, "rank", rule.rank, index.ranks, faults);
+    CheckSelectorOf(rule, rule.selector, index, faults);
+    if (!IsDeclared("service", rule.service, index.services, index)) {
+      faults.push_back(DanglingReference(rule, "service", rule.service.str()));
+    }
+    if (!IsDeclared("rank", rule.rank, index.ranks, index)) {
+      faults.push_back(DanglingReference(rule, "rank", rule.rank.str()));
+    }
   }
   for (const AlertRuleObject& rule : config.alert_rules) {
-    CheckReference(rule, "selector", rule.selector, index.selectors, faults);
+    CheckSelectorOf(rule, rule.selector, index, faults);
   }
 }
 
@@ -241,7 +260,8 @@
 
 }  // namespace
 
-CompileResult CompileRelease(const Release& release) {
+CompileResult CompileRelease(const Release& release,
+                             const CompileOptions& options) {
   CompileResult result;
   CheckSize(release.objects, result.faults);
   if (!result.faults.empty()) {
@@ -251,7 +271,7 @@
   for (const auto& [key, text] : release.objects) {
     ReadObject(key, text, config, result.faults);
   }
-  const Index index = IndexOf(config);
+  const Index index = IndexOf(config, options);
   CheckReferences(config, index, result.faults);
   CheckSelectors(config, result.faults);
   CheckShares(config, result.faults);
--- a/packages/config/banyantrail/config/compile.h
+++ b/packages/config/banyantrail/config/compile.h
@@ -2,6 +2,8 @@
 
 #include <cstddef>
 #include <optional>
+#include <set>
+#include <string>
 #include <vector>
 
 #include "banyantrail/config/release.h"
@@ -24,9 +26,17 @@
   std::vector<Fault> faults;
 };
 
+struct CompileOptions {
+  /// Keys that count as declared although they are absent, because their own
+  /// faults are reported elsewhere. Only for listing faults: the resulting
+  /// configuration would lack them.
+  std::set<std::string> assumed_keys;
+};
+
 /// Checks a release as a whole: every text, every reference, ranks, and that
 /// no two routing rules can claim the same request on the same proxy. Depends
 /// on the release alone, so each node comes to the same result.
-CompileResult CompileRelease(const Release& release);
+CompileResult CompileRelease(const Release& release,
+                             const CompileOptions& options = {});
 
 }  // namespace banyantrail
--- a/packages/config/banyantrail/config/json_object_reader.cc
+++ b/packages/config/banyantrail/config/json_object_reader.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "banyantrail/core/errors.h"
+
 namespace banyantrail {
 namespace {
 
@@ -249,4 +251,18 @@
   return false;
 }
 
+void ThrowIfFaulty(const std::vector<Fault>& faults, std::string remedy) {
+  if (faults.empty()) {
+    return;
+  }
+  std::string message;
+  for (const Fault& fault : faults) {
+    message +=
+        (message.empty() ? "" : "; ") + fault.place + " " + fault.message;
+  }
+  throw Error({.kind = ErrorKind::kMalformedMessage,
+               .message = std::move(message),
+               .remedy = std::move(remedy)});
+}
+
 }  // namespace banyantrail
--- a/packages/config/banyantrail/config/json_object_reader.h
+++ b/packages/config/banyantrail/config/json_object_reader.h
@@ -90,4 +90,8 @@
   std::set<std::string, std::less<>> m_known_keys;
 };
 
+/// For values that other processes wrote: throws Error{kMalformedMessage} that
+/// lists the faults, if there are any.
+void ThrowIfFaulty(const std::vector<Fault>& faults, std::string remedy);
+
 }  // namespace banyantrail
--- a/packages/config/banyantrail/config/release_head.cc
+++ b/packages/config/banyantrail/config/release_head.cc
@@ -3,7 +3,6 @@
 #include <utility>
 
 #include "banyantrail/config/json_object_reader.h"
-#include "banyantrail/core/errors.h"
 
 namespace banyantrail {
 namespace {
@@ -13,6 +12,10 @@
 /// A head with more chunks would not fit into one value of the platform.
 constexpr std::size_t kMaxChunks = 10'000;
 
+constexpr const char* kStoredValueRemedy =
+    "find out who else writes under release/ in the platform, and restore the "
+    "value";
+
 bool IsDigestOrEmpty(std::string_view text) {
   return text.empty() || kDigestRule.accepts(text);
 }
@@ -26,21 +29,6 @@
 
 constexpr TextRule kAnyTextRule{IsAnyText, "a string"};
 
-void ThrowIfAny(const std::vector<Fault>& faults) {
-  if (faults.empty()) {
-    return;
-  }
-  std::string message;
-  for (const Fault& fault : faults) {
-    message +=
-        (message.empty() ? "" : "; ") + fault.place + " " + fault.message;
-  }
-  throw Error({.kind = ErrorKind::kMalformedMessage,
-               .message = std::move(message),
-               .remedy = "find out who else writes under release/ in the "
-                         "platform, and restore the value"});
-}
-
 RecentChange ReadRecentChange(JsonObjectReader reader) {
   RecentChange recent;
   recent.change = ChangeId(reader.RequiredString("change", kNameRule));
@@ -106,7 +94,7 @@
   head.summary = reader.OptionalString("summary", kLineRule, "");
   head.recent_changes = ReadRecentChanges(reader, faults);
   reader.Finish();
-  ThrowIfAny(faults);
+  ThrowIfFaulty(faults, kStoredValueRemedy);
   return head;
 }
 
@@ -121,7 +109,7 @@
   chunk.objects = reader.OptionalStringMap("objects", kObjectKeyRule,
                                            kAnyTextRule, SIZE_MAX);
   reader.Finish();
-  ThrowIfAny(faults);
+  ThrowIfFaulty(faults, kStoredValueRemedy);
   VerifyChunk(chunk);
   return chunk;
 }
