Give releases and outcomes of changes one JSON for both ends

The node's admin API writes them and banyantrailctl reads them; one function pair each keeps the two ends alike. A release read over the API is checked against its digest.

--- /dev/null
+++ b/packages/config/banyantrail/config/release_json.cc
@@ -0,0 +1,57 @@
+#include "banyantrail/config/release_json.h"
+
+#include <utility>
+#include <vector>
+
+#include "banyantrail/config/compile.h"
+#include "banyantrail/config/json_object_reader.h"
+#include "banyantrail/config/release_digest.h"
+#include "banyantrail/core/errors.h"
+
+namespace banyantrail {
+namespace {
+
+using nlohmann::json;
+
+void CheckDigest(const Release& release) {
+  const bool is_first = release.revision == 0 && release.objects.empty();
+  if (!is_first && DigestOf(release.objects) != release.digest) {
+    throw Error({.kind = ErrorKind::kDigestMismatch,
+                 .message = "the objects of revision " +
+                            std::to_string(release.revision) +
+                            " are not those of its digest",
+                 .remedy = "read it again, from another node if it repeats"});
+  }
+}
+
+}  // namespace
+
+json ToJson(const Release& release) {
+  json objects = json::object();
+  for (const auto& [key, text] : release.objects) {
+    objects[key] = json::parse(text);
+  }
+  return {{"revision", release.revision},
+          {"digest", release.digest},
+          {"change", release.change.str()},
+          {"objects", objects}};
+}
+
+Release ParseRelease(const json& value) {
+  std::vector<Fault> faults;
+  JsonObjectReader reader(value, "release", faults);
+  Release release;
+  release.revision = reader.RequiredInteger("revision", {});
+  release.digest = reader.RequiredString("digest", kLineRule);
+  release.change = ChangeId(reader.RequiredString("change", kLineRule));
+  const json objects = reader.OptionalObject("objects", kMaxReleaseObjects);
+  for (const auto& [key, object] : objects.items()) {
+    release.objects[key] = object.dump();
+  }
+  reader.Finish();
+  ThrowIfFaulty(faults, "use the banyantrailctl that belongs to the nodes");
+  CheckDigest(release);
+  return release;
+}
+
+}  // namespace banyantrail
--- a/packages/config/banyantrail/config/release_publisher.h
+++ b/packages/config/banyantrail/config/release_publisher.h
@@ -10,6 +10,7 @@
 #include "banyantrail/config/change.h"
 #include "banyantrail/config/compile.h"
 #include "banyantrail/config/object_store.h"
+#include "banyantrail/config/publish_outcome.h"
 #include "banyantrail/config/release_head.h"
 #include "banyantrail/config/release_loader.h"
 #include "banyantrail/core/errors.h"
@@ -26,35 +27,6 @@
   std::shared_ptr<const Release> held;
 };
 
-enum class PublishStatus {
-  /// The change is part of `revision`.
-  kAccepted,
-  /// Others changed the same objects; nothing was changed.
-  kConflict,
-  /// The result would not be a valid configuration; nothing was changed.
-  kFaults,
-  /// The platform could not be used; nothing was changed.
-  kNotRun,
-  /// The change may or may not have been accepted. Sending it again under the
-  /// same id settles it.
-  kOutcomeUnknown,
-};
-
-struct PublishOutcome {
-  PublishStatus status = PublishStatus::kNotRun;
-  /// With kAccepted.
-  Revision revision = 0;
-  /// With kAccepted when this call made the revision: the whole of it.
-  std::optional<Release> release;
-  /// With kConflict.
-  std::vector<ChangeConflict> conflicts;
-  /// With kFaults.
-  std::vector<Fault> faults;
-  /// Why, and what to do; empty with kAccepted.
-  std::string message;
-  std::string remedy;
-};
-
 namespace detail {
 
 /// One call of Publish.
--- a/tests/config/release_digest_test.cc
+++ b/tests/config/release_digest_test.cc
@@ -105,6 +105,18 @@
   }));
 }
 
+TEST(ReleaseDigest, ErrorNamesTheCorruptedChunk) {
+  auto chunks = SplitIntoChunks(ManyObjects(), kSmallChunks);
+  const auto digests = DigestsOf(chunks);
+  chunks[3].objects.begin()->second += "x";
+  try {
+    JoinChunks(digests, chunks, DigestOf(ManyObjects()));
+    FAIL("the corruption was not noticed");
+  } catch (const Error& error) {
+    STRCMP_CONTAINS(digests[3].c_str(), error.what());
+  }
+}
+
 TEST(ReleaseDigest, KeepsChunksUnderTheLimit) {
   for (const ReleaseChunk& chunk :
        SplitIntoChunks(ManyObjects(), kSmallChunks)) {
