Assemble the control plane and the request path of a node

Cause: the pure protocols need sockets, actors and threads around them.

Distribution names its outgoing messages apart from those of membership, since both had the same name in one namespace.

Not measured yet.

--- a/packages/distribution/banyantrail/distribution/distribution_protocol.h
+++ b/packages/distribution/banyantrail/distribution/distribution_protocol.h
@@ -57,17 +57,17 @@
 };
 
 /// A message for one peer.
-struct OutgoingMessage {
+struct AddressedMessage {
   NodeId to;
   PeerMessage message;
 
-  friend bool operator==(const OutgoingMessage&,
-                         const OutgoingMessage&) = default;
+  friend bool operator==(const AddressedMessage&,
+                         const AddressedMessage&) = default;
 };
 
 /// What the caller has to do after an input.
 struct DistributionOutput {
-  std::vector<OutgoingMessage> messages;
+  std::vector<AddressedMessage> messages;
   /// Releases applied by the input, in order.
   std::vector<std::shared_ptr<const Release>> applied;
 };
--- a/packages/node/banyantrail/node/control_plane.cc
+++ b/packages/node/banyantrail/node/control_plane.cc
@@ -65,6 +65,7 @@
     : m_io(io),
       m_metrics(metrics),
       m_hooks(std::move(hooks)),
+      m_incarnation(NewIncarnation()),
       m_transport(io,
                   metrics,
                   {.listen = settings.listen.peer,
@@ -90,18 +91,17 @@
 
 void ControlPlane::SpawnActors(const NodeSettings& settings) {
   const TimePoint start = SystemClock().Now();
-  const Incarnation incarnation = NewIncarnation();
-  const std::uint64_t seed = Hash64(settings.node.str(), incarnation);
-  const auto send = [this](std::vector<OutgoingMessage> messages) {
+  const std::uint64_t seed = Hash64(settings.node.str(), m_incarnation);
+  const auto send = [this](auto messages) {
     asio::post(m_io, [this, messages = std::move(messages)] {
-      for (const OutgoingMessage& outgoing : messages) {
+      for (const auto& outgoing : messages) {
         m_transport.Send(outgoing.to, outgoing.message);
       }
     });
   };
 
   MembershipActorOptions membership{
-      .protocol = {.own_record = OwnRecord(settings, incarnation),
+      .protocol = {.own_record = OwnRecord(settings, m_incarnation),
                    .seeds = settings.seeds,
                    .rng_seed = seed},
       .send = send,
--- a/packages/node/banyantrail/node/control_plane.h
+++ b/packages/node/banyantrail/node/control_plane.h
@@ -77,6 +77,7 @@
   asio::io_context& m_io;
   Metrics& m_metrics;
   ControlPlaneHooks m_hooks;
+  Incarnation m_incarnation;
   PeerTransport m_transport;
   caf::actor_system_config m_config;
   caf::actor_system m_system;
--- /dev/null
+++ b/packages/node/banyantrail/node/data_plane.cc
@@ -0,0 +1,151 @@
+#include "banyantrail/node/data_plane.h"
+
+#include <utility>
+
+#include "banyantrail/core/digest.h"
+
+namespace banyantrail {
+namespace {
+
+constexpr milliseconds kHousekeepingInterval{250};
+
+OwnerStage::Options OwnerOptions(Metrics& metrics,
+                                 LocalBackendServers& servers,
+                                 std::function<void()> on_change) {
+  return {.hooks = {.count_refusal =
+                        [&metrics](RefusalReason reason) {
+                          metrics.CountRefusal("mesh", ToString(reason));
+                        },
+                    .on_unreachable =
+                        [&servers, on_change](const BackendServerId& id) {
+                          if (servers.MarkDown(id)) {
+                            on_change();
+                          }
+                        }}};
+}
+
+EntryStage::Options EntryOptions(Metrics& metrics,
+                                 const NodeSettings& settings) {
+  return {
+      .domain = settings.domain,
+      .limits = {.max_header_bytes = settings.limits.max_header_bytes},
+      .hooks = {
+          .count_refusal =
+              [&metrics](std::string_view reason) {
+                metrics.CountRefusal("caller", reason);
+              },
+          .count_retry =
+              [&metrics](std::string_view decision) {
+                metrics.CountRetry(decision);
+              },
+          .on_answer =
+              [&metrics](unsigned priority, unsigned status, Duration latency) {
+                metrics.CountAnswer(priority, status);
+                metrics.ObserveLatency(
+                    priority, std::chrono::duration<double>(latency).count());
+              }},
+      .seed = Hash64(settings.node.str())};
+}
+
+}  // namespace
+
+DataPlane::DataPlane(asio::io_context& io,
+                     Metrics& metrics,
+                     const NodeSettings& settings,
+                     Options options)
+    : m_metrics(metrics),
+      m_options(std::move(options)),
+      m_backend_servers(LocalBackendServers::Options{}),
+      m_pool(io.get_executor(), {}),
+      m_owner(io.get_executor(),
+              m_pool,
+              OwnerOptions(metrics,
+                           m_backend_servers,
+                           [this] { OnBackendServersChanged(); })),
+      m_entry(io.get_executor(), m_pool, EntryOptions(metrics, settings)),
+      m_housekeeping(io) {
+  TcpListener::Options caller{
+      .endpoint = settings.listen.caller,
+      .max_connections = settings.limits.max_caller_connections,
+      .session =
+          [this](beast::tcp_stream stream) {
+            return m_entry.Serve(std::move(stream));
+          },
+      .on_refused =
+          [&metrics] {
+            metrics.CountRefusal("caller", "too_many_connections");
+          }};
+  m_caller_listener = std::make_unique<TcpListener>(io, std::move(caller));
+  TcpListener::Options mesh{
+      .endpoint = settings.listen.mesh,
+      .max_connections = settings.limits.max_mesh_connections,
+      .session =
+          [this](beast::tcp_stream stream) {
+            return m_owner.Serve(std::move(stream));
+          },
+      .on_refused =
+          [&metrics] { metrics.CountRefusal("mesh", "too_many_connections"); }};
+  m_mesh_listener = std::make_unique<TcpListener>(io, std::move(mesh));
+  asio::co_spawn(io, RunHousekeeping(), asio::detached);
+}
+
+void DataPlane::SetSnapshot(std::shared_ptr<const RoutingSnapshot> snapshot) {
+  m_snapshot = std::move(snapshot);
+  std::vector<RankShare> ranks;
+  for (const RoutedRank& rank : m_snapshot->ranks()) {
+    ranks.push_back(
+        {.priority = rank.priority, .share_percent = rank.share_percent});
+  }
+  m_owner.SetRanks(std::move(ranks));
+  m_entry.SetSnapshot(m_snapshot);
+}
+
+void DataPlane::Announce(BackendServerRecord record) {
+  if (m_backend_servers.Announce(std::move(record), SystemClock().Now())) {
+    OnBackendServersChanged();
+  }
+}
+
+bool DataPlane::Leave(const BackendServerId& id) {
+  const bool known = m_backend_servers.Leave(id);
+  if (known) {
+    OnBackendServersChanged();
+  }
+  return known;
+}
+
+void DataPlane::StartDrain() {
+  m_backend_servers.DrainAll();
+  m_entry.StartDrain();
+  OnBackendServersChanged();
+}
+
+void DataPlane::StopListening() {
+  m_caller_listener->Stop();
+  m_mesh_listener->Stop();
+}
+
+std::size_t DataPlane::requests_in_progress() const {
+  return m_entry.requests_in_progress() + m_owner.requests_in_progress();
+}
+
+void DataPlane::OnBackendServersChanged() {
+  std::vector<BackendServerRecord> records = m_backend_servers.Records();
+  m_owner.SetBackendServers(records);
+  m_options.on_backend_servers(std::move(records));
+}
+
+asio::awaitable<void> DataPlane::RunHousekeeping() {
+  boost::system::error_code error;
+  while (!error) {
+    m_housekeeping.expires_after(kHousekeepingInterval);
+    co_await m_housekeeping.async_wait(
+        asio::redirect_error(asio::use_awaitable, error));
+    m_pool.CloseStale();
+    if (m_backend_servers.Expire(SystemClock().Now())) {
+      OnBackendServersChanged();
+    }
+  }
+}
+
+}  // namespace banyantrail
--- /dev/null
+++ b/packages/node/banyantrail/node/data_plane.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <memory>
+#include <vector>
+
+#include "banyantrail/net/asio.h"
+#include "banyantrail/net/tcp_listener.h"
+#include "banyantrail/node/local_backend_servers.h"
+#include "banyantrail/node/metrics.h"
+#include "banyantrail/node/settings.h"
+#include "banyantrail/proxy/entry_stage.h"
+#include "banyantrail/proxy/owner_stage.h"
+#include "banyantrail/proxy/upstream_pool.h"
+
+namespace banyantrail {
+
+/// The request path of a node: its caller and mesh listeners, both stages and
+/// the backend servers beside it. Runs on the I/O thread.
+class DataPlane {
+ public:
+  struct Options {
+    /// The backend servers beside this node changed.
+    std::function<void(std::vector<BackendServerRecord>)> on_backend_servers;
+  };
+
+  DataPlane(asio::io_context& io,
+            Metrics& metrics,
+            const NodeSettings& settings,
+            Options options);
+  DataPlane(const DataPlane&) = delete;
+  DataPlane& operator=(const DataPlane&) = delete;
+
+  void SetSnapshot(std::shared_ptr<const RoutingSnapshot> snapshot);
+  const std::shared_ptr<const RoutingSnapshot>& snapshot() const {
+    return m_snapshot;
+  }
+
+  /// An announcement or a heartbeat. Throws Error{kInvalidDeclaration}.
+  void Announce(BackendServerRecord record);
+  /// Returns whether the backend server was known.
+  bool Leave(const BackendServerId& id);
+  std::vector<BackendServerRecord> backend_servers() const {
+    return m_backend_servers.Records();
+  }
+
+  /// First step of a planned stop: no new work for the backend servers beside
+  /// this node; callers are asked to move on. What is under way goes on.
+  void StartDrain();
+  /// Last step before the end: no new connections.
+  void StopListening();
+  std::size_t requests_in_progress() const;
+
+ private:
+  void OnBackendServersChanged();
+  asio::awaitable<void> RunHousekeeping();
+
+  Metrics& m_metrics;
+  Options m_options;
+  LocalBackendServers m_backend_servers;
+  UpstreamPool m_pool;
+  OwnerStage m_owner;
+  EntryStage m_entry;
+  std::unique_ptr<TcpListener> m_caller_listener;
+  std::unique_ptr<TcpListener> m_mesh_listener;
+  asio::steady_timer m_housekeeping;
+  std::shared_ptr<const RoutingSnapshot> m_snapshot;
+};
+
+}  // namespace banyantrail
--- a/packages/node/banyantrail/node/distribution_actor.h
+++ b/packages/node/banyantrail/node/distribution_actor.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <caf/stateful_actor.hpp>
+#include <caf/all.hpp>
 #include <functional>
 #include <optional>
 
@@ -12,7 +12,7 @@
 /// may be called from any thread.
 struct DistributionActorOptions {
   DistributionProtocol::Options protocol;
-  std::function<void(std::vector<OutgoingMessage>)> send;
+  std::function<void(std::vector<AddressedMessage>)> send;
   std::function<void(std::shared_ptr<const Release>)> apply;
   std::function<void(DistributionStatus)> publish_status;
 };
--- a/packages/node/banyantrail/node/membership_actor.h
+++ b/packages/node/banyantrail/node/membership_actor.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <caf/stateful_actor.hpp>
+#include <caf/all.hpp>
 #include <functional>
 #include <optional>
 
--- a/tests/distribution/message_queue.h
+++ b/tests/distribution/message_queue.h
@@ -270,7 +270,7 @@
   void Handle(std::size_t index, DistributionOutput output, std::size_t hops) {
     Node& node = m_nodes[index];
     Record(node, output, hops);
-    for (OutgoingMessage& outgoing : output.messages) {
+    for (AddressedMessage& outgoing : output.messages) {
       const std::size_t bytes = EncodeFrame(outgoing.message).size();
       node.bytes_sent += bytes;
       ++node.messages_sent;
