--- /dev/null
+++ b/packages/distribution/banyantrail/distribution/status_summary.cc
@@ -0,0 +1,103 @@
+#include "banyantrail/distribution/status_summary.h"
+
+#include <algorithm>
+#include <functional>
+#include <utility>
+
+namespace banyantrail {
+
+StatusSummary::StatusSummary(Options options) : m_options(std::move(options)) {}
+
+void StatusSummary::OnReport(const StatusReportMessage& report, TimePoint now) {
+  m_entries[report.node] = {.report = report, .heard = now};
+}
+
+void StatusSummary::OnMembers(const std::vector<NodeId>& members,
+                              TimePoint now) {
+  m_members = {members.begin(), members.end()};
+  for (const NodeId& node : members) {
+    m_entries.try_emplace(node, Entry{.heard = now});
+  }
+}
+
+void StatusSummary::OnLeft(const NodeId& node) {
+  m_entries.erase(node);
+  m_members.erase(node);
+}
+
+bool StatusSummary::IsSilent(const Entry& entry, TimePoint now) const {
+  return !entry.report || now - entry.heard >= m_options.silent_after;
+}
+
+void StatusSummary::Forget(TimePoint now) {
+  std::erase_if(m_entries, [this, now](const auto& item) {
+    const bool member = m_members.count(item.first) > 0;
+    return !member && now - item.second.heard >= m_options.forget_after;
+  });
+}
+
+DomainStatus StatusSummary::Summarise(TimePoint now,
+                                      UnixMillis wall_clock) const {
+  DomainStatus status{
+      .domain = m_options.domain, .relay = m_options.relay, .time = wall_clock};
+  std::map<Revision, std::vector<NodeId>, std::greater<>> holders;
+  for (const auto& [node, entry] : m_entries) {
+    if (IsSilent(entry, now)) {
+      const auto age =
+          std::chrono::duration_cast<milliseconds>(now - entry.heard);
+      status.silent.push_back({.node = node, .since = wall_clock - age});
+      continue;
+    }
+    const StatusReportMessage& report = *entry.report;
+    holders[report.applied_revision].push_back(node);
+    status.labels[node] = report.labels;
+    if (report.refused_revision > report.applied_revision) {
+      status.refused.push_back({.node = node,
+                                .revision = report.refused_revision,
+                                .reason = report.refusal_reason});
+    }
+  }
+  for (auto& [revision, nodes] : holders) {
+    status.revisions.push_back(
+        {.revision = revision, .nodes = std::move(nodes)});
+  }
+  return status;
+}
+
+bool StatusSummary::DiffersFromWritten(DomainStatus status) const {
+  if (!m_written) {
+    return true;
+  }
+  const bool same_silent =
+      status.silent.size() == m_written->silent.size() &&
+      std::equal(status.silent.begin(), status.silent.end(),
+                 m_written->silent.begin(),
+                 [](const SilentNode& a, const SilentNode& b) {
+                   return a.node == b.node;
+                 });
+  // Times alone are no change: they would make every summary differ.
+  status.time = m_written->time;
+  status.silent = m_written->silent;
+  return !same_silent || status != *m_written;
+}
+
+std::optional<DomainStatus> StatusSummary::TakeDue(TimePoint now,
+                                                   UnixMillis wall_clock) {
+  const bool too_early =
+      m_last_attempt && now - *m_last_attempt < m_options.min_write_interval;
+  if (too_early) {
+    return std::nullopt;
+  }
+  Forget(now);
+  DomainStatus status = Summarise(now, wall_clock);
+  const bool idle_over =
+      m_last_attempt && now - *m_last_attempt >= m_options.idle_write_interval;
+  if (!idle_over && !DiffersFromWritten(status)) {
+    return std::nullopt;
+  }
+  m_last_attempt = now;
+  m_written = status;
+  return status;
+}
+
+}  // namespace banyantrail
--- a/packages/proxy/banyantrail/proxy/attempt.cc
+++ b/packages/proxy/banyantrail/proxy/attempt.cc
@@ -162,7 +162,7 @@
   if (error) {
     const bool body_held_back = request.streams;
     attempt.result = written == 0 || body_held_back ? UpstreamResult::kNotRun
-                                                     : UpstreamResult::kUnknown;
+                                                    : UpstreamResult::kUnknown;
     attempt.reason = "send_failed";
     co_return attempt;
   }
--- /dev/null
+++ b/tests/distribution/status_summary_test.cc
@@ -0,0 +1,133 @@
+#include "banyantrail/distribution/status_summary.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include "banyantrail/core/errors.h"
+
+using banyantrail::DomainId;
+using banyantrail::DomainStatus;
+using banyantrail::DomainStatusFromJson;
+using banyantrail::Error;
+using banyantrail::ManualClock;
+using banyantrail::milliseconds;
+using banyantrail::NodeId;
+using banyantrail::Revision;
+using banyantrail::seconds;
+using banyantrail::StatusSummary;
+using banyantrail::UnixMillis;
+
+TEST_GROUP(StatusSummary) {
+  ManualClock clock;
+  UnixMillis wall{milliseconds(1'000'000)};
+  StatusSummary summary{{.domain = DomainId("east"), .relay = NodeId("a")}};
+
+  void Report(const char* node, Revision applied, Revision refused = 0) {
+    summary.OnReport({.node = NodeId(node),
+                      .labels = {{"app", "catalogue"}},
+                      .applied_revision = applied,
+                      .refused_revision = refused,
+                      .refusal_reason = refused > 0 ? "does not compile" : ""},
+                     clock.Now());
+  }
+
+  void Advance(milliseconds by) {
+    clock.Advance(by);
+    wall += by;
+  }
+
+  DomainStatus Now() {
+    return summary.Summarise(clock.Now(), wall);
+  }
+  bool Due() {
+    return summary.TakeDue(clock.Now(), wall).has_value();
+  }
+};
+
+TEST(StatusSummary, GroupsNodesByRevisionNewestFirst) {
+  Report("a", 4);
+  Report("b", 5);
+  Report("c", 4, 5);
+  const DomainStatus status = Now();
+  LONGS_EQUAL(5, status.revisions.at(0).revision);
+  LONGS_EQUAL(2, status.revisions.at(1).nodes.size());
+  LONGS_EQUAL(5, status.refused.at(0).revision);
+}
+
+TEST(StatusSummary, ClaimsNothingOfASilentNode) {
+  Report("a", 5);
+  Report("b", 5);
+  Advance(seconds(11));
+  Report("a", 5);
+  Advance(seconds(1));
+  const DomainStatus status = Now();
+  CHECK(status.revisions.at(0).nodes == std::vector<NodeId>{NodeId("a")});
+  CHECK(status.silent.at(0).node == NodeId("b"));
+  CHECK(status.silent.at(0).since == UnixMillis(milliseconds(1'000'000)));
+  LONGS_EQUAL(0, status.labels.count(NodeId("b")));
+}
+
+TEST(StatusSummary, AMemberThatNeverReportedIsSilent) {
+  summary.OnMembers({NodeId("a"), NodeId("b")}, clock.Now());
+  Report("a", 5);
+  LONGS_EQUAL(1, Now().silent.size());
+  summary.OnLeft(NodeId("b"));
+  CHECK(Now().silent.empty());
+}
+
+TEST(StatusSummary, WritesAtMostOncePerIntervalHoweverManyReportsChange) {
+  int writes = 0;
+  for (int step = 0; step < 200; ++step) {
+    Report("a", static_cast<Revision>(step));
+    writes += Due() ? 1 : 0;
+    Advance(milliseconds(100));
+  }
+  LONGS_EQUAL(10, writes);
+}
+
+TEST(StatusSummary, WritesSeldomWhenNothingChanges) {
+  int writes = 0;
+  for (int step = 0; step < 300; ++step) {
+    Report("a", 5);
+    writes += Due() ? 1 : 0;
+    Advance(milliseconds(100));
+  }
+  LONGS_EQUAL(3, writes);
+}
+
+TEST(StatusSummary, AFailedWriteComesAgain) {
+  Report("a", 5);
+  CHECK(Due());
+  summary.OnWriteFailed();
+  Advance(seconds(1));
+  CHECK(!Due());
+  Advance(seconds(1));
+  CHECK(Due());
+}
+
+TEST(StatusSummary, ForgetsFormerMembersAfterAWhile) {
+  Report("a", 5);
+  Report("gone", 5);
+  Advance(std::chrono::minutes(10));
+  Report("a", 5);
+  CHECK(Due());
+  CHECK(Now().silent.empty());
+}
+
+TEST(StatusSummary, SurvivesTheTripThroughJson) {
+  Report("a", 5);
+  Report("b", 4, 5);
+  summary.OnMembers({NodeId("c")}, clock.Now());
+  const DomainStatus status = Now();
+  CHECK(DomainStatusFromJson(ToJson(status)) == status);
+}
+
+TEST(StatusSummary, RefusesJsonWithAWrongOrUnknownField) {
+  Report("a", 5);
+  nlohmann::json wrong = ToJson(Now());
+  wrong["revisions"][0]["revision"] = "5";
+  CHECK_THROWS(Error, DomainStatusFromJson(wrong));
+  nlohmann::json unknown = ToJson(Now());
+  unknown["colour"] = 1;
+  CHECK_THROWS(Error, DomainStatusFromJson(unknown));
+  CHECK_THROWS(Error, DomainStatusFromJson(nlohmann::json::array()));
+}
