Add the admin API and the planned stop of a node

Cause: operators declare, read back, drain; backend servers announce themselves.

Change: the handlers of docs/PROTOCOLS.md, and the order of a planned stop: no new work, two seconds for the fleet to learn of it, everything under way finished, leases handed back, goodbye to the peers, exit 0.

--- /dev/null
+++ b/packages/node/banyantrail/node/admin_api.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <functional>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <string_view>
+
+#include "banyantrail/net/asio.h"
+#include "banyantrail/net/http_types.h"
+#include "banyantrail/node/control_plane.h"
+#include "banyantrail/node/data_plane.h"
+#include "banyantrail/node/metrics.h"
+#include "banyantrail/node/settings.h"
+#include "banyantrail/platform/platform_client.h"
+
+namespace banyantrail {
+
+/// Answers the requests of the admin listener: announcements of backend
+/// servers, operators' commands, health and metrics. See docs/PROTOCOLS.md.
+class AdminApi {
+ public:
+  struct Options {
+    const NodeSettings& settings;
+    ControlPlane& control;
+    DataPlane& data;
+    Metrics& metrics;
+    PlatformClient& platform;
+    /// Starts the planned stop of the node.
+    std::function<void()> start_drain;
+    std::function<bool()> is_draining;
+  };
+
+  explicit AdminApi(Options options) : m_options(std::move(options)) {}
+
+  asio::awaitable<HttpResponse> Handle(HttpRequest request);
+
+ private:
+  /// A request split into its parts.
+  struct Call {
+    http::verb method = http::verb::get;
+    std::string path;
+    std::string query;
+    std::string body;
+  };
+
+  asio::awaitable<HttpResponse> Dispatch(Call call);
+  HttpResponse Read(const Call& call) const;
+
+  HttpResponse Readiness() const;
+  HttpResponse AppliedRelease() const;
+  HttpResponse Members() const;
+  HttpResponse Explain() const;
+  HttpResponse Routes() const;
+  HttpResponse Announce(const Call& call);
+  HttpResponse LeaveBackendServer(const Call& call);
+  HttpResponse StartDrain();
+  asio::awaitable<HttpResponse> PlatformHead();
+  asio::awaitable<HttpResponse> History(Call call);
+  asio::awaitable<HttpResponse> ProposeChange(Call call);
+  asio::awaitable<HttpResponse> Status();
+
+  Options m_options;
+};
+
+}  // namespace banyantrail
--- /dev/null
+++ b/packages/node/banyantrail/node/node.cc
@@ -0,0 +1,151 @@
+#include "banyantrail/node/node.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <utility>
+
+#include "banyantrail/core/logging.h"
+#include "banyantrail/net/http_server.h"
+#include "banyantrail/node/admin_api.h"
+#include "banyantrail/node/control_plane.h"
+#include "banyantrail/node/data_plane.h"
+#include "banyantrail/node/metrics.h"
+#include "banyantrail/node/platform_duty.h"
+#include "banyantrail/platform/platform_client.h"
+
+namespace banyantrail {
+namespace {
+
+const PartLogger kLog("node");
+
+/// Time for the fleet to learn of the drain and for requests chosen before it
+/// to arrive. A backend server that leaves gets no new work after 2 s.
+constexpr Duration kDrainNotice = seconds(2);
+
+/// Requests under way are given this long, long uploads included.
+constexpr Duration kDrainLimit = std::chrono::minutes(30);
+
+/// The goodbye is given this long to reach the peers.
+constexpr Duration kGoodbyeLimit = seconds(1);
+
+constexpr Duration kPollInterval = milliseconds(20);
+
+}  // namespace
+
+struct Node::Parts {
+  Parts(asio::io_context& io, const NodeSettings& settings)
+      : platform(io.get_executor(), {.servers = settings.platform}),
+        signals(io, SIGTERM, SIGINT) {}
+
+  Metrics metrics;
+  PlatformClient platform;
+  std::unique_ptr<ControlPlane> control;
+  std::unique_ptr<DataPlane> data;
+  std::unique_ptr<PlatformDuty> duty;
+  std::unique_ptr<AdminApi> admin;
+  std::unique_ptr<HttpServer> admin_server;
+  asio::signal_set signals;
+};
+
+Node::Node(const NodeSettings& settings)
+    : m_settings(settings), m_parts(std::make_unique<Parts>(m_io, settings)) {
+  Parts& parts = *m_parts;
+  parts.data = std::make_unique<DataPlane>(
+      m_io, parts.metrics, m_settings,
+      DataPlane::Options{.on_backend_servers = [&parts](auto records) {
+        parts.control->SetBackendServers(std::move(records));
+      }});
+  parts.control = std::make_unique<ControlPlane>(
+      m_io, parts.metrics, m_settings,
+      ControlPlaneHooks{
+          .on_snapshot =
+              [&parts](std::shared_ptr<const RoutingSnapshot> snapshot) {
+                parts.data->SetSnapshot(std::move(snapshot));
+              },
+          .on_members =
+              [&parts](std::shared_ptr<const MembershipView> view) {
+                if (parts.duty) {
+                  parts.duty->OnMembers(*view);
+                }
+              }});
+  parts.duty = std::make_unique<PlatformDuty>(m_io, m_settings, parts.platform,
+                                              *parts.control, parts.metrics);
+  parts.admin = std::make_unique<AdminApi>(
+      AdminApi::Options{.settings = m_settings,
+                        .control = *parts.control,
+                        .data = *parts.data,
+                        .metrics = parts.metrics,
+                        .platform = parts.platform,
+                        .start_drain = [this] { StartDrain(); },
+                        .is_draining = [this] { return m_draining; }});
+  parts.admin_server = std::make_unique<HttpServer>(
+      m_io, HttpServer::Options{
+                .endpoint = m_settings.listen.admin,
+                .handler =
+                    [&parts](HttpRequest request) {
+                      return parts.admin->Handle(std::move(request));
+                    },
+                .max_header_bytes = m_settings.limits.max_header_bytes,
+                .max_connections = m_settings.limits.max_admin_connections,
+                .on_refused =
+                    [&parts](std::string_view reason) {
+                      parts.metrics.CountRefusal("admin", reason);
+                    }});
+  asio::co_spawn(m_io, WaitForSignal(), asio::detached);
+}
+
+Node::~Node() = default;
+
+void Node::Run() {
+  kLog.Info("Node " + m_settings.node.str() + " serves callers on " +
+            ToString(m_settings.listen.caller) + ".");
+  m_io.run();
+  kLog.Info("Node " + m_settings.node.str() + " has stopped.");
+}
+
+asio::awaitable<void> Node::WaitForSignal() {
+  boost::system::error_code error;
+  co_await m_parts->signals.async_wait(
+      asio::redirect_error(asio::use_awaitable, error));
+  if (!error) {
+    StartDrain();
+  }
+}
+
+void Node::StartDrain() {
+  if (m_draining) {
+    return;
+  }
+  m_draining = true;
+  kLog.Info("The planned stop has begun.");
+  m_parts->data->StartDrain();
+  m_parts->control->StartDrain();
+  asio::co_spawn(m_io, FinishAndStop(), asio::detached);
+}
+
+asio::awaitable<void> Node::FinishAndStop() {
+  co_await Pause(kDrainNotice);
+  m_parts->data->StopListening();
+  const TimePoint drain_end = SystemClock().Now() + kDrainLimit;
+  while (m_parts->data->requests_in_progress() > 0 &&
+         SystemClock().Now() < drain_end) {
+    co_await Pause(kPollInterval);
+  }
+  co_await m_parts->duty->GiveBack();
+  m_parts->control->Leave();
+  const TimePoint goodbye_end = SystemClock().Now() + kGoodbyeLimit;
+  co_await Pause(kPollInterval);
+  while (!m_parts->control->is_idle() && SystemClock().Now() < goodbye_end) {
+    co_await Pause(kPollInterval);
+  }
+  m_parts->control->Stop();
+  m_io.stop();
+}
+
+asio::awaitable<void> Node::Pause(Duration duration) {
+  asio::steady_timer timer(m_io);
+  timer.expires_after(duration);
+  co_await timer.async_wait(asio::use_awaitable);
+}
+
+}  // namespace banyantrail
