--- a/packages/distribution/banyantrail/distribution/distribution_protocol.cc
+++ b/packages/distribution/banyantrail/distribution/distribution_protocol.cc
@@ -248,12 +248,12 @@
     return;
   }
   const std::vector<NodeId> nodes = TakeUncovered(message);
-  const bool damaged = result.outcome == ApplyOutcome::kRefused &&
-                       result.refused->reason != ReleaseRefusal::kDoesNotCompile;
+  const bool damaged =
+      result.outcome == ApplyOutcome::kRefused &&
+      result.refused->reason != ReleaseRefusal::kDoesNotCompile;
   if (damaged) {
-    m_owed_push = {.base = base,
-                   .to_revision = message.to_revision,
-                   .subtree = nodes};
+    m_owed_push = {
+        .base = base, .to_revision = message.to_revision, .subtree = nodes};
     return;
   }
   Push(nodes, message);
@@ -309,9 +309,8 @@
 void DistributionProtocol::SchedulePush(const ReleaseName& base,
                                         Duration delay) {
   const bool has_older_base = m_scheduled_push.has_value();
-  m_scheduled_push = {
-      .base = has_older_base ? m_scheduled_push->base : base,
-      .due = m_now + delay};
+  m_scheduled_push = {.base = has_older_base ? m_scheduled_push->base : base,
+                      .due = m_now + delay};
 }
 
 void DistributionProtocol::RunScheduledPush() {
@@ -368,8 +367,7 @@
   if (m_options.mode == DistributionMode::kPlatformWatch) {
     return;
   }
-  const auto peer =
-      m_requester.NextRequest(m_peers.own_domain, m_now, m_rng);
+  const auto peer = m_requester.NextRequest(m_peers.own_domain, m_now, m_rng);
   if (!peer) {
     return;
   }
@@ -459,8 +457,7 @@
 }
 
 ReleaseName DistributionProtocol::Current() const {
-  return {.revision = m_store.revision(),
-          .digest = m_store.current()->digest};
+  return {.revision = m_store.revision(), .digest = m_store.current()->digest};
 }
 
 Duration DistributionProtocol::Jittered(Duration duration) {
--- a/packages/distribution/banyantrail/distribution/distribution_protocol.h
+++ b/packages/distribution/banyantrail/distribution/distribution_protocol.h
@@ -201,8 +201,7 @@
                const ApplyResult& result,
                const ReleaseName& base);
   std::vector<NodeId> TakeUncovered(const ReleaseDeltaMessage& message);
-  void Push(const std::vector<NodeId>& nodes,
-            const ReleaseDeltaMessage& delta);
+  void Push(const std::vector<NodeId>& nodes, const ReleaseDeltaMessage& delta);
   void PushCurrent(const std::vector<NodeId>& nodes, const ReleaseName& base);
   void PushAsRoot(const ReleaseName& base);
   void SchedulePush(const ReleaseName& base, Duration delay);
--- a/packages/distribution/banyantrail/distribution/release_requester.cc
+++ b/packages/distribution/banyantrail/distribution/release_requester.cc
@@ -46,9 +46,8 @@
 
 void ReleaseRequester::OnApplied(Revision revision) {
   m_applied = std::max(m_applied, revision);
-  std::erase_if(m_ahead, [this](const auto& entry) {
-    return entry.second <= m_applied;
-  });
+  std::erase_if(
+      m_ahead, [this](const auto& entry) { return entry.second <= m_applied; });
   m_busy_until.clear();
   m_preferred.reset();
   m_outstanding.reset();
@@ -97,17 +96,16 @@
       candidates.push_back(peer);
     }
   }
-  const bool preferred_is_free =
-      m_preferred && m_ahead.count(*m_preferred) > 0 &&
-      m_busy_until.count(*m_preferred) == 0;
+  const bool preferred_is_free = m_preferred &&
+                                 m_ahead.count(*m_preferred) > 0 &&
+                                 m_busy_until.count(*m_preferred) == 0;
   if (preferred_is_free) {
     return m_preferred;
   }
   if (candidates.empty()) {
-    std::copy_if(others.begin(), others.end(), std::back_inserter(candidates),
-                 [this](const NodeId& peer) {
-                   return m_busy_until.count(peer) == 0;
-                 });
+    std::copy_if(
+        others.begin(), others.end(), std::back_inserter(candidates),
+        [this](const NodeId& peer) { return m_busy_until.count(peer) == 0; });
   }
   if (candidates.empty()) {
     return std::nullopt;
--- a/packages/distribution/banyantrail/distribution/release_store.cc
+++ b/packages/distribution/banyantrail/distribution/release_store.cc
@@ -143,11 +143,11 @@
   if (m_options.compile) {
     const std::vector<Fault> faults = m_options.compile(release);
     if (!faults.empty()) {
-      return Refuse({.revision = release.revision,
-                     .digest = release.digest,
-                     .reason = ReleaseRefusal::kDoesNotCompile,
-                     .detail = faults.front().place + ": " +
-                               faults.front().message});
+      return Refuse(
+          {.revision = release.revision,
+           .digest = release.digest,
+           .reason = ReleaseRefusal::kDoesNotCompile,
+           .detail = faults.front().place + ": " + faults.front().message});
     }
   }
   Remember(std::move(updates), release);
--- a/tests/bench/flood_bench.cc
+++ b/tests/bench/flood_bench.cc
@@ -58,9 +58,8 @@
         fleet.ranks[result.flood.priority].name.c_str(), result.flood.factor,
         fleet.ranks[i].name.c_str(),
         static_cast<unsigned long long>(rank.offered),
-        kPercent * rank.GoodRatio(),
-        kMillisecondsPerSecond * rank.p99_seconds, kPercent * rank.kept_share,
-        rank.recovery_seconds,
+        kPercent * rank.GoodRatio(), kMillisecondsPerSecond * rank.p99_seconds,
+        kPercent * rank.kept_share, rank.recovery_seconds,
         static_cast<unsigned long long>(rank.shed_by_backend_server),
         kPercent * result.capacity_used);
   }
--- a/tests/bench/flood_simulation.cc
+++ b/tests/bench/flood_simulation.cc
@@ -160,13 +160,13 @@
   const std::size_t ranks = m_options.fleet.ranks.size();
   TimePoint start = m_now + m_options.warm_up;
   for (const Flood& flood : m_options.floods) {
-    m_phases.push_back({.flood = flood,
-                        .start = start,
-                        .end = start + m_options.flood_length,
-                        .ranks = std::vector<RankResult>(ranks),
-                        .latencies = std::vector<std::vector<double>>(ranks),
-                        .buckets =
-                            std::vector<std::map<std::int64_t, Bucket>>(ranks)});
+    m_phases.push_back(
+        {.flood = flood,
+         .start = start,
+         .end = start + m_options.flood_length,
+         .ranks = std::vector<RankResult>(ranks),
+         .latencies = std::vector<std::vector<double>>(ranks),
+         .buckets = std::vector<std::map<std::int64_t, Bucket>>(ranks)});
     start += m_options.flood_length + m_options.pause;
   }
   m_end = start;
@@ -324,8 +324,7 @@
     const TimePoint to = std::min(m_now, phase.end);
     if (to > from) {
       phase.ranks[request.rank].kept_share +=
-          ToSeconds(to - from) /
-          (m_slots * ToSeconds(m_options.flood_length));
+          ToSeconds(to - from) / (m_slots * ToSeconds(m_options.flood_length));
     }
   }
 }
@@ -346,8 +345,8 @@
 
 std::size_t Simulation::ChooseService() {
   const std::size_t server = UniformIndex(m_choice_rng, m_servers.size());
-  const auto above = std::upper_bound(m_first_server.begin(),
-                                      m_first_server.end(), server);
+  const auto above =
+      std::upper_bound(m_first_server.begin(), m_first_server.end(), server);
   return static_cast<std::size_t>(above - m_first_server.begin()) - 1;
 }
 
@@ -374,9 +373,9 @@
     result.capacity_used += summary.kept_share;
     std::vector<double>& latencies = phase.latencies[rank];
     if (!latencies.empty()) {
-      const auto nth = latencies.begin() +
-                       static_cast<std::ptrdiff_t>(
-                           kP99 * static_cast<double>(latencies.size()));
+      const auto nth =
+          latencies.begin() + static_cast<std::ptrdiff_t>(
+                                  kP99 * static_cast<double>(latencies.size()));
       std::nth_element(latencies.begin(), nth, latencies.end());
       summary.p99_seconds = *nth;
     }
--- a/tests/distribution/message_queue.h
+++ b/tests/distribution/message_queue.h
@@ -23,8 +23,8 @@
   for (std::size_t i = 0; i < count; ++i) {
     const bool changed = i == revision % count;
     release.objects["routing_rule/rule-" + std::to_string(i)] =
-        "{\"name\":\"rule-" + std::to_string(i) + "\",\"revision\":" +
-        std::to_string(changed ? revision : 0) + "}";
+        "{\"name\":\"rule-" + std::to_string(i) +
+        "\",\"revision\":" + std::to_string(changed ? revision : 0) + "}";
   }
   release.digest = DigestOf(release.objects);
   return release;
@@ -99,8 +99,8 @@
     node.alive = true;
     node.protocol = std::make_unique<DistributionProtocol>(options, m_now);
     node.protocol->OnMembership(PeersOf(node));
-    node.next_tick = m_now + Duration(UniformIndex(
-                                 m_rng, m_options.tick.count()));
+    node.next_tick =
+        m_now + Duration(UniformIndex(m_rng, m_options.tick.count()));
   }
 
   void Kill(std::size_t index) { m_nodes[index].alive = false; }
--- a/tests/standins/call_client.cc
+++ b/tests/standins/call_client.cc
@@ -78,7 +78,8 @@
     connection = std::make_unique<Connection>(m_executor, server);
     connection->stream.expires_at(deadline);
     co_await connection->stream.async_connect(
-        ToTcpEndpoint(server), asio::redirect_error(asio::use_awaitable, error));
+        ToTcpEndpoint(server),
+        asio::redirect_error(asio::use_awaitable, error));
     if (error) {
       co_return CallResult{.end = CallEnd::kNotSent};
     }
--- a/tests/standins/load_caller.cc
+++ b/tests/standins/load_caller.cc
@@ -56,8 +56,8 @@
       {"failures", result.failures},
       {"added_p50_us", result.through_node.Percentile(kMedian) -
                            result.direct.Percentile(kMedian)},
-      {"added_p99_us", result.through_node.Percentile(kP99) -
-                           result.direct.Percentile(kP99)}};
+      {"added_p99_us",
+       result.through_node.Percentile(kP99) - result.direct.Percentile(kP99)}};
   std::cout << report.dump(2) << "\n";
   return result.failures == 0 ? 0 : kFailedCalls;
 }
@@ -65,9 +65,8 @@
 int RunPlan(const std::string& plan_file, const std::string& history_file) {
   asio::io_context io;
   LoadGenerator generator(
-      io,
-      {.plan = banyantrail::standins::ParseLoadPlan(ReadFile(plan_file)),
-       .history_file = history_file});
+      io, {.plan = banyantrail::standins::ParseLoadPlan(ReadFile(plan_file)),
+           .history_file = history_file});
   generator.Start();
   io.run();
   std::cout << generator.Report().dump(2) << "\n";
@@ -79,9 +78,9 @@
                          ' ', "1");
   TCLAP::ValueArg<std::string> plan("", "plan", "load plan in JSON", false, "",
                                     "file", command);
-  TCLAP::ValueArg<std::string> history(
-      "", "history", "append the history to this file", false, "", "file",
-      command);
+  TCLAP::ValueArg<std::string> history("", "history",
+                                       "append the history to this file", false,
+                                       "", "file", command);
   TCLAP::SwitchArg pair("", "pair", "measure pairs of calls", command);
   TCLAP::ValueArg<std::string> direct("", "direct", "backend server to call",
                                       false, "127.0.0.1:0", "IP:PORT", command);
--- a/tests/standins/load_generator.cc
+++ b/tests/standins/load_generator.cc
@@ -134,8 +134,8 @@
       ++report.skipped;
       continue;
     }
-    const std::string id = m_plan.caller + "-" + request_class.name + "-" +
-                           std::to_string(number);
+    const std::string id =
+        m_plan.caller + "-" + request_class.name + "-" + std::to_string(number);
     asio::co_spawn(
         m_io,
         Fulfil({.request_class = &request_class,
@@ -201,8 +201,8 @@
   call.headers = {
       {kRequestIdHeader, request_id},
       {std::string(kDeadlineHeader),
-       std::to_string((request_class.deadline + request_class.body_time)
-                          .count())}};
+       std::to_string(
+           (request_class.deadline + request_class.body_time).count())}};
   if (!order.key.empty()) {
     call.headers.emplace_back(std::string(kIdempotencyKeyHeader), order.key);
   }
@@ -245,13 +245,14 @@
   if (!m_history.is_open()) {
     return;
   }
-  const json line = {{"t_us", NowMicros()},
-                     {"event", "call_end"},
-                     {"request", request_id},
-                     {"outcome", ToString(outcome)},
-                     {"reason", reason},
-                     {"status", result.response.result_int()},
-                     {"answer_to", HeaderOf(result.response, kRequestIdHeader)}};
+  const json line = {
+      {"t_us", NowMicros()},
+      {"event", "call_end"},
+      {"request", request_id},
+      {"outcome", ToString(outcome)},
+      {"reason", reason},
+      {"status", result.response.result_int()},
+      {"answer_to", HeaderOf(result.response, kRequestIdHeader)}};
   m_history << line.dump() << std::endl;
 }
 
--- a/tests/standins/load_plan.cc
+++ b/tests/standins/load_plan.cc
@@ -38,8 +38,8 @@
   parsed.idempotency_keys =
       object.value("idempotency_keys", parsed.idempotency_keys);
   parsed.resends = object.value("resends", parsed.resends);
-  parsed.resend_pause =
-      milliseconds(object.value("resend_pause_ms", parsed.resend_pause.count()));
+  parsed.resend_pause = milliseconds(
+      object.value("resend_pause_ms", parsed.resend_pause.count()));
   parsed.headers = object.value("headers", parsed.headers);
   return parsed;
 }
