--- a/packages/distribution/banyantrail/distribution/distribution_protocol.cc
+++ b/packages/distribution/banyantrail/distribution/distribution_protocol.cc
@@ -77,6 +77,9 @@
 }
 
 void DistributionProtocol::OnMembership(DistributionPeers peers) {
+  if (peers.relays != m_peers.relays) {
+    m_next_status = m_now;
+  }
   m_peers = std::move(peers);
   std::erase(m_peers.own_domain, m_options.self);
   m_own_domain = {m_peers.own_domain.begin(), m_peers.own_domain.end()};
@@ -456,7 +459,7 @@
          m_options.mode == DistributionMode::kTreeWholeReleases;
 }
 
-ReleaseName DistributionProtocol::Current() const {
+DistributionProtocol::ReleaseName DistributionProtocol::Current() const {
   return {.revision = m_store.revision(), .digest = m_store.current()->digest};
 }
 
--- a/packages/distribution/banyantrail/distribution/release_requester.cc
+++ b/packages/distribution/banyantrail/distribution/release_requester.cc
@@ -122,7 +122,7 @@
   if (!wanted || m_outstanding || now < m_not_before) {
     return std::nullopt;
   }
-  const std::optional<NodeId> peer = Choose(others, now, rng);
+  std::optional<NodeId> peer = Choose(others, now, rng);
   if (peer) {
     m_outstanding = {.peer = *peer, .deadline = now + m_options.timeout};
   }
