--- a/packages/traffic/banyantrail/traffic/admission.cc
+++ b/packages/traffic/banyantrail/traffic/admission.cc
@@ -11,10 +11,9 @@
 using detail::QueueKey;
 using detail::RankState;
 
-/// Bounds of the time over which the fractional part of a guarantee is
-/// balanced.
-constexpr double kLeastCreditSeconds = 0.05;
-constexpr double kMostCreditSeconds = 60;
+/// Slot-seconds that a rank is owed at most.
+constexpr double kMostOwed = 5;
+constexpr milliseconds kUnknownServiceTime{50};
 /// Time constant of the average of a rank's demand.
 constexpr double kDemandSeconds = 2;
 /// Demand below which a rank counts as absent.
@@ -53,6 +52,15 @@
   return hold;
 }
 
+/// Slot-seconds that a request of the rank is expected to use.
+double CreditUnit(const RankState& rank, TimePoint now) {
+  return ToSeconds(rank.service_time.Mean(now).value_or(kUnknownServiceTime));
+}
+
+double Fraction(double value) {
+  return value - std::floor(value);
+}
+
 }  // namespace
 
 AdmissionQueue::AdmissionQueue(AdmissionOptions options)
@@ -234,17 +242,15 @@
       (wanted - rank.demand) * -std::expm1(-elapsed / kDemandSeconds);
 
   const double guarantee = Guarantee(rank);
-  const double whole = std::floor(guarantee);
-  const double fraction = guarantee - whole;
-  if (static_cast<double>(rank.in_flight) <= whole) {
-    rank.credit += fraction * elapsed;
-  } else if (contended) {
-    rank.credit -= (1 - fraction) * elapsed;
+  const auto held = static_cast<double>(rank.in_flight);
+  const bool pays = held > std::floor(guarantee);
+  if (pays && contended) {
+    rank.credit -= (1 - Fraction(guarantee)) * elapsed;
+  } else if (!pays && !rank.queue.empty()) {
+    rank.credit += (guarantee - held) * elapsed;
   }
-  const std::optional<Duration> hold = HoldTime(rank, m_advanced_to);
-  const double bound = std::clamp(ToSeconds(hold.value_or(Duration{})),
-                                  kLeastCreditSeconds, kMostCreditSeconds);
-  rank.credit = std::clamp(rank.credit, -bound, 0.0);
+  const double unit = CreditUnit(rank, m_advanced_to);
+  rank.credit = std::clamp(rank.credit, -unit, std::max(unit, kMostOwed));
 }
 
 void AdmissionQueue::Dispatch(TimePoint now, AdmissionChanges& changes) {
@@ -304,10 +310,7 @@
   if (!m_options.order_by_rank) {
     return PickOldest();
   }
-  const auto entitled =
-      std::find_if(m_ranks.begin(), m_ranks.end(), [this](const auto& item) {
-        return !item.second.queue.empty() && IsEntitled(item.second);
-      });
+  const auto entitled = PickEntitled();
   if (entitled != m_ranks.end()) {
     return entitled;
   }
@@ -317,6 +320,24 @@
       });
 }
 
+AdmissionQueue::RankMap::iterator AdmissionQueue::PickEntitled() {
+  auto picked = m_ranks.end();
+  double least_filled = 0;
+  for (auto it = m_ranks.begin(); it != m_ranks.end(); ++it) {
+    const RankState& rank = it->second;
+    if (rank.queue.empty() || !IsEntitled(rank)) {
+      continue;
+    }
+    const double filled =
+        static_cast<double>(rank.in_flight) / Guarantee(rank);
+    if (picked == m_ranks.end() || filled < least_filled) {
+      picked = it;
+      least_filled = filled;
+    }
+  }
+  return picked;
+}
+
 AdmissionQueue::RankMap::iterator AdmissionQueue::PickOldest() {
   auto oldest = m_ranks.end();
   for (auto it = m_ranks.begin(); it != m_ranks.end(); ++it) {
@@ -337,11 +358,14 @@
     return false;
   }
   const double guarantee = Guarantee(rank);
+  const double whole = std::floor(guarantee);
   const auto held = static_cast<double>(rank.in_flight);
-  if (held < std::floor(guarantee)) {
+  if (held < whole) {
     return true;
   }
-  return held < std::ceil(guarantee) && rank.credit >= 0;
+  const double price =
+      (1 - Fraction(guarantee)) * CreditUnit(rank, m_advanced_to);
+  return held < whole + 1 && rank.credit >= price;
 }
 
 bool AdmissionQueue::MayBorrow(const RankState& rank, TimePoint now) const {
@@ -425,7 +449,7 @@
   const double slots =
       std::max({UsableSlots(priority), Guarantee(rank), kLeastUsableSlots});
   const Duration wait = FromSeconds((ahead + 1) * ToSeconds(*mean) / slots);
-  const Duration run = rank.service_time.Optimistic(now).value_or(Duration{});
+  const Duration run = rank.service_time.Likely(now).value_or(Duration{});
   return deadline < now + wait + run;
 }
 
@@ -436,7 +460,7 @@
     return entry.deadline;
   }
   return entry.deadline -
-         rank.service_time.Optimistic(now).value_or(Duration{});
+         rank.service_time.Likely(now).value_or(Duration{});
 }
 
 }  // namespace banyantrail
--- a/packages/traffic/banyantrail/traffic/admission.h
+++ b/packages/traffic/banyantrail/traffic/admission.h
@@ -142,8 +142,9 @@
   double share = 0;
   std::set<QueueKey> queue;
   std::size_t in_flight = 0;
-  /// Slot-seconds of the fractional part of the guarantee still owed by the
-  /// rank; 0 or below.
+  /// Slot-seconds below the guarantee while work waited; negative when the
+  /// rank held a slot above the whole part of its guarantee. Pays for that
+  /// slot.
   double credit = 0;
   /// Slots that the rank has lately wanted at once.
   double demand = 0;
@@ -218,6 +219,9 @@
 
   /// The rank that the next free slot goes to, or the end.
   RankMap::iterator PickRank(TimePoint now);
+  /// Of the ranks below their guarantee, the one that has the least part of
+  /// it; the most urgent of equals.
+  RankMap::iterator PickEntitled();
   RankMap::iterator PickOldest();
   bool IsEntitled(const detail::RankState& rank) const;
   bool MayBorrow(const detail::RankState& rank, TimePoint now) const;
--- a/packages/traffic/banyantrail/traffic/service_time.cc
+++ b/packages/traffic/banyantrail/traffic/service_time.cc
@@ -45,11 +45,11 @@
   return FromSeconds(m_mean_seconds);
 }
 
-std::optional<Duration> ServiceTimeEstimate::Optimistic(TimePoint now) const {
+std::optional<Duration> ServiceTimeEstimate::Likely(TimePoint now) const {
   if (!IsFresh(now)) {
     return std::nullopt;
   }
-  return FromSeconds(std::exp(m_log_mean - std::sqrt(m_log_variance)));
+  return FromSeconds(std::exp(m_log_mean + std::sqrt(m_log_variance)));
 }
 
 bool ServiceTimeEstimate::IsFresh(TimePoint now) const {
--- a/packages/traffic/banyantrail/traffic/service_time.h
+++ b/packages/traffic/banyantrail/traffic/service_time.h
@@ -19,9 +19,9 @@
   /// Mean of recent samples; empty without a recent sample.
   std::optional<Duration> Mean(TimePoint now) const;
 
-  /// A service time that a fast request of the rank reaches: one standard
-  /// deviation below the mean on the logarithmic scale.
-  std::optional<Duration> Optimistic(TimePoint now) const;
+  /// A service time that most requests of the rank stay within: one standard
+  /// deviation above the mean on the logarithmic scale.
+  std::optional<Duration> Likely(TimePoint now) const;
 
  private:
   bool IsFresh(TimePoint now) const;
