--- /dev/null
+++ b/packages/config/banyantrail/config/explain.cc
@@ -0,0 +1,43 @@
+#include "banyantrail/config/explain.h"
+
+#include <unordered_map>
+
+namespace banyantrail {
+namespace {
+
+using SelectorIndex = std::unordered_map<SelectorName, const SelectorObject*>;
+
+SelectorIndex IndexOf(const std::vector<SelectorObject>& selectors) {
+  SelectorIndex index;
+  for (const SelectorObject& selector : selectors) {
+    index.emplace(selector.name, &selector);
+  }
+  return index;
+}
+
+template <typename Rule>
+void ExplainEach(const std::vector<Rule>& rules,
+                 const SelectorIndex& selectors,
+                 const Labels& labels,
+                 std::vector<RuleExplanation>& explanations) {
+  for (const Rule& rule : rules) {
+    // A compiled configuration has no dangling reference.
+    const SelectorObject& selector = *selectors.at(rule.selector);
+    explanations.push_back({.rule = KeyOf(rule),
+                            .selector = rule.selector,
+                            .verdict = ExplainSelector(selector, labels)});
+  }
+}
+
+}  // namespace
+
+std::vector<RuleExplanation> ExplainRules(const CompiledConfig& config,
+                                          const Labels& labels) {
+  const SelectorIndex selectors = IndexOf(config.selectors);
+  std::vector<RuleExplanation> explanations;
+  ExplainEach(config.routing_rules, selectors, labels, explanations);
+  ExplainEach(config.alert_rules, selectors, labels, explanations);
+  return explanations;
+}
+
+}  // namespace banyantrail
--- /dev/null
+++ b/packages/config/banyantrail/config/explain.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "banyantrail/config/objects.h"
+#include "banyantrail/config/release.h"
+#include "banyantrail/config/selector_match.h"
+#include "banyantrail/core/labels.h"
+
+namespace banyantrail {
+
+/// Whether a rule applies to a proxy, and which selector decided it.
+struct RuleExplanation {
+  ObjectKey rule;
+  SelectorName selector;
+  SelectorVerdict verdict;
+
+  friend bool operator==(const RuleExplanation&,
+                         const RuleExplanation&) = default;
+};
+
+/// Explains every routing rule, then every alert rule, for a proxy with these
+/// labels.
+std::vector<RuleExplanation> ExplainRules(const CompiledConfig& config,
+                                          const Labels& labels);
+
+}  // namespace banyantrail
--- /dev/null
+++ b/packages/ctl/banyantrail/ctl/node_reads.cc
@@ -0,0 +1,86 @@
+#include "banyantrail/ctl/node_reads.h"
+
+#include "banyantrail/config/release_json.h"
+#include "banyantrail/core/errors.h"
+
+namespace banyantrail::ctl {
+namespace {
+
+using nlohmann::json;
+
+constexpr unsigned kHttpOk = 200;
+constexpr unsigned kHttpNotFound = 404;
+
+std::string TextOr(const json& body, const char* key, std::string fallback) {
+  if (!body.is_object() || !body.contains(key) || !body[key].is_string()) {
+    return fallback;
+  }
+  return body[key].get<std::string>();
+}
+
+Error AnswerError(const std::string& target, const NodeAnswer& answer) {
+  const bool is_missing = answer.http_status == kHttpNotFound;
+  const std::string status = std::to_string(answer.http_status);
+  return Error(
+      {.kind =
+           is_missing ? ErrorKind::kNotFound : ErrorKind::kPlatformUnavailable,
+       .message = target + ": " +
+                  TextOr(answer.body, "error", "the node answered " + status),
+       .remedy = TextOr(answer.body, "remedy", "look at the node's log")});
+}
+
+}  // namespace
+
+json GetJson(NodeClient& client, const std::string& target) {
+  const NodeAnswer answer = client.Get(target);
+  if (answer.http_status != kHttpOk) {
+    throw AnswerError(target, answer);
+  }
+  return answer.body;
+}
+
+Release GetAppliedRelease(NodeClient& client) {
+  return ParseRelease(GetJson(client, "/v1/release"));
+}
+
+Release GetNewestRelease(NodeClient& client) {
+  return ParseRelease(GetJson(client, "/v1/head"));
+}
+
+Release GetReleaseAt(NodeClient& client, Revision revision) {
+  if (revision == 0) {
+    return {};
+  }
+  return ParseRelease(
+      GetJson(client, "/v1/releases/" + std::to_string(revision)));
+}
+
+std::map<Revision, ObjectTexts> GetReadableReleases(
+    NodeClient& client,
+    const Release& known,
+    const std::vector<Revision>& revisions) {
+  std::map<Revision, ObjectTexts> releases;
+  releases[known.revision] = known.objects;
+  for (const Revision revision : revisions) {
+    if (releases.contains(revision)) {
+      continue;
+    }
+    try {
+      releases[revision] = GetReleaseAt(client, revision).objects;
+    } catch (const Error&) {
+      // The status then says that this revision's content cannot be read.
+      continue;
+    }
+  }
+  return releases;
+}
+
+FleetStatus GetFleetStatus(NodeClient& client) {
+  return ParseFleetStatus(GetJson(client, "/v1/status"));
+}
+
+std::vector<FleetMember> GetMembers(NodeClient& client) {
+  return ParseMembers(GetJson(client, "/v1/members"));
+}
+
+}  // namespace banyantrail::ctl
--- /dev/null
+++ b/packages/ctl/banyantrail/ctl/read_commands.cc
@@ -0,0 +1,261 @@
+#include "banyantrail/ctl/read_commands.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "banyantrail/config/compile.h"
+#include "banyantrail/config/explain.h"
+#include "banyantrail/ctl/node_reads.h"
+#include "banyantrail/ctl/render.h"
+
+namespace banyantrail::ctl {
+namespace {
+
+using nlohmann::json;
+
+constexpr int kIndent = 2;
+constexpr unsigned kHttpAccepted = 202;
+
+bool IsJson(const CommandContext& context) {
+  return context.options.output == OutputFormat::kJson;
+}
+
+void PrintJson(CommandContext& context, const json& value) {
+  context.out << value.dump(kIndent) << "\n";
+}
+
+Error NothingFound(const std::string& what, std::string remedy) {
+  return Error({.kind = ErrorKind::kNotFound,
+                .message = "there is no " + what,
+                .remedy = std::move(remedy)});
+}
+
+/// The objects of a kind, or of all kinds if `kind` is empty.
+json ObjectsOfKind(const Release& release, const std::string& kind) {
+  json objects = json::array();
+  for (const auto& [key, text] : release.objects) {
+    if (kind.empty() || key.starts_with(kind + "/")) {
+      objects.push_back(json::parse(text));
+    }
+  }
+  return objects;
+}
+
+/// What the rules are compared with: the newest release, or what the node
+/// applied while the platform is out of reach.
+Release GetDeclared(CommandContext& context, const FleetStatus& fleet) {
+  if (fleet.platform_reachable) {
+    return GetNewestRelease(context.client);
+  }
+  return GetAppliedRelease(context.client);
+}
+
+void AddUnreportedMembers(CommandContext& context, FleetStatus& fleet) {
+  for (const FleetMember& member : GetMembers(context.client)) {
+    if (member.state == "alive" || member.state == "suspect") {
+      fleet.members.push_back({.proxy = member.node, .domain = member.domain});
+    }
+  }
+}
+
+void KeepRule(std::vector<RuleStatus>& statuses, const std::string& rule) {
+  std::erase_if(statuses,
+                [&](const RuleStatus& status) { return status.rule != rule; });
+  if (statuses.empty()) {
+    throw NothingFound("rule " + rule,
+                       "name a rule such as "
+                       "routing_rule/orders");
+  }
+}
+
+std::string StatusHeader(const Release& declared, const FleetStatus& fleet) {
+  std::string text = "revision " + std::to_string(declared.revision);
+  if (!fleet.platform_reachable) {
+    text +=
+        ", as the answering node applied it; the platform is unreachable, "
+        "so no reports can be read";
+  }
+  return text + "\n";
+}
+
+json ExplanationJson(const RuleExplanation& entry) {
+  return {{"rule", entry.rule.name},
+          {"kind", entry.rule.kind},
+          {"selector", entry.selector.str()},
+          {"applies", entry.verdict.chosen},
+          {"why", entry.verdict.why}};
+}
+
+/// The same as GET /v1/explain, for another proxy.
+json ExplainMember(CommandContext& context, const std::string& proxy) {
+  const std::vector<FleetMember> members = GetMembers(context.client);
+  const auto member =
+      std::ranges::find(members, NodeId(proxy), &FleetMember::node);
+  if (member == members.end()) {
+    throw NothingFound("proxy " + proxy,
+                       "name one of `banyantrailctl members`");
+  }
+  const Release release = GetAppliedRelease(context.client);
+  const CompileResult compiled = CompileRelease(release);
+  json rules = json::array();
+  if (compiled.config) {
+    for (const RuleExplanation& entry :
+         ExplainRules(*compiled.config, member->labels)) {
+      rules.push_back(ExplanationJson(entry));
+    }
+  }
+  return {{"node", proxy},
+          {"labels", member->labels},
+          {"revision", release.revision},
+          {"rules", rules}};
+}
+
+std::string LabelsText(const json& labels) {
+  std::string text;
+  for (const auto& [key, value] : labels.items()) {
+    text += (text.empty() ? "" : ", ") + key + "=" + value.get<std::string>();
+  }
+  return text.empty() ? "no labels" : text;
+}
+
+std::string ExplainText(const json& explanation) {
+  std::string text =
+      "proxy " + explanation.at("node").get<std::string>() + " (" +
+      LabelsText(explanation.at("labels")) + ") at revision " +
+      std::to_string(explanation.at("revision").get<Revision>()) + "\n";
+  for (const json& rule : explanation.at("rules")) {
+    text += rule.at("applies").get<bool>() ? "  applies  " : "  does not ";
+    text += rule.at("kind").get<std::string>() + "/" +
+            rule.at("rule").get<std::string>() + " by selector/" +
+            rule.at("selector").get<std::string>() + ": " +
+            rule.at("why").get<std::string>() + "\n";
+  }
+  return text;
+}
+
+std::string HistoryText(const json& history) {
+  std::string text;
+  for (const json& entry : history) {
+    text += std::to_string(entry.at("revision").get<Revision>()) + "  " +
+            entry.at("time").get<std::string>() + "  " +
+            entry.at("author").get<std::string>() + "  " +
+            entry.at("change").get<std::string>() + "  " +
+            entry.at("summary").get<std::string>() + "\n";
+  }
+  return text;
+}
+
+std::string MemberText(const FleetMember& member) {
+  return member.node.str() + "  " + member.domain.str() + "  " + member.state +
+         (member.draining ? ", draining" : "") + "  revision " +
+         std::to_string(member.applied_revision) + "  " +
+         std::to_string(member.backend_servers) + " backend servers\n";
+}
+
+}  // namespace
+
+ExitCode RunGet(CommandContext& context) {
+  const std::string wanted =
+      context.options.operands.empty() ? "" : context.options.operands[0];
+  const Release release = GetAppliedRelease(context.client);
+  const auto found = release.objects.find(wanted);
+  if (found != release.objects.end()) {
+    PrintJson(context, json::parse(found->second));
+    return ExitCode::kOk;
+  }
+  const json objects = ObjectsOfKind(release, wanted);
+  if (objects.empty() && !wanted.empty()) {
+    throw NothingFound(
+        wanted + " at revision " + std::to_string(release.revision),
+        "name an object such as service/orders, or a kind");
+  }
+  if (IsJson(context) || !wanted.empty()) {
+    PrintJson(context, objects);
+    return ExitCode::kOk;
+  }
+  for (const auto& [key, text] : release.objects) {
+    context.out << key << "\n";
+  }
+  return ExitCode::kOk;
+}
+
+ExitCode RunStatus(CommandContext& context) {
+  FleetStatus fleet = GetFleetStatus(context.client);
+  AddUnreportedMembers(context, fleet);
+  const Release declared = GetDeclared(context, fleet);
+  const auto releases =
+      GetReadableReleases(context.client, declared, ReportedRevisions(fleet));
+  std::vector<RuleStatus> statuses =
+      ComputeRuleStatus(fleet, declared, releases,
+                        {.max_report_age = context.options.max_report_age});
+  if (!context.options.operands.empty()) {
+    KeepRule(statuses, context.options.operands[0]);
+  }
+  if (IsJson(context)) {
+    PrintJson(context, {{"revision", declared.revision},
+                        {"platform_reachable", fleet.platform_reachable},
+                        {"rules", RuleStatusJson(statuses)}});
+  } else {
+    context.out << StatusHeader(declared, fleet) << RuleStatusText(statuses);
+  }
+  return ExitCode::kOk;
+}
+
+ExitCode RunExplain(CommandContext& context) {
+  const json explanation =
+      context.options.operands.empty()
+          ? GetJson(context.client, "/v1/explain")
+          : ExplainMember(context, context.options.operands[0]);
+  if (IsJson(context)) {
+    PrintJson(context, explanation);
+  } else {
+    context.out << ExplainText(explanation);
+  }
+  return ExitCode::kOk;
+}
+
+ExitCode RunHistory(CommandContext& context) {
+  const json answer =
+      GetJson(context.client,
+              "/v1/history?limit=" + std::to_string(context.options.limit));
+  if (IsJson(context)) {
+    PrintJson(context, answer);
+  } else {
+    context.out << HistoryText(answer.at("history"));
+  }
+  return ExitCode::kOk;
+}
+
+ExitCode RunMembers(CommandContext& context) {
+  const json answer = GetJson(context.client, "/v1/members");
+  if (IsJson(context)) {
+    PrintJson(context, answer);
+    return ExitCode::kOk;
+  }
+  for (const FleetMember& member : ParseMembers(answer)) {
+    context.out << MemberText(member);
+  }
+  return ExitCode::kOk;
+}
+
+ExitCode RunDrain(CommandContext& context) {
+  const NodeAnswer answer = context.client.Post("/v1/drain", "");
+  if (answer.http_status != kHttpAccepted) {
+    throw Error({.kind = ErrorKind::kPlatformUnavailable,
+                 .message = "the node answered " +
+                            std::to_string(answer.http_status) +
+                            " to the drain",
+                 .remedy = "look at the node's log"});
+  }
+  if (IsJson(context)) {
+    PrintJson(context, answer.body);
+  } else {
+    context.out << "the node at " << ToString(context.options.node)
+                << " is draining\n";
+  }
+  return ExitCode::kOk;
+}
+
+}  // namespace banyantrail::ctl
--- /dev/null
+++ b/packages/ctl/banyantrail/ctl/render.cc
@@ -0,0 +1,225 @@
+#include "banyantrail/ctl/render.h"
+
+#include <array>
+#include <ctime>
+#include <map>
+#include <string_view>
+#include <utility>
+
+namespace banyantrail::ctl {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::array<RuleState, 4> kStatesInOrder{
+    RuleState::kInForce, RuleState::kNotInForce, RuleState::kUnknown,
+    RuleState::kNotChosen};
+
+std::string_view Words(RuleState state) {
+  switch (state) {
+    case RuleState::kInForce:
+      return "in force";
+    case RuleState::kNotInForce:
+      return "not in force";
+    case RuleState::kNotChosen:
+      return "not chosen";
+    case RuleState::kUnknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
+std::string_view ToString(ChangeKind kind) {
+  switch (kind) {
+    case ChangeKind::kCreated:
+      return "created";
+    case ChangeKind::kChanged:
+      return "changed";
+    case ChangeKind::kDeleted:
+      return "deleted";
+  }
+  return "changed";
+}
+
+std::string_view Mark(ChangeKind kind) {
+  switch (kind) {
+    case ChangeKind::kCreated:
+      return "+ ";
+    case ChangeKind::kChanged:
+      return "~ ";
+    case ChangeKind::kDeleted:
+      return "- ";
+  }
+  return "~ ";
+}
+
+std::string FieldsText(const std::vector<FieldChange>& fields) {
+  std::string text;
+  for (const FieldChange& field : fields) {
+    text += "    " + field.field + ": " + field.before + " -> " + field.after +
+            "\n";
+  }
+  return text;
+}
+
+json FieldJson(const FieldChange& field) {
+  return {{"field", field.field},
+          {"before", field.before.empty() ? json() : json::parse(field.before)},
+          {"after", field.after.empty() ? json() : json::parse(field.after)}};
+}
+
+json ChangeJson(const ObjectChange& change) {
+  json fields = json::array();
+  for (const FieldChange& field : change.fields) {
+    fields.push_back(FieldJson(field));
+  }
+  return {{"object", change.key},
+          {"change", ToString(change.kind)},
+          {"fields", fields}};
+}
+
+std::string Reason(const RuleOnProxy& entry) {
+  if (entry.since) {
+    return "since " + TimeText(*entry.since) + ": " + entry.why;
+  }
+  return entry.why;
+}
+
+/// Proxies of one state, by reason.
+std::map<std::string, std::vector<std::string>> ByReason(
+    const RuleStatus& status,
+    RuleState state) {
+  std::map<std::string, std::vector<std::string>> groups;
+  for (const RuleOnProxy& entry : status.proxies) {
+    if (entry.state == state) {
+      groups[Reason(entry)].push_back(entry.proxy.str());
+    }
+  }
+  return groups;
+}
+
+std::string Joined(const std::vector<std::string>& words) {
+  std::string text;
+  for (const std::string& word : words) {
+    text += (text.empty() ? "" : ", ") + word;
+  }
+  return text;
+}
+
+std::string StateText(const RuleStatus& status, RuleState state) {
+  std::string text;
+  for (const auto& [reason, proxies] : ByReason(status, state)) {
+    text += "  " + std::string(Words(state)) + " on " +
+            std::to_string(proxies.size()) + " (" + reason +
+            "): " + Joined(proxies) + "\n";
+  }
+  return text;
+}
+
+std::string Summary(const RuleStatus& status) {
+  std::map<RuleState, std::size_t> counts;
+  for (const RuleOnProxy& entry : status.proxies) {
+    ++counts[entry.state];
+  }
+  std::string text = status.rule + ":";
+  for (const RuleState state : kStatesInOrder) {
+    text += (state == kStatesInOrder.front() ? " " : ", ") +
+            std::string(Words(state)) + " " + std::to_string(counts[state]);
+  }
+  return text + "\n";
+}
+
+json RuleOnProxyJson(const RuleOnProxy& entry) {
+  json out = {{"proxy", entry.proxy.str()},
+              {"domain", entry.domain.str()},
+              {"state", ToString(entry.state)},
+              {"why", entry.why}};
+  if (entry.since) {
+    out["since"] = TimeText(*entry.since);
+  }
+  return out;
+}
+
+}  // namespace
+
+std::string FaultsText(const std::vector<Fault>& faults) {
+  std::string text;
+  for (const Fault& fault : faults) {
+    text += fault.place + " " + fault.message + "; " + fault.remedy + "\n";
+  }
+  return text;
+}
+
+std::string ConflictsText(const std::vector<ChangeConflict>& conflicts) {
+  std::string text;
+  for (const ChangeConflict& conflict : conflicts) {
+    text += conflict.object + " " + conflict.detail + "\n";
+  }
+  return text;
+}
+
+json ConflictsJson(const std::vector<ChangeConflict>& conflicts) {
+  json array = json::array();
+  for (const ChangeConflict& conflict : conflicts) {
+    array.push_back({{"object", conflict.object}, {"detail", conflict.detail}});
+  }
+  return array;
+}
+
+std::string DiffText(const ReleaseDiff& diff) {
+  std::string text;
+  for (const ObjectChange& change : diff.changes) {
+    text += std::string(Mark(change.kind)) + change.key + "\n";
+    text += FieldsText(change.fields);
+  }
+  if (!diff.kept.empty()) {
+    text += std::to_string(diff.kept.size()) +
+            " more objects are declared, which the directory lacks; --prune "
+            "deletes them: " +
+            Joined(diff.kept) + "\n";
+  }
+  return text;
+}
+
+json DiffJson(const ReleaseDiff& diff) {
+  json changes = json::array();
+  for (const ObjectChange& change : diff.changes) {
+    changes.push_back(ChangeJson(change));
+  }
+  return {{"changes", changes}, {"kept", diff.kept}};
+}
+
+std::string RuleStatusText(const std::vector<RuleStatus>& statuses) {
+  std::string text;
+  for (const RuleStatus& status : statuses) {
+    text += Summary(status);
+    for (const RuleState state : kStatesInOrder) {
+      text += StateText(status, state);
+    }
+  }
+  return text;
+}
+
+json RuleStatusJson(const std::vector<RuleStatus>& statuses) {
+  json rules = json::array();
+  for (const RuleStatus& status : statuses) {
+    json proxies = json::array();
+    for (const RuleOnProxy& entry : status.proxies) {
+      proxies.push_back(RuleOnProxyJson(entry));
+    }
+    rules.push_back({{"rule", status.rule}, {"proxies", proxies}});
+  }
+  return rules;
+}
+
+std::string TimeText(UnixMillis time) {
+  const std::time_t whole =
+      std::chrono::duration_cast<seconds>(time.time_since_epoch()).count();
+  std::tm parts{};
+  gmtime_r(&whole, &parts);
+  std::array<char, sizeof("2026-01-01T00:00:00Z")> text{};
+  std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%SZ", &parts);
+  return text.data();
+}
+
+}  // namespace banyantrail::ctl
--- /dev/null
+++ b/packages/ctl/banyantrail/ctl/rule_status.cc
@@ -0,0 +1,284 @@
+#include "banyantrail/ctl/rule_status.h"
+
+#include <algorithm>
+#include <optional>
+#include <set>
+#include <utility>
+
+#include "banyantrail/config/compile.h"
+#include "banyantrail/config/selector_match.h"
+#include "banyantrail/core/errors.h"
+
+namespace banyantrail::ctl {
+namespace {
+
+/// What is known of one proxy.
+struct ProxyReport {
+  NodeId proxy;
+  DomainId domain;
+  bool is_fresh = false;
+  milliseconds age{0};
+  Revision revision = 0;
+  /// Why there is no fresh report.
+  std::string why_unknown;
+  std::optional<UnixMillis> since;
+  std::optional<Labels> labels;
+  std::string refusal;
+};
+
+/// A rule, its selector, and every object that it consists of.
+struct Rule {
+  std::string key;
+  SelectorObject selector;
+  std::vector<std::string> parts;
+};
+
+/// Whether a report says more about the present than another one.
+bool IsBetter(const ProxyReport& left, const ProxyReport& right) {
+  if (left.is_fresh != right.is_fresh) {
+    return left.is_fresh;
+  }
+  if (left.is_fresh && left.revision != right.revision) {
+    return left.revision > right.revision;
+  }
+  return left.age < right.age;
+}
+
+class ReportCollector {
+ public:
+  explicit ReportCollector(RuleStatusOptions options) : m_options(options) {}
+
+  void AddDomain(const ReportedDomain& domain) {
+    for (const RevisionHolders& entry : domain.status.revisions) {
+      for (const NodeId& node : entry.nodes) {
+        AddReported(domain, node, entry.revision);
+      }
+    }
+    for (const SilentNode& silent : domain.status.silent) {
+      AddSilent(domain, silent);
+    }
+  }
+
+  void AddMember(const KnownProxy& member) {
+    m_reports.emplace(member.proxy.str(),
+                      ProxyReport{.proxy = member.proxy,
+                                  .domain = member.domain,
+                                  .why_unknown = "no relay reports it"});
+  }
+
+  const std::map<std::string, ProxyReport>& reports() const {
+    return m_reports;
+  }
+
+ private:
+  void AddReported(const ReportedDomain& domain,
+                   const NodeId& node,
+                   Revision revision) {
+    ProxyReport report = BasicReport(domain, node);
+    report.revision = revision;
+    report.is_fresh =
+        domain.age <= m_options.max_report_age && !IsSilent(domain, node);
+    report.since = domain.status.time;
+    report.why_unknown = "the newest report of its failure domain is " +
+                         std::to_string(domain.age.count()) + " ms old";
+    Keep(std::move(report));
+  }
+
+  void AddSilent(const ReportedDomain& domain, const SilentNode& silent) {
+    ProxyReport report = BasicReport(domain, silent.node);
+    report.since = silent.since;
+    report.why_unknown = "it stopped reporting";
+    Keep(std::move(report));
+  }
+
+  static bool IsSilent(const ReportedDomain& domain, const NodeId& node) {
+    return std::ranges::any_of(domain.status.silent, [&](const auto& silent) {
+      return silent.node == node;
+    });
+  }
+
+  static ProxyReport BasicReport(const ReportedDomain& domain,
+                                 const NodeId& node) {
+    ProxyReport report{
+        .proxy = node, .domain = domain.status.domain, .age = domain.age};
+    const auto labels = domain.status.labels.find(node);
+    if (labels != domain.status.labels.end()) {
+      report.labels = labels->second;
+    }
+    for (const RefusingNode& refused : domain.status.refused) {
+      if (refused.node == node) {
+        report.refusal = "it refused revision " +
+                         std::to_string(refused.revision) + ": " +
+                         refused.reason;
+      }
+    }
+    return report;
+  }
+
+  void Keep(ProxyReport report) {
+    const auto [known, is_new] = m_reports.emplace(report.proxy.str(), report);
+    if (!is_new && IsBetter(report, known->second)) {
+      known->second = std::move(report);
+    }
+  }
+
+  RuleStatusOptions m_options;
+  std::map<std::string, ProxyReport> m_reports;
+};
+
+Rule MakeRule(const ConfigObject& object,
+              const SelectorName& selector,
+              std::vector<std::string> parts,
+              const CompiledConfig& config) {
+  // A compiled configuration has no dangling reference.
+  const auto found =
+      std::ranges::find(config.selectors, selector, &SelectorObject::name);
+  Rule rule{.key = ToString(KeyOf(object)),
+            .selector = *found,
+            .parts = std::move(parts)};
+  rule.parts.push_back(rule.key);
+  rule.parts.push_back("selector/" + selector.str());
+  return rule;
+}
+
+/// The rules of a release with the objects that they name.
+std::vector<Rule> RulesOf(const CompiledConfig& config) {
+  std::vector<Rule> rules;
+  for (const RoutingRuleObject& rule : config.routing_rules) {
+    rules.push_back(MakeRule(
+        rule, rule.selector,
+        {"service/" + rule.service.str(), "rank/" + rule.rank.str()}, config));
+  }
+  for (const AlertRuleObject& rule : config.alert_rules) {
+    rules.push_back(MakeRule(rule, rule.selector, {}, config));
+  }
+  return rules;
+}
+
+std::optional<std::string> TextOf(const ObjectTexts& objects,
+                                  const std::string& key) {
+  const auto found = objects.find(key);
+  return found == objects.end() ? std::nullopt : std::optional(found->second);
+}
+
+/// The parts of a rule that a proxy has otherwise than declared.
+std::string DifferingParts(const Rule& rule,
+                           const ObjectTexts& declared,
+                           const ObjectTexts& applied) {
+  std::string names;
+  for (const std::string& part : rule.parts) {
+    if (TextOf(declared, part) != TextOf(applied, part)) {
+      names += (names.empty() ? "" : ", ") + part;
+    }
+  }
+  return names;
+}
+
+RuleOnProxy Unknown(const ProxyReport& report, std::string why) {
+  return {.proxy = report.proxy,
+          .domain = report.domain,
+          .state = RuleState::kUnknown,
+          .why = std::move(why),
+          .since = report.since};
+}
+
+RuleOnProxy Known(const ProxyReport& report, RuleState state, std::string why) {
+  return {.proxy = report.proxy,
+          .domain = report.domain,
+          .state = state,
+          .why = std::move(why)};
+}
+
+RuleOnProxy Decide(const Rule& rule,
+                   const ProxyReport& report,
+                   const ObjectTexts& declared,
+                   const std::map<Revision, ObjectTexts>& releases) {
+  if (!report.is_fresh) {
+    return Unknown(report, report.why_unknown);
+  }
+  if (!report.labels) {
+    return Unknown(report, "its labels were not reported");
+  }
+  const SelectorVerdict verdict =
+      ExplainSelector(rule.selector, *report.labels);
+  if (!verdict.chosen) {
+    return Known(report, RuleState::kNotChosen, verdict.why);
+  }
+  if (report.revision == 0) {
+    return Known(report, RuleState::kNotInForce, "it has no configuration yet");
+  }
+  const std::string at = "at revision " + std::to_string(report.revision);
+  const auto applied = releases.find(report.revision);
+  if (applied == releases.end()) {
+    return Unknown(report, at + ", whose content cannot be read");
+  }
+  const std::string differing = DifferingParts(rule, declared, applied->second);
+  if (differing.empty()) {
+    return Known(report, RuleState::kInForce, at + "; " + verdict.why);
+  }
+  const std::string refusal =
+      report.refusal.empty() ? "" : "; " + report.refusal;
+  return Known(report, RuleState::kNotInForce,
+               at + ", which lacks the declared " + differing + refusal);
+}
+
+}  // namespace
+
+std::string_view ToString(RuleState state) {
+  switch (state) {
+    case RuleState::kInForce:
+      return "in_force";
+    case RuleState::kNotInForce:
+      return "not_in_force";
+    case RuleState::kNotChosen:
+      return "not_chosen";
+    case RuleState::kUnknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
+std::vector<RuleStatus> ComputeRuleStatus(
+    const FleetStatus& fleet,
+    const Release& declared,
+    const std::map<Revision, ObjectTexts>& releases,
+    RuleStatusOptions options) {
+  const CompileResult compiled = CompileRelease(declared);
+  if (!compiled.config) {
+    throw Error({.kind = ErrorKind::kInvalidDeclaration,
+                 .message = "the release does not compile here: " +
+                            compiled.faults.at(0).place + " " +
+                            compiled.faults.at(0).message,
+                 .remedy = "use the version of banyantrailctl that belongs to "
+                           "the nodes"});
+  }
+  ReportCollector collector(options);
+  for (const ReportedDomain& domain : fleet.domains) {
+    collector.AddDomain(domain);
+  }
+  for (const KnownProxy& member : fleet.members) {
+    collector.AddMember(member);
+  }
+  std::vector<RuleStatus> statuses;
+  for (const Rule& rule : RulesOf(*compiled.config)) {
+    RuleStatus status{.rule = rule.key};
+    for (const auto& [name, report] : collector.reports()) {
+      status.proxies.push_back(
+          Decide(rule, report, declared.objects, releases));
+    }
+    statuses.push_back(std::move(status));
+  }
+  return statuses;
+}
+
+std::vector<Revision> ReportedRevisions(const FleetStatus& fleet) {
+  std::set<Revision> revisions;
+  for (const ReportedDomain& domain : fleet.domains) {
+    for (const RevisionHolders& entry : domain.status.revisions) {
+      revisions.insert(entry.revision);
+    }
+  }
+  return {revisions.begin(), revisions.end()};
+}
+
+}  // namespace banyantrail::ctl
--- a/tests/config/fake_object_store.h
+++ b/tests/config/fake_object_store.h
@@ -28,6 +28,11 @@
     /// Of 100 writes, how many take effect only after the caller was told that
     /// the outcome is unknown.
     std::size_t late_effects = 0;
+    /// The only key whose writes lose answers or take effect late; all when
+    /// empty.
+    std::string faulty_key;
+    /// How many writes the store takes before it is out for writes.
+    std::size_t writes_before_outage = SIZE_MAX;
     /// Of 100 calls, how many find the platform out.
     std::size_t outages = 0;
   };
@@ -51,14 +56,19 @@
       std::optional<std::uint64_t> expected_version) {
     co_await Delay();
     ThrowIfOut();
-    if (Happens(m_options.late_effects)) {
+    if (m_put_calls++ >= m_options.writes_before_outage) {
+      ThrowOut();
+    }
+    const bool may_fail =
+        m_options.faulty_key.empty() || m_options.faulty_key == key;
+    if (may_fail && Happens(m_options.late_effects)) {
       const auto executor = co_await boost::asio::this_coro::executor;
       ApplyLater(executor, kMaxLateTurns,
                  [=, this] { Apply(key, value, expected_version); });
       ThrowUnknown();
     }
     const PutResult result = Apply(key, value, expected_version);
-    if (Happens(m_options.lost_answers)) {
+    if (may_fail && Happens(m_options.lost_answers)) {
       ThrowUnknown();
     }
     co_return result;
@@ -104,12 +114,16 @@
 
   void ThrowIfOut() {
     if (Happens(m_options.outages)) {
-      throw Error({.kind = ErrorKind::kPlatformUnavailable,
-                   .message = "the platform is out",
-                   .remedy = "wait"});
+      ThrowOut();
     }
   }
 
+  [[noreturn]] static void ThrowOut() {
+    throw Error({.kind = ErrorKind::kPlatformUnavailable,
+                 .message = "the platform is out",
+                 .remedy = "wait"});
+  }
+
   [[noreturn]] static void ThrowUnknown() {
     throw Error({.kind = ErrorKind::kOutcomeUnknown,
                  .message = "the answer was lost",
@@ -135,6 +149,7 @@
   std::map<std::string, StoredObject> m_objects;
   std::uint64_t m_version = 0;
   std::size_t m_writes = 0;
+  std::size_t m_put_calls = 0;
 };
 
 }  // namespace banyantrail::testing
--- a/tests/config/release_publisher_test.cc
+++ b/tests/config/release_publisher_test.cc
@@ -197,6 +197,16 @@
   LONGS_EQUAL(1, Run(LoadHead(store))->head.revision);
 }
 
+TEST(ReleasePublisher, WriteThatMayStillTakeEffectIsNeverCalledNotRun) {
+  // The head is written late, and the platform goes out before the next try.
+  store.SetOptions({.late_effects = 100,
+                    .faulty_key = std::string(banyantrail::kHeadKey),
+                    .writes_before_outage = 2});
+  CHECK(PublishOne(store, CreateService("a")).status ==
+        PublishStatus::kOutcomeUnknown);
+  CHECK(store.objects().contains(std::string(banyantrail::kHeadKey)));
+}
+
 TEST(ReleasePublisher, CorruptedChunkIsRefused) {
   PublishOne(store, CreateService("a"));
   const ReleaseHead head = Run(LoadHead(store))->head;
--- /dev/null
+++ b/tests/ctl/node_answers_test.cc
@@ -0,0 +1,43 @@
+#include "banyantrail/ctl/node_answers.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include "banyantrail/core/errors.h"
+
+using banyantrail::DomainId;
+using banyantrail::Error;
+using banyantrail::milliseconds;
+using banyantrail::ctl::ParseFleetStatus;
+using banyantrail::ctl::ParseMembers;
+
+TEST_GROUP(NodeAnswers){};
+
+TEST(NodeAnswers, ReadsStatusWithItsAges) {
+  const auto fleet = ParseFleetStatus(nlohmann::json::parse(R"({
+      "revision":4,"platform":"reachable","domains":[{"domain":"north",
+      "relay":"a","time":1000,"revisions":[{"revision":4,"nodes":["a"]}],
+      "refused":[],"silent":[],"labels":{"a":{}},"age_ms":250}]})"));
+  CHECK(fleet.platform_reachable);
+  CHECK(fleet.domains.at(0).status.domain == DomainId("north"));
+  CHECK(fleet.domains.at(0).age == milliseconds(250));
+}
+
+TEST(NodeAnswers, RefusesStatusWithoutAge) {
+  CHECK_THROWS(Error, ParseFleetStatus(nlohmann::json::parse(R"({
+      "revision":4,"platform":"reachable",
+      "domains":[{"domain":"north","relay":"a","time":1000}]})")));
+}
+
+TEST(NodeAnswers, RefusesAnswerThatIsNotJson) {
+  CHECK_THROWS(Error, ParseFleetStatus(nullptr));
+  CHECK_THROWS(Error, ParseMembers(nullptr));
+}
+
+TEST(NodeAnswers, ReadsMembersAndIgnoresWhatItDoesNotKnow) {
+  const auto members = ParseMembers(nlohmann::json::parse(R"({"node":"a",
+      "members":[{"node":"b","domain":"north","state":"alive","new":1,
+      "labels":{"tier":"gold"},"backend_servers":[{},{}]}]})"));
+  LONGS_EQUAL(1, members.size());
+  LONGS_EQUAL(2, members[0].backend_servers);
+  STRCMP_EQUAL("gold", members[0].labels.at("tier").c_str());
+}
--- /dev/null
+++ b/tests/ctl/rule_status_test.cc
@@ -0,0 +1,164 @@
+#include "banyantrail/ctl/rule_status.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <string>
+
+#include "banyantrail/ctl/render.h"
+#include "config/sample_release.h"
+
+using banyantrail::DomainId;
+using banyantrail::Labels;
+using banyantrail::NodeId;
+using banyantrail::ObjectTexts;
+using banyantrail::Release;
+using banyantrail::Revision;
+using banyantrail::ServiceName;
+using banyantrail::ServiceObject;
+using banyantrail::UnixMillis;
+using banyantrail::ctl::ComputeRuleStatus;
+using banyantrail::ctl::FleetStatus;
+using banyantrail::ctl::ReportedDomain;
+using banyantrail::ctl::RuleOnProxy;
+using banyantrail::ctl::RuleState;
+using banyantrail::testing::kOrders;
+using banyantrail::testing::Put;
+using banyantrail::testing::SampleObjects;
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Revision kDeclared = 7;
+
+/// A summary in which `node` reported `revision`.
+ReportedDomain Reported(const std::string& node, Revision revision) {
+  return {.status = {.domain = DomainId("north"),
+                     .relay = NodeId("relay"),
+                     .time = UnixMillis(milliseconds(1000)),
+                     .revisions = {{revision, {NodeId(node)}}},
+                     .labels = {{NodeId(node), Labels{}}}}};
+}
+
+ReportedDomain Silent(const std::string& node) {
+  return {.status = {.domain = DomainId("north"),
+                     .silent = {{NodeId(node), UnixMillis(milliseconds(5))}}}};
+}
+
+/// The state of the sample's routing rule on the only proxy of the fleet.
+RuleOnProxy StateIn(const FleetStatus& fleet, const ObjectTexts& revision_6) {
+  const Release declared{.revision = kDeclared, .objects = SampleObjects()};
+  const auto statuses = ComputeRuleStatus(
+      fleet, declared, {{kDeclared, declared.objects}, {6, revision_6}});
+  LONGS_EQUAL(1, statuses.size());
+  LONGS_EQUAL(1, statuses[0].proxies.size());
+  return statuses[0].proxies[0];
+}
+
+RuleState StateOf(const ReportedDomain& domain) {
+  return StateIn({.domains = {domain}}, {}).state;
+}
+
+}  // namespace
+
+TEST_GROUP(RuleStatus){};
+
+TEST(RuleStatus, InForceWhereFreshReportHasSameObjects) {
+  CHECK(StateOf(Reported("a", kDeclared)) == RuleState::kInForce);
+}
+
+TEST(RuleStatus, OlderRevisionWithSameRuleIsInForceToo) {
+  ObjectTexts older = SampleObjects();
+  Put(ServiceObject{.name = ServiceName("unrelated")}, older);
+  CHECK(StateIn({.domains = {Reported("a", 6)}}, older).state ==
+        RuleState::kInForce);
+}
+
+TEST(RuleStatus, NamesWhatTheProxyLacksAndWhatItRefused) {
+  ObjectTexts older = SampleObjects();
+  banyantrail::RankObject rank = kOrders;
+  rank.share_percent = 1;
+  Put(rank, older);
+  ReportedDomain domain = Reported("a", 6);
+  domain.status.refused = {{NodeId("a"), 7, "out of memory"}};
+  const RuleOnProxy state = StateIn({.domains = {domain}}, older);
+  CHECK(state.state == RuleState::kNotInForce);
+  STRCMP_EQUAL(
+      "at revision 6, which lacks the declared rank/orders; it refused "
+      "revision 7: out of memory",
+      state.why.c_str());
+}
+
+TEST(RuleStatus, ProxyWithoutConfigurationHasNothingInForce) {
+  CHECK(StateOf(Reported("a", 0)) == RuleState::kNotInForce);
+}
+
+TEST(RuleStatus, SilentProxyIsUnknownSinceItsLastReport) {
+  const RuleOnProxy state = StateIn({.domains = {Silent("a")}}, {});
+  CHECK(state.state == RuleState::kUnknown);
+  CHECK(state.since == UnixMillis(milliseconds(5)));
+}
+
+TEST(RuleStatus, OldSummarySaysNothingOfThePresent) {
+  ReportedDomain domain = Reported("a", kDeclared);
+  domain.age = milliseconds(10'001);
+  const RuleOnProxy state = StateIn({.domains = {domain}}, {});
+  CHECK(state.state == RuleState::kUnknown);
+  CHECK(state.since == UnixMillis(milliseconds(1000)));
+}
+
+TEST(RuleStatus, ProxyListedAsSilentAndReportedIsUnknown) {
+  ReportedDomain domain = Reported("a", kDeclared);
+  domain.status.silent = {{NodeId("a"), UnixMillis(milliseconds(5))}};
+  CHECK(StateOf(domain) == RuleState::kUnknown);
+}
+
+TEST(RuleStatus, FreshReportOfOneRelayOutweighsSilenceAtAnother) {
+  const FleetStatus fleet{.domains = {Silent("a"), Reported("a", kDeclared)}};
+  CHECK(StateIn(fleet, {}).state == RuleState::kInForce);
+}
+
+TEST(RuleStatus, RevisionWhoseContentCannotBeReadIsUnknown) {
+  CHECK(StateOf(Reported("a", 5)) == RuleState::kUnknown);
+}
+
+TEST(RuleStatus, MissingLabelsAreUnknown) {
+  ReportedDomain domain = Reported("a", kDeclared);
+  domain.status.labels.clear();
+  CHECK(StateOf(domain) == RuleState::kUnknown);
+}
+
+TEST(RuleStatus, MemberThatNoRelayReportsIsUnknown) {
+  const FleetStatus fleet{.members = {{NodeId("a"), DomainId("north")}}};
+  CHECK(StateIn(fleet, {}).state == RuleState::kUnknown);
+}
+
+TEST(RuleStatus, ProxyThatTheSelectorDoesNotChooseSaysWhy) {
+  ObjectTexts objects = SampleObjects();
+  banyantrail::SelectorObject selector = banyantrail::testing::kEveryProxy;
+  selector.requirements = {
+      {.key = "tier", .op = banyantrail::LabelOperator::kExists}};
+  Put(selector, objects);
+  const auto statuses = ComputeRuleStatus(
+      {.domains = {Reported("a", kDeclared)}},
+      {.revision = kDeclared, .objects = objects}, {{kDeclared, objects}});
+  const RuleOnProxy& state = statuses.at(0).proxies.at(0);
+  CHECK(state.state == RuleState::kNotChosen);
+  STRCMP_EQUAL("needs tier exists, but the proxy has no label tier",
+               state.why.c_str());
+}
+
+TEST(RuleStatus, TextGroupsProxiesByReason) {
+  const FleetStatus fleet{.domains = {Reported("a", kDeclared),
+                                      Reported("b", kDeclared), Silent("c")}};
+  const Release declared{.revision = kDeclared, .objects = SampleObjects()};
+  STRCMP_EQUAL(
+      "routing_rule/orders: in force 2, not in force 0, unknown 1, not chosen "
+      "0\n"
+      "  in force on 2 (at revision 7; the selector chooses every proxy): a, "
+      "b\n"
+      "  unknown on 1 (since 1970-01-01T00:00:00Z: it stopped reporting): c\n",
+      banyantrail::ctl::RuleStatusText(
+          ComputeRuleStatus(fleet, declared, {{kDeclared, declared.objects}}))
+          .c_str());
+}
--- /dev/null
+++ b/tests/ctl/submit_change_test.cc
@@ -0,0 +1,81 @@
+#include "banyantrail/ctl/submit_change.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <set>
+#include <string>
+#include <vector>
+
+using banyantrail::ChangeId;
+using banyantrail::ChangeProposal;
+using banyantrail::Error;
+using banyantrail::ErrorKind;
+using banyantrail::milliseconds;
+using banyantrail::PublishStatus;
+using banyantrail::ctl::NodeAnswer;
+using banyantrail::ctl::SubmitChange;
+
+namespace {
+
+NodeAnswer Answer(unsigned http_status, const char* body) {
+  return {.http_status = http_status, .body = nlohmann::json::parse(body)};
+}
+
+const NodeAnswer kAccepted = Answer(200, R"({"revision":3})");
+const NodeAnswer kNotRun = Answer(503, R"({"outcome":"not-run"})");
+const NodeAnswer kUnknown = Answer(503, R"({"outcome":"outcome-unknown"})");
+const NodeAnswer kConflict = Answer(409, R"({"error":"others changed it"})");
+/// Stand for a connection that broke before or after the request was sent.
+const NodeAnswer kUnsent{.http_status = 0};
+const NodeAnswer kLost{.http_status = 1};
+
+/// Gives the scripted answers, then the last one for ever.
+struct ScriptedNode {
+  std::vector<NodeAnswer> answers;
+  std::size_t calls = 0;
+  std::set<std::string> bodies;
+
+  NodeAnswer Post(const std::string&, const std::string& body) {
+    bodies.insert(body);
+    NodeAnswer answer = answers[std::min(calls, answers.size() - 1)];
+    ++calls;
+    if (answer.http_status <= kLost.http_status) {
+      const bool is_unsent = answer.http_status == kUnsent.http_status;
+      throw Error({.kind = is_unsent ? ErrorKind::kNetwork
+                                     : ErrorKind::kOutcomeUnknown});
+    }
+    return answer;
+  }
+};
+
+PublishStatus Submit(ScriptedNode& node) {
+  const ChangeProposal proposal{.change = ChangeId("c")};
+  return SubmitChange(node, proposal, {}, [](milliseconds) {}).status;
+}
+
+}  // namespace
+
+TEST_GROUP(SubmitChange){};
+
+TEST(SubmitChange, SettlesLostAnswersUnderTheSameChangeId) {
+  ScriptedNode node{.answers = {kLost, kUnknown, kNotRun, kAccepted}};
+  CHECK(Submit(node) == PublishStatus::kAccepted);
+  LONGS_EQUAL(4, node.calls);
+  LONGS_EQUAL(1, node.bodies.size());
+}
+
+TEST(SubmitChange, RefusalAfterALostAnswerIsNotTakenForNotRun) {
+  ScriptedNode refusing{.answers = {kLost, kNotRun}};
+  CHECK(Submit(refusing) == PublishStatus::kOutcomeUnknown);
+  ScriptedNode unreachable{.answers = {kLost, kUnsent}};
+  CHECK(Submit(unreachable) == PublishStatus::kOutcomeUnknown);
+}
+
+TEST(SubmitChange, PlainRefusalIsReportedAtOnce) {
+  ScriptedNode unreachable{.answers = {kUnsent}};
+  CHECK(Submit(unreachable) == PublishStatus::kNotRun);
+  ScriptedNode conflicting{.answers = {kConflict}};
+  CHECK(Submit(conflicting) == PublishStatus::kConflict);
+  LONGS_EQUAL(1, unreachable.calls);
+  LONGS_EQUAL(1, conflicting.calls);
+}
