Choose a backend server by what this node saw

Cause: health and load endpoints of backend servers lag or mislead, and a node sees only its own requests.

Change: Choose takes the less loaded of two random endpoints, the own domain first, then the region, then the rest, when the better of two would use more than 80 % of its capacity. Load is what owner nodes report with their answers, corrected by the node's own requests since and fading within a second into these alone. Endpoints are ejected after failures in a row or by their share of failures, at most a third of a service's endpoints, and come back with a growing weight. A refusal for load is no failure.

Ejection by failures in a row alone was ruled out: an endpoint that fails three in ten calls reaches five in a row about once in 400.

--- /dev/null
+++ b/packages/traffic/banyantrail/traffic/choose.cc
@@ -0,0 +1,122 @@
+#include "banyantrail/traffic/choose.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+namespace banyantrail {
+namespace {
+
+constexpr std::size_t kTierCount = 3;
+
+using Candidates = std::vector<const ServiceEndpoint*>;
+
+/// A chosen endpoint and what it would be used with the request.
+struct Choice {
+  const ServiceEndpoint* endpoint = nullptr;
+  double utilisation = 0;
+};
+
+/// 0 for the own domain, 1 for the own region, 2 for the rest.
+std::size_t TierOf(const ServiceEndpoint& endpoint,
+                   const ChoiceOptions& options) {
+  if (endpoint.domain == options.domain) {
+    return 0;
+  }
+  return endpoint.region == options.region ? 1 : 2;
+}
+
+/// The ejected endpoints, at most the allowed share of all: those that fail
+/// most.
+Candidates HeldBack(const std::vector<ServiceEndpoint>& endpoints,
+                    const LoadTable& loads,
+                    const ChoiceOptions& options,
+                    TimePoint now) {
+  Candidates ejected;
+  for (const ServiceEndpoint& endpoint : endpoints) {
+    if (loads.IsEjected(endpoint, now)) {
+      ejected.push_back(&endpoint);
+    }
+  }
+  const auto allowed = static_cast<std::size_t>(
+      options.max_ejected_share * static_cast<double>(endpoints.size()));
+  if (ejected.size() > allowed) {
+    std::ranges::stable_sort(ejected, std::ranges::greater{},
+                             [&](const auto* endpoint) {
+                               return loads.FailureShare(*endpoint, now);
+                             });
+    ejected.resize(allowed);
+  }
+  return ejected;
+}
+
+Choice BetterOfTwo(const Candidates& candidates,
+                   const LoadTable& loads,
+                   const ChoiceOptions& options,
+                   TimePoint now,
+                   Rng& rng) {
+  const std::size_t first = UniformIndex(rng, candidates.size());
+  Choice best{candidates[first],
+              loads.UtilisationWithOneMore(*candidates[first], now)};
+  if (candidates.size() == 1 || options.method == ChoiceMethod::kRandom) {
+    return best;
+  }
+  std::size_t second = UniformIndex(rng, candidates.size() - 1);
+  second += second >= first ? 1 : 0;
+  const double utilisation =
+      loads.UtilisationWithOneMore(*candidates[second], now);
+  if (utilisation < best.utilisation) {
+    best = {candidates[second], utilisation};
+  }
+  return best;
+}
+
+Choice ChooseByTier(const std::array<Candidates, kTierCount>& tiers,
+                    const LoadTable& loads,
+                    const ChoiceOptions& options,
+                    TimePoint now,
+                    Rng& rng) {
+  Choice best;
+  for (const Candidates& tier : tiers) {
+    if (tier.empty()) {
+      continue;
+    }
+    const Choice choice = BetterOfTwo(tier, loads, options, now, rng);
+    if (best.endpoint == nullptr || choice.utilisation < best.utilisation) {
+      best = choice;
+    }
+    if (best.utilisation <= options.spill_utilisation) {
+      break;
+    }
+  }
+  return best;
+}
+
+}  // namespace
+
+const ServiceEndpoint* Choose(const std::vector<ServiceEndpoint>& endpoints,
+                              const LoadTable& loads,
+                              const ChoiceOptions& options,
+                              TimePoint now,
+                              Rng& rng,
+                              const std::vector<EndpointKey>& excluded) {
+  const Candidates held_back = HeldBack(endpoints, loads, options, now);
+  std::array<Candidates, kTierCount> usable;
+  std::array<Candidates, kTierCount> outliers;
+  for (const ServiceEndpoint& endpoint : endpoints) {
+    if (std::ranges::find(excluded, KeyOf(endpoint)) != excluded.end()) {
+      continue;
+    }
+    const bool is_outlier =
+        std::ranges::find(held_back, &endpoint) != held_back.end();
+    (is_outlier ? outliers : usable)[TierOf(endpoint, options)].push_back(
+        &endpoint);
+  }
+  const Choice choice = ChooseByTier(usable, loads, options, now, rng);
+  if (choice.endpoint != nullptr) {
+    return choice.endpoint;
+  }
+  return ChooseByTier(outliers, loads, options, now, rng).endpoint;
+}
+
+}  // namespace banyantrail
--- /dev/null
+++ b/packages/traffic/banyantrail/traffic/load_table.cc
@@ -0,0 +1,219 @@
+#include "banyantrail/traffic/load_table.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <set>
+
+namespace banyantrail {
+namespace {
+
+double Seconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+std::optional<std::uint32_t> ParseCount(std::string_view text) {
+  std::uint32_t count = 0;
+  const auto [end, error] =
+      std::from_chars(text.data(), text.data() + text.size(), count);
+  if (error != std::errc{} || end != text.data() + text.size()) {
+    return std::nullopt;
+  }
+  return count;
+}
+
+}  // namespace
+
+EndpointKey KeyOf(const ServiceEndpoint& endpoint) {
+  return {.owner = endpoint.owner, .id = endpoint.id};
+}
+
+std::optional<ReportedLoad> ParseReportedLoad(std::string_view value) {
+  const std::size_t slash = value.find('/');
+  if (slash == std::string_view::npos) {
+    return std::nullopt;
+  }
+  const auto in_flight = ParseCount(value.substr(0, slash));
+  const auto limit = ParseCount(value.substr(slash + 1));
+  if (!in_flight || !limit || *limit == 0) {
+    return std::nullopt;
+  }
+  return ReportedLoad{.in_flight = *in_flight, .limit = *limit};
+}
+
+LoadTable::LoadTable(LoadTableOptions options) : m_options(options) {}
+
+void LoadTable::OnStart(const ServiceEndpoint& endpoint, TimePoint now) {
+  Entry& entry =
+      m_entries.try_emplace(KeyOf(endpoint), Entry{.results_at = now})
+          .first->second;
+  ++entry.outstanding;
+}
+
+void LoadTable::OnResult(const ServiceEndpoint& endpoint,
+                         const EndpointResult& result,
+                         TimePoint now) {
+  const auto found = m_entries.find(KeyOf(endpoint));
+  if (found == m_entries.end()) {
+    return;
+  }
+  Entry& entry = found->second;
+  NoteLoad(entry, result, now);
+  entry.outstanding -= entry.outstanding > 0 ? 1 : 0;
+  switch (result.outcome) {
+    case EndpointOutcome::kAnswered:
+    case EndpointOutcome::kShed:
+      NoteSuccess(entry, now);
+      break;
+    case EndpointOutcome::kFailed:
+      NoteFailure(entry, /*at_connect=*/false, now);
+      break;
+    case EndpointOutcome::kConnectFailed:
+      NoteFailure(entry, /*at_connect=*/true, now);
+      break;
+    case EndpointOutcome::kCancelled:
+      break;
+  }
+}
+
+void LoadTable::Retain(const std::vector<RoutedService>& services,
+                       TimePoint now) {
+  std::set<EndpointKey> present;
+  for (const RoutedService& service : services) {
+    for (const ServiceEndpoint& endpoint : service.endpoints) {
+      const EndpointKey key = KeyOf(endpoint);
+      present.insert(key);
+      Entry fresh{.results_at = now};
+      if (m_knows_fleet) {
+        fresh.cold_since = now;
+      }
+      m_entries.try_emplace(key, fresh);
+    }
+  }
+  std::erase_if(m_entries, [&present](const auto& item) {
+    return item.second.outstanding == 0 && !present.contains(item.first);
+  });
+  m_knows_fleet = true;
+}
+
+double LoadTable::UtilisationWithOneMore(const ServiceEndpoint& endpoint,
+                                         TimePoint now) const {
+  const Entry* entry = Find(endpoint);
+  const double slots = std::max<std::uint32_t>(endpoint.slots, 1);
+  if (entry == nullptr) {
+    return 1 / slots;
+  }
+  const double limit = entry->load ? entry->load->limit : slots;
+  return (InFlight(*entry, now) + 1) / (limit * Weight(*entry, now));
+}
+
+bool LoadTable::IsEjected(const ServiceEndpoint& endpoint,
+                          TimePoint now) const {
+  const Entry* entry = Find(endpoint);
+  return entry != nullptr && now < entry->ejected_until;
+}
+
+double LoadTable::FailureShare(const ServiceEndpoint& endpoint,
+                               TimePoint /*now*/) const {
+  const Entry* entry = Find(endpoint);
+  return entry == nullptr || entry->results <= 0
+             ? 0
+             : entry->failures / entry->results;
+}
+
+const LoadTable::Entry* LoadTable::Find(const ServiceEndpoint& endpoint) const {
+  const auto found = m_entries.find(KeyOf(endpoint));
+  return found == m_entries.end() ? nullptr : &found->second;
+}
+
+double LoadTable::Decay(Duration age) const {
+  return std::exp2(-Seconds(age) / Seconds(m_options.result_half_life));
+}
+
+double LoadTable::Weight(const Entry& entry, TimePoint now) const {
+  if (!entry.cold_since || now >= *entry.cold_since + m_options.slow_start) {
+    return 1;
+  }
+  const double age = std::max(0.0, Seconds(now - *entry.cold_since));
+  return std::max(m_options.slow_start_weight,
+                  age / Seconds(m_options.slow_start));
+}
+
+/// The reported load, corrected by what this node sent since, fades into what
+/// this node has in flight itself.
+double LoadTable::InFlight(const Entry& entry, TimePoint now) const {
+  const double own = entry.outstanding;
+  if (!entry.load) {
+    return own;
+  }
+  const double reported =
+      entry.load->in_flight + own - entry.outstanding_at_report;
+  const double trust = std::clamp(
+      1 - Seconds(now - entry.reported_at) / Seconds(m_options.report_max_age),
+      0.0, 1.0);
+  return std::max(own, trust * reported + (1 - trust) * own);
+}
+
+void LoadTable::NoteLoad(Entry& entry,
+                         const EndpointResult& result,
+                         TimePoint now) {
+  if (result.load) {
+    entry.load = result.load;
+    if (result.outcome == EndpointOutcome::kShed) {
+      entry.load->in_flight =
+          std::max(entry.load->in_flight, entry.load->limit);
+    }
+    entry.reported_at = now;
+    entry.outstanding_at_report = entry.outstanding;
+  }
+}
+
+void LoadTable::NoteSuccess(Entry& entry, TimePoint now) const {
+  AddResult(entry, 0, now);
+  entry.consecutive_failures = 0;
+  entry.consecutive_connect_failures = 0;
+  if (now >= entry.ejected_until + m_options.slow_start) {
+    entry.ejections_in_a_row = 0;
+  }
+}
+
+void LoadTable::NoteFailure(Entry& entry, bool at_connect, TimePoint now) {
+  AddResult(entry, 1, now);
+  ++entry.consecutive_failures;
+  entry.consecutive_connect_failures =
+      at_connect ? entry.consecutive_connect_failures + 1 : 0;
+  if (m_options.ejects_outliers && now >= entry.ejected_until &&
+      IsOutlier(entry)) {
+    Eject(entry, now);
+  }
+}
+
+void LoadTable::AddResult(Entry& entry, double failure, TimePoint now) const {
+  const double kept = Decay(now - entry.results_at);
+  entry.results = entry.results * kept + 1;
+  entry.failures = entry.failures * kept + failure;
+  entry.results_at = now;
+}
+
+bool LoadTable::IsOutlier(const Entry& entry) const {
+  return entry.consecutive_failures >= m_options.max_consecutive_failures ||
+         entry.consecutive_connect_failures >=
+             m_options.max_consecutive_connect_failures ||
+         (entry.results >= m_options.min_results &&
+          entry.failures / entry.results >= m_options.max_failure_share);
+}
+
+void LoadTable::Eject(Entry& entry, TimePoint now) const {
+  const std::uint32_t doublings =
+      std::min<std::uint32_t>(entry.ejections_in_a_row, 10);
+  const Duration length = std::min<Duration>(
+      m_options.min_ejection * (1U << doublings), m_options.max_ejection);
+  ++entry.ejections_in_a_row;
+  entry.ejected_until = now + length;
+  entry.cold_since = entry.ejected_until;
+  // Judged anew after its return.
+  entry.consecutive_failures = 0;
+  entry.consecutive_connect_failures = 0;
+}
+
+}  // namespace banyantrail
--- /dev/null
+++ b/tests/traffic/choose_test.cc
@@ -0,0 +1,174 @@
+#include "banyantrail/traffic/choose.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <map>
+#include <string>
+
+using banyantrail::BackendServerId;
+using banyantrail::ChoiceOptions;
+using banyantrail::Choose;
+using banyantrail::DomainId;
+using banyantrail::EndpointOutcome;
+using banyantrail::KeyOf;
+using banyantrail::LoadTable;
+using banyantrail::milliseconds;
+using banyantrail::NodeId;
+using banyantrail::ParseReportedLoad;
+using banyantrail::RegionId;
+using banyantrail::ReportedLoad;
+using banyantrail::Rng;
+using banyantrail::seconds;
+using banyantrail::ServiceEndpoint;
+using banyantrail::TimePoint;
+
+namespace {
+
+constexpr TimePoint kStart{};
+
+ServiceEndpoint EndpointAt(const std::string& name,
+                           const std::string& domain,
+                           const std::string& region = "r0") {
+  return {.id = BackendServerId(name),
+          .owner = NodeId("node-" + name),
+          .domain = DomainId(domain),
+          .region = RegionId(region),
+          .slots = 10};
+}
+
+void Record(LoadTable& loads,
+            const ServiceEndpoint& endpoint,
+            EndpointOutcome outcome,
+            TimePoint now,
+            std::optional<ReportedLoad> load = std::nullopt) {
+  loads.OnStart(endpoint, now);
+  loads.OnResult(endpoint, {.outcome = outcome, .load = load}, now);
+}
+
+}  // namespace
+
+TEST_GROUP(Choose) {
+  const std::vector<ServiceEndpoint> endpoints{
+      EndpointAt("a", "d0"), EndpointAt("b", "d0"), EndpointAt("c", "d1"),
+      EndpointAt("e", "d2", "r1")};
+  const ChoiceOptions options{.domain = DomainId("d0"),
+                              .region = RegionId("r0")};
+  LoadTable loads;
+  Rng rng{7};
+
+  /// How often each endpoint is chosen in 1,000 choices.
+  std::map<std::string, int> Count(TimePoint now) {
+    std::map<std::string, int> counts;
+    for (int i = 0; i < 1000; ++i) {
+      ++counts[Choose(endpoints, loads, options, now, rng)->id.str()];
+    }
+    return counts;
+  }
+
+  void Load(std::size_t endpoint, std::uint32_t in_flight) {
+    Record(loads, endpoints[endpoint], EndpointOutcome::kAnswered, kStart,
+           ReportedLoad{.in_flight = in_flight, .limit = 10});
+  }
+};
+
+TEST(Choose, StaysInTheOwnDomainWhileItHasRoom) {
+  Load(0, 3);
+  auto counts = Count(kStart);
+  LONGS_EQUAL(1000, counts["a"] + counts["b"]);
+  CHECK(counts["b"] > counts["a"]);
+}
+
+TEST(Choose, SpillsToTheRegionAndThenBeyond) {
+  Load(0, 10);
+  Load(1, 10);
+  LONGS_EQUAL(1000, Count(kStart)["c"]);
+  Load(2, 10);
+  LONGS_EQUAL(1000, Count(kStart)["e"]);
+}
+
+TEST(Choose, OldReportsFadeAway) {
+  Load(0, 10);
+  Load(1, 10);
+  LONGS_EQUAL(0, Count(kStart + seconds(2))["c"]);
+}
+
+TEST(Choose, OwnRequestsCountBeforeAnyReport) {
+  for (int i = 0; i < 10; ++i) {
+    loads.OnStart(endpoints[0], kStart);
+  }
+  LONGS_EQUAL(0, Count(kStart)["a"]);
+}
+
+TEST(Choose, NeverTakesAnExcludedEndpoint) {
+  const std::vector<banyantrail::EndpointKey> all_but_last{
+      KeyOf(endpoints[0]), KeyOf(endpoints[1]), KeyOf(endpoints[2])};
+  CHECK(Choose(endpoints, loads, options, kStart, rng, all_but_last) ==
+        &endpoints[3]);
+  std::vector<banyantrail::EndpointKey> all = all_but_last;
+  all.push_back(KeyOf(endpoints[3]));
+  CHECK(Choose(endpoints, loads, options, kStart, rng, all) == nullptr);
+}
+
+TEST(Choose, EjectsAfterConnectFailuresAndLetsBackGradually) {
+  Record(loads, endpoints[0], EndpointOutcome::kConnectFailed, kStart);
+  Record(loads, endpoints[0], EndpointOutcome::kConnectFailed, kStart);
+  LONGS_EQUAL(0, Count(kStart + milliseconds(1900))["a"]);
+  loads.OnStart(endpoints[1], kStart);
+  const int soon = Count(kStart + milliseconds(2100))["a"];
+  const int later = Count(kStart + seconds(8))["a"];
+  LONGS_EQUAL(0, soon);
+  CHECK(later > 600);
+}
+
+TEST(Choose, EjectsAnEndpointThatFailsInPart) {
+  for (int i = 0; i < 20; ++i) {
+    Record(loads, endpoints[0],
+           i % 3 == 0 ? EndpointOutcome::kFailed : EndpointOutcome::kAnswered,
+           kStart);
+  }
+  CHECK(loads.IsEjected(endpoints[0], kStart));
+  LONGS_EQUAL(0, Count(kStart)["a"]);
+}
+
+TEST(Choose, EjectsNoMoreThanAShareOfTheService) {
+  for (const ServiceEndpoint& endpoint : endpoints) {
+    for (int i = 0; i < 5; ++i) {
+      Record(loads, endpoint, EndpointOutcome::kFailed, kStart);
+    }
+  }
+  auto counts = Count(kStart);
+  LONGS_EQUAL(1000, counts["a"] + counts["b"] + counts["c"]);
+  CHECK(counts.size() >= 1);
+}
+
+TEST(Choose, ShedRequestIsNoFailureButFillsTheEndpoint) {
+  for (int i = 0; i < 20; ++i) {
+    Record(loads, endpoints[0], EndpointOutcome::kShed, kStart,
+           ReportedLoad{.in_flight = 2, .limit = 10});
+  }
+  CHECK_FALSE(loads.IsEjected(endpoints[0], kStart));
+  LONGS_EQUAL(0, Count(kStart)["a"]);
+}
+
+TEST(Choose, NewEndpointStartsWithASmallShare) {
+  loads.Retain({{.endpoints = {endpoints[0]}}}, kStart);
+  loads.Retain({{.endpoints = {endpoints[0], endpoints[1]}}}, kStart);
+  Load(0, 3);
+  LONGS_EQUAL(0, Count(kStart)["b"]);
+  CHECK(loads.UtilisationWithOneMore(endpoints[1], kStart + seconds(5)) < 0.2);
+}
+
+TEST(Choose, TableForgetsEndpointsThatAreGone) {
+  loads.Retain({{.endpoints = endpoints}}, kStart);
+  loads.OnStart(endpoints[3], kStart);
+  loads.Retain({{.endpoints = {endpoints[0]}}}, kStart);
+  UNSIGNED_LONGS_EQUAL(2, loads.size());
+}
+
+TEST(Choose, ReadsTheLoadHeader) {
+  CHECK(*ParseReportedLoad("3/12") ==
+        (ReportedLoad{.in_flight = 3, .limit = 12}));
+  for (const char* wrong : {"", "3", "/", "3/", "/4", "3/0", "-1/4", "3/4x"}) {
+    CHECK_FALSE(ParseReportedLoad(wrong).has_value());
+  }
+}
--- /dev/null
+++ b/tests/traffic/routing_snapshot_test.cc
@@ -0,0 +1,127 @@
+#include "banyantrail/traffic/routing_snapshot.h"
+
+#include <CppUTest/TestHarness.h>
+
+using banyantrail::BackendServerId;
+using banyantrail::BackendServerState;
+using banyantrail::CompiledConfig;
+using banyantrail::LabelOperator;
+using banyantrail::LookupFailure;
+using banyantrail::MemberRecord;
+using banyantrail::MemberState;
+using banyantrail::milliseconds;
+using banyantrail::NodeId;
+using banyantrail::ProxyIdentity;
+using banyantrail::RankName;
+using banyantrail::RouteLookup;
+using banyantrail::RoutingSnapshot;
+using banyantrail::RuleName;
+using banyantrail::SelectorName;
+using banyantrail::ServiceName;
+
+namespace {
+
+CompiledConfig MakeConfig() {
+  return {.revision = 4,
+          .services = {{.name = ServiceName("catalogue")},
+                       {.name = ServiceName("order-desk")}},
+          .selectors = {{.name = SelectorName("all")},
+                        {.name = SelectorName("north"),
+                         .requirements = {{.key = "side",
+                                           .op = LabelOperator::kIn,
+                                           .values = {"north"}}}}},
+          .ranks = {{.name = RankName("urgent"), .priority = 1}},
+          .routing_rules = {{.name = RuleName("root"),
+                             .selector = SelectorName("all"),
+                             .path_prefix = "/",
+                             .service = ServiceName("catalogue"),
+                             .rank = RankName("urgent")},
+                            {.name = RuleName("orders"),
+                             .selector = SelectorName("north"),
+                             .path_prefix = "/orders",
+                             .methods = {"POST"},
+                             .service = ServiceName("order-desk"),
+                             .rank = RankName("urgent"),
+                             .deadline = milliseconds(800)}}};
+}
+
+MemberRecord MakeMember(const char* service) {
+  return {.node = NodeId("n1"),
+          .incarnation = 1,
+          .backend_servers = {{.id = BackendServerId("s1"),
+                               .service = ServiceName(service),
+                               .slots = 20}}};
+}
+
+const ProxyIdentity kNorth{.labels = {{"side", "north"}}};
+
+}  // namespace
+
+TEST_GROUP(RoutingSnapshot) {
+  CompiledConfig config = MakeConfig();
+  std::vector<MemberRecord> members{MakeMember("order-desk")};
+
+  RoutingSnapshot Compile() {
+    return {config, kNorth, members};
+  }
+
+  LookupFailure FailureOfOrder() {
+    return Compile().FindRoute("POST", "/orders/7").failure;
+  }
+};
+
+TEST(RoutingSnapshot, TakesTheLongestPrefixOfWholeSegments) {
+  members.push_back(MakeMember("catalogue"));
+  const RoutingSnapshot snapshot = Compile();
+  const RouteLookup order = snapshot.FindRoute("POST", "/orders/7");
+  STRCMP_EQUAL("orders", order.route->rule.str().c_str());
+  STRCMP_EQUAL("s1", order.service->endpoints.front().id.str().c_str());
+  STRCMP_EQUAL(
+      "root", snapshot.FindRoute("POST", "/orders2").route->rule.str().c_str());
+}
+
+TEST(RoutingSnapshot, FallsBackToAShorterPrefixThatTakesTheMethod) {
+  members.push_back(MakeMember("catalogue"));
+  const RoutingSnapshot snapshot = Compile();
+  STRCMP_EQUAL(
+      "root", snapshot.FindRoute("GET", "/orders/7").route->rule.str().c_str());
+}
+
+TEST(RoutingSnapshot, SaysWhetherRouteOrBackendServerIsMissing) {
+  CHECK(Compile().FindRoute("GET", "/").failure ==
+        LookupFailure::kNoBackendServer);
+  CHECK(Compile().FindRoute("GET", "orders").failure ==
+        LookupFailure::kNoRoute);
+}
+
+TEST(RoutingSnapshot, LeavesOutRulesWhoseSelectorChoosesOthers) {
+  const RoutingSnapshot snapshot(config, {.labels = {{"side", "south"}}},
+                                 members);
+  UNSIGNED_LONGS_EQUAL(1, snapshot.routes().size());
+}
+
+TEST(RoutingSnapshot, LeavesOutBackendServersThatTakeNoNewWork) {
+  CHECK(FailureOfOrder() == LookupFailure::kNone);
+  members[0].state = MemberState::kSuspect;
+  CHECK(FailureOfOrder() == LookupFailure::kNone);
+  members[0].draining = true;
+  CHECK(FailureOfOrder() == LookupFailure::kNoBackendServer);
+  members[0].draining = false;
+  for (const MemberState state : {MemberState::kDead, MemberState::kLeft}) {
+    members[0].state = state;
+    CHECK(FailureOfOrder() == LookupFailure::kNoBackendServer);
+  }
+  members[0].state = MemberState::kAlive;
+  for (const BackendServerState state :
+       {BackendServerState::kDraining, BackendServerState::kDown}) {
+    members[0].backend_servers[0].state = state;
+    CHECK(FailureOfOrder() == LookupFailure::kNoBackendServer);
+  }
+}
+
+TEST(RoutingSnapshot, RemovedServiceTakesItsRoutesWithIt) {
+  config.services.pop_back();
+  CHECK(Compile().FindRoute("POST", "/orders/7").failure ==
+        LookupFailure::kNoBackendServer);
+  UNSIGNED_LONGS_EQUAL(1, Compile().routes().size());
+}
