--- a/packages/distribution/banyantrail/distribution/distribution_protocol.h
+++ b/packages/distribution/banyantrail/distribution/distribution_protocol.h
@@ -57,17 +57,17 @@
 };
 
 /// A message for one peer.
-struct OutgoingMessage {
+struct AddressedMessage {
   NodeId to;
   PeerMessage message;
 
-  friend bool operator==(const OutgoingMessage&,
-                         const OutgoingMessage&) = default;
+  friend bool operator==(const AddressedMessage&,
+                         const AddressedMessage&) = default;
 };
 
 /// What the caller has to do after an input.
 struct DistributionOutput {
-  std::vector<OutgoingMessage> messages;
+  std::vector<AddressedMessage> messages;
   /// Releases applied by the input, in order.
   std::vector<std::shared_ptr<const Release>> applied;
 };
@@ -201,8 +201,7 @@
                const ApplyResult& result,
                const ReleaseName& base);
   std::vector<NodeId> TakeUncovered(const ReleaseDeltaMessage& message);
-  void Push(const std::vector<NodeId>& nodes,
-            const ReleaseDeltaMessage& delta);
+  void Push(const std::vector<NodeId>& nodes, const ReleaseDeltaMessage& delta);
   void PushCurrent(const std::vector<NodeId>& nodes, const ReleaseName& base);
   void PushAsRoot(const ReleaseName& base);
   void SchedulePush(const ReleaseName& base, Duration delay);
