--- /dev/null
+++ b/packages/platform/banyantrail/platform/relay_task.h
@@ -0,0 +1,320 @@
+#pragma once
+
+#include <array>
+#include <concepts>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "banyantrail/config/object_store.h"
+#include "banyantrail/config/release_loader.h"
+#include "banyantrail/core/clock.h"
+#include "banyantrail/core/errors.h"
+#include "banyantrail/core/logging.h"
+#include "banyantrail/net/asio.h"
+#include "banyantrail/platform/platform_client.h"
+#include "banyantrail/platform/relay_lease.h"
+
+namespace banyantrail {
+
+/// What the relay duty needs from the platform's client.
+template <typename T>
+concept PlatformStore =
+    AsyncObjectStore<T> &&
+    requires(T& store, std::string prefix, std::uint64_t after) {
+      { store.List(prefix) } -> std::same_as<asio::awaitable<ListResult>>;
+      {
+        store.Watch(prefix, after, milliseconds())
+        } -> std::same_as<asio::awaitable<WatchResult>>;
+    };
+
+/// Counts since the start, for the metrics.
+struct RelayCounters {
+  std::uint64_t leases_taken = 0;
+  std::uint64_t leases_lost = 0;
+  std::uint64_t releases_loaded = 0;
+  std::uint64_t status_writes = 0;
+  std::uint64_t failures = 0;
+
+  friend bool operator==(const RelayCounters&, const RelayCounters&) = default;
+};
+
+/// The relay duty of a node: takes and renews a lease of its failure domain
+/// and, while it holds one, watches the head of the configuration and writes
+/// the domain's status. Correctness rests on none of it: without a relay, or
+/// with two, releases still spread by way of other domains.
+///
+/// Runs on the executor of the client; all members are called from there. It
+/// keeps itself alive until its coroutines have ended. `store` must outlive
+/// them.
+template <PlatformStore Store>
+class RelayTask : public std::enable_shared_from_this<RelayTask<Store>> {
+ public:
+  struct Options {
+    RelayLease::Options lease;
+    /// How often the lease is looked at and renewed.
+    Duration lease_interval = seconds(2);
+    /// How long one watch of the head waits. Also the longest time for which a
+    /// stopped task stays alive.
+    milliseconds watch_wait = seconds(10);
+    /// How often the task asks whether a status write is due.
+    Duration status_interval = milliseconds(500);
+    /// Pause after a failure of the platform.
+    Duration failure_pause = seconds(1);
+    /// A newer release, verified. Required.
+    std::function<void(Release)> on_release;
+    /// The newest revision of the platform, whenever it was read.
+    std::function<void(Revision)> on_head = [](Revision) {};
+    /// The release at hand, whose chunks are not read again; may return null.
+    std::function<std::shared_ptr<const Release>()> held = [] {
+      return std::shared_ptr<const Release>();
+    };
+    /// The status to write now, if a write is due. Bounds the write rate.
+    std::function<std::optional<nlohmann::json>()> take_due_status = [] {
+      return std::optional<nlohmann::json>();
+    };
+    /// The last status taken could not be written.
+    std::function<void()> on_status_failed = [] {};
+    /// The holders of the domain's leases in the order of their slots.
+    std::function<void(std::vector<NodeId>)> on_relays =
+        [](const std::vector<NodeId>&) {};
+  };
+
+  RelayTask(asio::any_io_executor executor, Store& store, Options options)
+      : m_executor(std::move(executor)),
+        m_store(&store),
+        m_options(std::move(options)),
+        m_lease(m_options.lease),
+        m_lease_timer(m_executor),
+        m_watch_timer(m_executor),
+        m_status_timer(m_executor) {}
+
+  /// Starts the coroutines.
+  void Start() {
+    Spawn(&RelayTask::LeaseLoop);
+    Spawn(&RelayTask::WatchLoop);
+    Spawn(&RelayTask::StatusLoop);
+  }
+
+  /// The alive members of the domain that do not drain, with this node.
+  void OnMembers(std::vector<NodeId> members) {
+    m_lease.OnMembers(std::move(members));
+  }
+
+  /// Gives the lease back and ends the coroutines.
+  void Stop() {
+    m_lease.Drain();
+    m_stopping = true;
+    m_lease_timer.cancel();
+    m_watch_timer.cancel();
+    m_status_timer.cancel();
+  }
+
+  bool IsRelay() const {
+    return m_lease.HeldSlot(SystemClock().Now()).has_value();
+  }
+
+  /// Whether all coroutines have ended.
+  bool ended() const { return m_running == 0; }
+
+  const RelayCounters& counters() const { return m_counters; }
+
+ private:
+  using Loop = asio::awaitable<void> (RelayTask::*)();
+
+  void Spawn(Loop loop) {
+    ++m_running;
+    asio::co_spawn(
+        m_executor,
+        [self = this->shared_from_this(), loop]() -> asio::awaitable<void> {
+          co_await ((*self).*loop)();
+          --self->m_running;
+        },
+        asio::detached);
+  }
+
+  asio::awaitable<void> LeaseLoop() {
+    while (!m_stopping) {
+      co_await Guarded(&RelayTask::UpdateLease);
+      co_await Sleep(m_lease_timer, m_options.lease_interval);
+    }
+    co_await Guarded(&RelayTask::UpdateLease);
+  }
+
+  asio::awaitable<void> WatchLoop() {
+    while (!m_stopping) {
+      if (!IsRelay()) {
+        m_watched_version.reset();
+        co_await Sleep(m_watch_timer, m_options.status_interval);
+      } else if (!co_await Guarded(&RelayTask::WatchHead)) {
+        co_await Sleep(m_watch_timer, m_options.failure_pause);
+      }
+    }
+  }
+
+  asio::awaitable<void> StatusLoop() {
+    while (!m_stopping) {
+      co_await Guarded(&RelayTask::WriteDueStatus);
+      co_await Sleep(m_status_timer, m_options.status_interval);
+    }
+  }
+
+  /// Runs one step; whether it ended without a failure.
+  asio::awaitable<bool> Guarded(Loop step) {
+    try {
+      co_await (this->*step)();
+      co_return true;
+    } catch (const Error& error) {
+      ++m_counters.failures;
+      m_logger.Warn(std::string(error.what()) + ".");
+    }
+    co_return false;
+  }
+
+  asio::awaitable<void> Sleep(asio::steady_timer& timer, Duration duration) {
+    if (m_stopping) {
+      co_return;
+    }
+    timer.expires_after(duration);
+    boost::system::error_code ignored;
+    co_await timer.async_wait(
+        asio::redirect_error(asio::use_awaitable, ignored));
+  }
+
+  asio::awaitable<void> UpdateLease() {
+    if (!m_lease.NeedsSlots()) {
+      co_return;
+    }
+    co_await ReadSlots();
+    const std::optional<RelayLeaseWrite> write =
+        m_lease.Decide(SystemClock().Now());
+    if (write) {
+      co_await WriteLease(*write);
+    }
+    m_options.on_relays(m_lease.Holders());
+  }
+
+  asio::awaitable<void> ReadSlots() {
+    const DomainId& domain = m_options.lease.domain;
+    ListResult listed = co_await m_store->List(RelayKeyPrefix(domain));
+    std::array<std::optional<StoredObject>, kRelaySlots> slots;
+    for (StoredObject& object : listed.objects) {
+      for (std::size_t slot = 0; slot < kRelaySlots; ++slot) {
+        if (object.key == RelayKey(domain, slot)) {
+          slots[slot] = std::move(object);
+          break;
+        }
+      }
+    }
+    m_lease.OnSlots(slots, SystemClock().Now());
+  }
+
+  asio::awaitable<void> WriteLease(RelayLeaseWrite write) {
+    const bool held_before = IsRelay();
+    const std::string key = RelayKey(m_options.lease.domain, write.slot);
+    const nlohmann::json value = ToJson(write.value);
+    // The lease counts from before the write, so that it never outlives what
+    // others grant it.
+    const TimePoint asked = SystemClock().Now();
+    const PutResult result =
+        co_await m_store->Put(key, value, write.expected_version);
+    if (result.status == PutStatus::kWritten) {
+      m_lease.OnWritten(write, result.version, asked);
+      m_counters.leases_taken += !held_before && IsRelay() ? 1 : 0;
+      co_return;
+    }
+    m_counters.leases_lost += held_before ? 1 : 0;
+    m_lease.OnRefused(write);
+  }
+
+  asio::awaitable<void> WatchHead() {
+    const std::string key(kHeadKey);
+    if (m_watched_version) {
+      const WatchResult result = co_await m_store->Watch(
+          key, *m_watched_version, m_options.watch_wait);
+      if (result.events.empty()) {
+        m_watched_version = result.version;
+        co_return;
+      }
+    }
+    co_await LoadNewest();
+  }
+
+  asio::awaitable<void> LoadNewest() {
+    const std::optional<VersionedHead> newest = co_await LoadHead(*m_store);
+    if (!newest) {
+      m_watched_version = 0;
+      m_options.on_head(0);
+      co_return;
+    }
+    m_options.on_head(newest->head.revision);
+    const std::shared_ptr<const Release> held = m_options.held();
+    if (!held || held->revision < newest->head.revision) {
+      Release release = co_await LoadRelease(*m_store, newest->head, held);
+      ++m_counters.releases_loaded;
+      m_options.on_release(std::move(release));
+    }
+    m_watched_version = newest->version;
+  }
+
+  asio::awaitable<void> WriteDueStatus() {
+    const auto slot = m_lease.HeldSlot(SystemClock().Now());
+    if (!slot) {
+      co_return;
+    }
+    const std::optional<nlohmann::json> status = m_options.take_due_status();
+    if (!status) {
+      co_return;
+    }
+    const std::string key = StatusKey(m_options.lease.domain, *slot);
+    ++m_counters.status_writes;
+    try {
+      co_await m_store->Put(key, *status, std::nullopt);
+    } catch (const Error&) {
+      m_options.on_status_failed();
+      throw;
+    }
+  }
+
+  asio::any_io_executor m_executor;
+  Store* m_store;
+  Options m_options;
+  RelayLease m_lease;
+  asio::steady_timer m_lease_timer;
+  asio::steady_timer m_watch_timer;
+  asio::steady_timer m_status_timer;
+  PartLogger m_logger{"relay"};
+  RelayCounters m_counters;
+  /// Changes of the head after this version of the store are waited for;
+  /// without a value the head has to be read first.
+  std::optional<std::uint64_t> m_watched_version;
+  bool m_stopping = false;
+  int m_running = 0;
+};
+
+/// Addresses of the relays of all domains, by which a node without any peer
+/// learns of the fleet.
+template <PlatformStore Store>
+asio::awaitable<std::vector<RelayLeaseValue>> LoadRelays(Store& store) {
+  const ListResult listed = co_await store.List(std::string(kRelayKeyPrefix));
+  std::vector<RelayLeaseValue> relays;
+  for (const StoredObject& object : listed.objects) {
+    try {
+      RelayLeaseValue value = ParseRelayLeaseValue(object.value);
+      if (!value.node.empty()) {
+        relays.push_back(std::move(value));
+      }
+    } catch (const Error&) {
+      // A malformed lease is of no use here; its slot's candidates replace it.
+      continue;
+    }
+  }
+  co_return relays;
+}
+
+}  // namespace banyantrail
