Prove the request path on loopback and mend what that showed

Cause: four faults, each found by a test of the two stages against a scripted backend server. (1) Boost 1.74 takes an absent body limit for a limit of zero, so every small body was refused as malformed. (2) A conditional expression of two co_awaits is miscompiled by g++ 12: the connection came back null. (3) A watch that was stopped before it began waited for ever, so each admitted request ran into its deadline. (4) tcp_stream's own time-out closes the socket, so a slow sender could not be told.

Change: a numeric limit, an if in place of the conditional, a check before the wait, and a timer that cancels without closing.

--- a/packages/proxy/banyantrail/proxy/attempt.cc
+++ b/packages/proxy/banyantrail/proxy/attempt.cc
@@ -16,7 +16,7 @@
 std::unique_ptr<Attempt::AnswerParser> NewAnswerParser(http::verb method) {
   auto parser = std::make_unique<Attempt::AnswerParser>();
   parser->header_limit(kMaxAnswerHeaderBytes);
-  parser->body_limit(boost::none);
+  parser->body_limit(kNoBodyLimit);
   if (method == http::verb::head) {
     parser->skip(true);
   }
@@ -146,10 +146,11 @@
                                      InboundRequest& request,
                                      AttemptOptions options) {
   Attempt attempt;
-  attempt.upstream =
-      options.fresh_connection
-          ? co_await pool.Connect(options.server, options.deadline)
-          : co_await pool.Take(options.server, options.deadline);
+  if (options.fresh_connection) {
+    attempt.upstream = co_await pool.Connect(options.server, options.deadline);
+  } else {
+    attempt.upstream = co_await pool.Take(options.server, options.deadline);
+  }
   if (!attempt.upstream) {
     attempt.reason = RefusalReason::kConnectFailed;
     co_return attempt;
--- a/packages/proxy/banyantrail/proxy/connection.cc
+++ b/packages/proxy/banyantrail/proxy/connection.cc
@@ -2,6 +2,22 @@
 
 namespace banyantrail {
 
+CancelTimer::CancelTimer(beast::tcp_stream& stream, Duration timeout)
+    : m_state(std::make_shared<State>(State{.stream = &stream})),
+      m_timer(stream.get_executor()) {
+  m_timer.expires_after(timeout);
+  m_timer.async_wait([state = m_state](const boost::system::error_code& error) {
+    if (!error && state->stream != nullptr) {
+      state->fired = true;
+      state->stream->cancel();
+    }
+  });
+}
+
+CancelTimer::~CancelTimer() {
+  m_state->stream = nullptr;
+}
+
 void Close(beast::tcp_stream& stream) {
   boost::system::error_code ignored;
   stream.socket().shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
--- a/packages/proxy/banyantrail/proxy/connection.h
+++ b/packages/proxy/banyantrail/proxy/connection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <limits>
 #include <memory>
 
 #include "banyantrail/core/clock.h"
@@ -37,6 +38,33 @@
 
 using UpstreamPtr = std::unique_ptr<Upstream>;
 
+/// Body limit of messages that stream. Boost 1.74 takes an absent limit for a
+/// limit of zero.
+inline constexpr std::uint64_t kNoBodyLimit =
+    std::numeric_limits<std::uint64_t>::max();
+
+/// Cancels what is pending on a stream after a time, without closing it, so
+/// that the other end can still be told. `expires_after` of the stream closes
+/// it.
+class CancelTimer {
+ public:
+  CancelTimer(beast::tcp_stream& stream, Duration timeout);
+  CancelTimer(const CancelTimer&) = delete;
+  CancelTimer& operator=(const CancelTimer&) = delete;
+  ~CancelTimer();
+
+  bool has_fired() const { return m_state->fired; }
+
+ private:
+  struct State {
+    beast::tcp_stream* stream;
+    bool fired = false;
+  };
+
+  std::shared_ptr<State> m_state;
+  asio::steady_timer m_timer;
+};
+
 /// Closes both directions at once, ignoring errors.
 void Close(beast::tcp_stream& stream);
 
--- a/packages/proxy/banyantrail/proxy/hang_up_watch.cc
+++ b/packages/proxy/banyantrail/proxy/hang_up_watch.cc
@@ -24,9 +24,12 @@
   auto watch = [](std::shared_ptr<State> state) -> asio::awaitable<void> {
     asio::ip::tcp::socket& socket = state->downstream.stream.socket();
     boost::system::error_code error;
-    co_await socket.async_wait(
-        asio::ip::tcp::socket::wait_read,
-        asio::redirect_error(asio::use_awaitable, error));
+    // Stop may come before this coroutine has begun.
+    if (!state->stopping) {
+      co_await socket.async_wait(
+          asio::ip::tcp::socket::wait_read,
+          asio::redirect_error(asio::use_awaitable, error));
+    }
     if (!state->stopping) {
       boost::system::error_code available_error;
       const std::size_t available = socket.available(available_error);
--- a/packages/proxy/banyantrail/proxy/inbound_request.cc
+++ b/packages/proxy/banyantrail/proxy/inbound_request.cc
@@ -13,27 +13,23 @@
       error == http::error::buffer_overflow) {
     return {http::status::request_header_fields_too_large, "header_too_large"};
   }
-  if (error == beast::error::timeout) {
-    return {http::status::request_timeout, "slow_sender"};
-  }
   return {http::status::bad_request, "malformed"};
 }
 
-bool IsClosed(const boost::system::error_code& error, bool anything_received) {
-  if (error == http::error::end_of_stream ||
-      error == http::error::partial_message) {
-    return true;
-  }
-  if (error == beast::error::timeout) {
-    return !anything_received;
-  }
-  return error.category() !=
-         http::make_error_code(http::error::bad_method).category();
+bool IsClosed(const boost::system::error_code& error) {
+  return error == http::error::end_of_stream ||
+         error == http::error::partial_message ||
+         error.category() !=
+             http::make_error_code(http::error::bad_method).category();
 }
 
 ReadResult Failed(const boost::system::error_code& error,
-                  bool anything_received) {
-  if (IsClosed(error, anything_received)) {
+                  const CancelTimer& timer) {
+  if (timer.has_fired()) {
+    return {.outcome = ReadOutcome::kRefused,
+            .refusal = {http::status::request_timeout, "slow_sender"}};
+  }
+  if (IsClosed(error)) {
     return {.outcome = ReadOutcome::kClosed};
   }
   return {.outcome = ReadOutcome::kRefused, .refusal = RefusalFor(error)};
@@ -124,14 +120,15 @@
   InboundRequest& request = result.request;
   request.parser = std::make_unique<InboundRequest::Parser>();
   request.parser->header_limit(limits.max_header_bytes);
-  request.parser->body_limit(boost::none);
+  request.parser->body_limit(kNoBodyLimit);
 
-  downstream.stream.expires_after(limits.head_timeout);
+  downstream.stream.expires_never();
+  const CancelTimer timer(downstream.stream, limits.head_timeout);
   std::string raw_head;
   boost::system::error_code error = co_await ReadHead(
       downstream, *request.parser, limits.max_header_bytes, raw_head);
   if (error) {
-    co_return Failed(error, true);
+    co_return Failed(error, timer);
   }
   const std::optional<HeadRefusal> refusal =
       CheckRequestHead(request.head(), raw_head);
@@ -150,10 +147,9 @@
     co_await SendContinue(downstream, request);
     error = co_await ReadWholeBody(downstream, request);
     if (error) {
-      co_return Failed(error, true);
+      co_return Failed(error, timer);
     }
   }
-  downstream.stream.expires_never();
   result.outcome = ReadOutcome::kRequest;
   co_return result;
 }
--- a/packages/proxy/banyantrail/proxy/request_monitor.cc
+++ b/packages/proxy/banyantrail/proxy/request_monitor.cc
@@ -122,7 +122,7 @@
   m_state->running = true;
   m_state->body_sent = !m_state->request.streams;
   auto run = [](std::shared_ptr<State> state) -> asio::awaitable<void> {
-    if (state->request.streams) {
+    if (state->request.streams && !state->stopping) {
       co_await PumpBody(*state);
     }
     if (state->body_sent && !state->stopping && !state->caller_gone) {
--- a/packages/proxy/banyantrail/proxy/upstream_pool.cc
+++ b/packages/proxy/banyantrail/proxy/upstream_pool.cc
@@ -48,7 +48,8 @@
   if (idle) {
     co_return idle;
   }
-  co_return co_await Connect(std::move(server), deadline);
+  UpstreamPtr connected = co_await Connect(std::move(server), deadline);
+  co_return connected;
 }
 
 asio::awaitable<UpstreamPtr> UpstreamPool::Connect(IpEndpoint server,
--- /dev/null
+++ b/tests/proxy/request_path.h
@@ -0,0 +1,213 @@
+#pragma once
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "banyantrail/net/tcp_listener.h"
+#include "banyantrail/proxy/entry_stage.h"
+#include "banyantrail/proxy/owner_stage.h"
+#include "net/http_exchange.h"
+
+namespace banyantrail::test {
+
+/// What the caller saw.
+struct CallerView {
+  bool whole = false;
+  unsigned status = 0;
+  std::string body;
+  std::string outcome;
+  std::string reason;
+};
+
+/// Both stages of the request path on loopback, between a caller and a scripted
+/// backend server.
+class RequestPath {
+ public:
+  /// Serves one connection of the backend server.
+  using Script = std::function<asio::awaitable<void>(beast::tcp_stream&)>;
+
+  explicit RequestPath(Script script)
+      : m_script(std::move(script)),
+        m_backend(FreeEndpoint(io)),
+        m_mesh(FreeEndpoint(io)),
+        m_caller(FreeEndpoint(io)),
+        m_pool(io.get_executor(), {}),
+        m_owner(io.get_executor(), m_pool, OwnerOptions()),
+        m_entry(io.get_executor(), m_pool, EntryOptions()) {
+    Listen(m_mesh, [this](beast::tcp_stream stream) {
+      return m_owner.Serve(std::move(stream));
+    });
+    Listen(m_caller, [this](beast::tcp_stream stream) {
+      return m_entry.Serve(std::move(stream));
+    });
+    StartBackend();
+    SetState(BackendServerState::kServing);
+    SetRule(milliseconds(300), false);
+  }
+
+  void SetState(BackendServerState state) {
+    m_owner.SetBackendServers({Server(state)});
+  }
+
+  void SetRule(Duration deadline, bool idempotent) {
+    CompiledConfig config{.revision = 1};
+    config.services.push_back({.name = ServiceName("orders")});
+    config.selectors.push_back({.name = SelectorName("all")});
+    config.ranks.push_back(
+        {.name = RankName("urgent"), .priority = 0, .share_percent = 50});
+    config.routing_rules.push_back(
+        {.name = RuleName("orders"),
+         .selector = SelectorName("all"),
+         .path_prefix = "/orders",
+         .service = ServiceName("orders"),
+         .rank = RankName("urgent"),
+         .idempotent = idempotent,
+         .deadline = std::chrono::duration_cast<milliseconds>(deadline)});
+    const MemberRecord member{
+        .node = NodeId("n1"),
+        .mesh_address = m_mesh,
+        .backend_servers = {Server(BackendServerState::kServing)}};
+    m_entry.SetSnapshot(std::make_shared<const RoutingSnapshot>(
+        config, ProxyIdentity{}, std::vector<MemberRecord>{member}));
+  }
+
+  void StopBackend() { m_listeners.pop_back(); }
+
+  /// Sends one request on a connection of its own and reads the answer.
+  CallerView Call(std::string head, std::string body = {}) {
+    CallerView view;
+    bool done = false;
+    asio::co_spawn(io, RunCall(std::move(head), std::move(body), view),
+                   [&done](std::exception_ptr) { done = true; });
+    RunUntil([&done] { return done; });
+    return view;
+  }
+
+  CallerView Post(const std::string& body) {
+    return Call("POST /orders HTTP/1.1\r\nHost: mesh\r\nContent-Length: " +
+                    std::to_string(body.size()) + "\r\n\r\n",
+                body);
+  }
+
+  template <typename Condition>
+  bool RunUntil(Condition condition) {
+    constexpr seconds kLimit{10};
+    const TimePoint deadline = SystemClock().Now() + kLimit;
+    while (!condition() && SystemClock().Now() < deadline) {
+      io.run_for(milliseconds(5));
+      io.restart();
+    }
+    return condition();
+  }
+
+  const IpEndpoint& caller_address() const { return m_caller; }
+  std::size_t owner_requests() const { return m_owner.requests_in_progress(); }
+
+  asio::io_context io;
+  std::vector<std::string> refusals;
+
+ private:
+  OwnerStage::Options OwnerOptions() {
+    return {.hooks = {.count_refusal =
+                          [this](RefusalReason reason) {
+                            refusals.emplace_back(ToString(reason));
+                          },
+                      .on_unreachable = [](const BackendServerId&) {}}};
+  }
+
+  EntryStage::Options EntryOptions() {
+    return {
+        .limits = {.max_header_bytes = 4096, .head_timeout = milliseconds(200)},
+        .hooks = {.count_refusal = [](std::string_view) {},
+                  .count_retry = [](std::string_view) {},
+                  .on_answer = [](unsigned, unsigned, Duration) {}}};
+  }
+
+  BackendServerRecord Server(BackendServerState state) const {
+    return {.id = BackendServerId("s1"),
+            .service = ServiceName("orders"),
+            .address = m_backend,
+            .slots = 4,
+            .state = state};
+  }
+
+  void Listen(const IpEndpoint& endpoint,
+              std::function<asio::awaitable<void>(beast::tcp_stream)> session) {
+    TcpListener::Options options{.endpoint = endpoint,
+                                 .session = std::move(session)};
+    m_listeners.push_back(
+        std::make_unique<TcpListener>(io, std::move(options)));
+  }
+
+  void StartBackend() {
+    Listen(m_backend,
+           [this](beast::tcp_stream stream) -> asio::awaitable<void> {
+             const auto kept =
+                 std::make_shared<beast::tcp_stream>(std::move(stream));
+             co_await m_script(*kept);
+             // Closing is the script's own affair.
+             m_open.push_back(kept);
+           });
+  }
+
+  asio::awaitable<void> RunCall(std::string head,
+                                std::string body,
+                                CallerView& view) {
+    beast::tcp_stream stream(io);
+    stream.expires_after(seconds(5));
+    const auto endpoint = ToTcpEndpoint(m_caller);
+    co_await stream.async_connect(endpoint, asio::use_awaitable);
+    const std::string request = head + body;
+    boost::system::error_code error;
+    co_await asio::async_write(
+        stream, asio::buffer(request),
+        asio::redirect_error(asio::use_awaitable, error));
+    beast::flat_buffer buffer;
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(kNoBodyLimit);
+    co_await http::async_read(stream, buffer, parser,
+                              asio::redirect_error(asio::use_awaitable, error));
+    view.whole = !error;
+    if (parser.is_header_done()) {
+      const auto& message = parser.get();
+      view.status = message.result_int();
+      view.body = message.body();
+      view.outcome = FieldValue(message, "x-banyantrail-outcome");
+      view.reason = FieldValue(message, "x-banyantrail-reason");
+    }
+  }
+
+  Script m_script;
+  IpEndpoint m_backend;
+  IpEndpoint m_mesh;
+  IpEndpoint m_caller;
+  UpstreamPool m_pool;
+  OwnerStage m_owner;
+  EntryStage m_entry;
+  std::vector<std::unique_ptr<TcpListener>> m_listeners;
+  std::vector<std::shared_ptr<beast::tcp_stream>> m_open;
+};
+
+/// Reads one whole request of the backend server's connection.
+inline asio::awaitable<http::request<http::string_body>> ReadBackendRequest(
+    beast::tcp_stream& stream) {
+  beast::flat_buffer buffer;
+  http::request_parser<http::string_body> parser;
+  parser.body_limit(kNoBodyLimit);
+  co_await http::async_read(stream, buffer, parser, asio::use_awaitable);
+  co_return parser.release();
+}
+
+inline asio::awaitable<void> WriteText(beast::tcp_stream& stream,
+                                       std::string text) {
+  co_await asio::async_write(stream, asio::buffer(text), asio::use_awaitable);
+}
+
+}  // namespace banyantrail::test
