--- /dev/null
+++ b/packages/core/banyantrail/core/wall_time.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <chrono>
+#include <string>
+
+namespace banyantrail {
+
+/// Wall-clock time, for people to read. No decision rests on it.
+using WallTime = std::chrono::system_clock::time_point;
+
+/// ISO 8601 in UTC with seconds, for example "2026-12-04T09:30:00Z".
+std::string FormatWallTime(WallTime time);
+
+}  // namespace banyantrail
--- a/packages/platform/banyantrail/platform/platform_client.cc
+++ b/packages/platform/banyantrail/platform/platform_client.cc
@@ -134,11 +134,11 @@
   }
   const bool nothing_done =
       idempotent || response.result() == http::status::service_unavailable;
-  throw Error({.kind = nothing_done ? ErrorKind::kPlatformUnavailable
-                                    : ErrorKind::kOutcomeUnknown,
-               .message =
-                   "the platform answered with status " + std::to_string(status),
-               .remedy = std::string(kUnavailableRemedy)});
+  throw Error(
+      {.kind = nothing_done ? ErrorKind::kPlatformUnavailable
+                            : ErrorKind::kOutcomeUnknown,
+       .message = "the platform answered with status " + std::to_string(status),
+       .remedy = std::string(kUnavailableRemedy)});
 }
 
 bool IsWorthRetrying(ErrorKind kind) {
@@ -202,9 +202,9 @@
     ThrowUnexpected(response);
   }
   json body = ParseBody(response);
-  co_return PutResult{.status = written ? PutStatus::kWritten
-                                        : PutStatus::kVersionMismatch,
-                      .version = TakeVersion(body)};
+  co_return PutResult{
+      .status = written ? PutStatus::kWritten : PutStatus::kVersionMismatch,
+      .version = TakeVersion(body)};
 }
 
 asio::awaitable<DeleteStatus> PlatformClient::Delete(
@@ -328,9 +328,10 @@
     ++m_counters.rate_limited;
   }
   if (expected > m_options.max_rate_wait) {
-    throw Error({.kind = ErrorKind::kPlatformOverloaded,
-                 .message = "this node's rate limit for the platform is used up",
-                 .remedy = "try again later"});
+    throw Error(
+        {.kind = ErrorKind::kPlatformOverloaded,
+         .message = "this node's rate limit for the platform is used up",
+         .remedy = "try again later"});
   }
   const Duration wait = m_rate.Reserve(now);
   if (wait > Duration::zero()) {
--- a/packages/platform/banyantrail/platform/relay_lease.cc
+++ b/packages/platform/banyantrail/platform/relay_lease.cc
@@ -70,11 +70,10 @@
   };
   std::vector<NodeId> order = nodes;
   const std::size_t count = std::min(kRelaySlots, order.size());
-  std::partial_sort(order.begin(),
-                    order.begin() + static_cast<std::ptrdiff_t>(count),
-                    order.end(), [&](const NodeId& a, const NodeId& b) {
-                      return weight(a) > weight(b);
-                    });
+  std::partial_sort(
+      order.begin(), order.begin() + static_cast<std::ptrdiff_t>(count),
+      order.end(),
+      [&](const NodeId& a, const NodeId& b) { return weight(a) > weight(b); });
   order.resize(count);
   return order;
 }
@@ -104,13 +103,12 @@
 }
 
 bool RelayLease::IsCandidate() const {
-  return std::find(m_candidates.begin(), m_candidates.end(),
-                   m_options.self) != m_candidates.end();
+  return std::find(m_candidates.begin(), m_candidates.end(), m_options.self) !=
+         m_candidates.end();
 }
 
 bool RelayLease::IsMember(const NodeId& node) const {
-  return std::find(m_members.begin(), m_members.end(), node) !=
-         m_members.end();
+  return std::find(m_members.begin(), m_members.end(), node) != m_members.end();
 }
 
 bool RelayLease::NeedsSlots() const {
@@ -121,9 +119,8 @@
   if (!slot.value || slot.value->node.empty()) {
     return true;
   }
-  const Duration expiry = IsMember(slot.value->node)
-                              ? m_options.expiry
-                              : m_options.expiry_of_dead;
+  const Duration expiry =
+      IsMember(slot.value->node) ? m_options.expiry : m_options.expiry_of_dead;
   return now - slot.seen >= expiry;
 }
 
@@ -138,8 +135,8 @@
 
 std::optional<std::size_t> RelayLease::FreeSlot(TimePoint now) const {
   // Each candidate looks at another slot first, so that they do not race.
-  const auto self = std::find(m_candidates.begin(), m_candidates.end(),
-                              m_options.self);
+  const auto self =
+      std::find(m_candidates.begin(), m_candidates.end(), m_options.self);
   const auto first = static_cast<std::size_t>(self - m_candidates.begin());
   for (std::size_t i = 0; i < kRelaySlots; ++i) {
     const std::size_t slot = (first + i) % kRelaySlots;
--- a/packages/platform/banyantrail/platform/relay_task.h
+++ b/packages/platform/banyantrail/platform/relay_task.h
@@ -24,14 +24,13 @@
 
 /// What the relay duty needs from the platform's client.
 template <typename T>
-concept PlatformStore =
-    AsyncObjectStore<T> &&
+concept PlatformStore = AsyncObjectStore<T> &&
     requires(T& store, std::string prefix, std::uint64_t after) {
-      { store.List(prefix) } -> std::same_as<asio::awaitable<ListResult>>;
-      {
-        store.Watch(prefix, after, milliseconds())
-        } -> std::same_as<asio::awaitable<WatchResult>>;
-    };
+  { store.List(prefix) } -> std::same_as<asio::awaitable<ListResult>>;
+  {
+    store.Watch(prefix, after, milliseconds())
+    } -> std::same_as<asio::awaitable<WatchResult>>;
+};
 
 /// Counts since the start, for the metrics.
 struct RelayCounters {
@@ -129,13 +128,13 @@
 
   void Spawn(Loop loop) {
     ++m_running;
-    asio::co_spawn(
-        m_executor,
-        [self = this->shared_from_this(), loop]() -> asio::awaitable<void> {
-          co_await ((*self).*loop)();
-          --self->m_running;
-        },
-        asio::detached);
+    asio::co_spawn(m_executor, Run(this->shared_from_this(), loop),
+                   asio::detached);
+  }
+
+  static asio::awaitable<void> Run(std::shared_ptr<RelayTask> self, Loop loop) {
+    co_await ((*self).*loop)();
+    --self->m_running;
   }
 
   asio::awaitable<void> LeaseLoop() {
@@ -148,12 +147,19 @@
 
   asio::awaitable<void> WatchLoop() {
     while (!m_stopping) {
-      if (!IsRelay()) {
-        m_watched_version.reset();
-        co_await Sleep(m_watch_timer, m_options.status_interval);
-      } else if (!co_await Guarded(&RelayTask::WatchHead)) {
-        co_await Sleep(m_watch_timer, m_options.failure_pause);
-      }
+      co_await WatchOnce();
+    }
+  }
+
+  asio::awaitable<void> WatchOnce() {
+    if (!IsRelay()) {
+      m_watched_version.reset();
+      co_await Sleep(m_watch_timer, m_options.status_interval);
+      co_return;
+    }
+    const bool succeeded = co_await Guarded(&RelayTask::WatchHead);
+    if (!succeeded) {
+      co_await Sleep(m_watch_timer, m_options.failure_pause);
     }
   }
 
--- /dev/null
+++ b/tests/platform/fake_platform.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "banyantrail/core/errors.h"
+#include "banyantrail/net/asio.h"
+#include "banyantrail/platform/platform_client.h"
+#include "standins/object_store.h"
+
+namespace banyantrail::testing {
+
+/// The platform in memory, with fault switches and call counts.
+class FakePlatform {
+ public:
+  explicit FakePlatform(asio::any_io_executor executor)
+      : m_executor(std::move(executor)) {}
+
+  bool outage = false;
+  /// So many further writes take effect and lose their answers.
+  int lose_answers = 0;
+  std::uint64_t reads = 0;
+  std::uint64_t writes = 0;
+  std::uint64_t watches = 0;
+
+  asio::awaitable<std::optional<StoredObject>> Get(std::string key) {
+    ++reads;
+    ThrowIfOut();
+    const auto found = m_store.Get(key);
+    std::optional<StoredObject> object;
+    if (found) {
+      object = Parse(*found);
+    }
+    co_return object;
+  }
+
+  asio::awaitable<PutResult> Put(std::string key,
+                                 nlohmann::json value,
+                                 std::optional<std::uint64_t> expected) {
+    ++writes;
+    ThrowIfOut();
+    const auto result = m_store.Put(key, value.dump(), expected);
+    if (lose_answers > 0) {
+      --lose_answers;
+      throw Error({.kind = ErrorKind::kOutcomeUnknown,
+                   .message = "the answer was lost",
+                   .remedy = "read again"});
+    }
+    const bool done = result.status == standins::WriteStatus::kDone;
+    co_return PutResult{
+        .status = done ? PutStatus::kWritten : PutStatus::kVersionMismatch,
+        .version = result.version};
+  }
+
+  asio::awaitable<ListResult> List(std::string prefix) {
+    ++reads;
+    ThrowIfOut();
+    ListResult result{.version = m_store.version()};
+    for (const auto& object : m_store.List(prefix)) {
+      result.objects.push_back(Parse(object));
+    }
+    co_return result;
+  }
+
+  asio::awaitable<WatchResult> Watch(std::string prefix,
+                                     std::uint64_t after,
+                                     milliseconds wait) {
+    ++watches;
+    constexpr Duration kPoll = milliseconds(2);
+    const TimePoint end = SystemClock().Now() + wait;
+    WatchResult result;
+    while (result.events.empty() && SystemClock().Now() < end) {
+      ThrowIfOut();
+      for (const auto& object : m_store.ChangesAfter(prefix, after)) {
+        result.events.push_back({.object = Parse(object)});
+      }
+      asio::steady_timer timer(m_executor, kPoll);
+      co_await timer.async_wait(asio::use_awaitable);
+    }
+    result.version = m_store.version();
+    co_return result;
+  }
+
+  standins::ObjectStore& store() { return m_store; }
+
+ private:
+  static StoredObject Parse(const standins::StoredObject& object) {
+    return {.key = object.key,
+            .version = object.version,
+            .value = nlohmann::json::parse(object.value)};
+  }
+
+  void ThrowIfOut() const {
+    if (outage) {
+      throw Error({.kind = ErrorKind::kPlatformUnavailable,
+                   .message = "the platform is out",
+                   .remedy = "wait"});
+    }
+  }
+
+  asio::any_io_executor m_executor;
+  standins::ObjectStore m_store;
+};
+
+}  // namespace banyantrail::testing
