--- a/tests/process/harness.py
+++ b/tests/process/harness.py
@@ -129,6 +129,17 @@
             self._popen.send_signal(signal.SIGCONT)
         self._frozen = False
 
+    def cpu_seconds(self):
+        """Processor time used so far."""
+        stat = pathlib.Path(f"/proc/{self.pid}/stat").read_text()
+        fields = stat.rsplit(")", 1)[1].split()
+        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+    def memory_mb(self):
+        """Resident memory."""
+        pages = pathlib.Path(f"/proc/{self.pid}/statm").read_text().split()[1]
+        return int(pages) * os.sysconf("SC_PAGE_SIZE") / 1e6
+
     def log_tail(self, lines=15):
         if not self.log_path.exists():
             return ""
@@ -379,6 +390,19 @@
             wait_until(lambda vm=vm: (self.revision(vm) or 0) >= revision,
                        timeout, f"revision {revision} in force on {vm.node}")
 
+    def known_backends(self, vm):
+        """Ids of the serving backend servers in a node's published routes."""
+        routes = get_json(vm.admin, "/v1/routes", timeout=2)
+        return json.dumps(routes) if routes else ""
+
+    def wait_backends(self, timeout=READY_TIMEOUT_S):
+        """Waits until each node routes to every backend server."""
+        for vm in self.topology.vms:
+            wait_until(lambda vm=vm: all(
+                other.backend_id in self.known_backends(vm)
+                for other in self.topology.vms), timeout,
+                f"{vm.node} routes to every backend server")
+
     def close(self):
         processes = [*self.backends.values(), *self.nodes.values(),
                      self.platform]
