--- a/tests/process/standins_process_test.py
+++ b/tests/process/standins_process_test.py
@@ -139,7 +139,8 @@
         first.join()
         self.assertEqual((status, headers["x-banyantrail-outcome"]),
                          (503, "not-run"))
-        self.assertNotIn("/b", [e.get("path") for e in self.events()])
+        self.assertEqual([e["event"] for e in self.events()
+                          if e.get("path") == "/b"], ["run_shed"])
 
     def test_records_a_caller_that_hangs_up(self):
         with self.assertRaises(TimeoutError):
--- a/tests/standins/backend_session.cc
+++ b/tests/standins/backend_session.cc
@@ -162,6 +162,7 @@
 
 asio::awaitable<void> BackendSession::Shed(Parser& parser) {
   ++m_server.m_counters.shed;
+  Record("run_shed", parser);
   HttpResponse response = JsonResponse(http::status::service_unavailable,
                                        R"({"error":"no free slot"})");
   response.set(View(kOutcomeHeader), View(kOutcomeNotRun));
