Repay lower ranks what lent slots cost them

Cause: slots lent to uploads come back late, so in the first seconds of a flood of the top rank a lower rank stood below its share. Ruled out: preemption (cuts uploads), less lending (idle slots).

--- a/packages/traffic/banyantrail/traffic/admission.cc
+++ b/packages/traffic/banyantrail/traffic/admission.cc
@@ -11,6 +11,10 @@
 using detail::QueueKey;
 using detail::RankState;
 
+constexpr double kPercent = 100;
+/// Lower ranks are given this much more than their share, so that moments
+/// without waiting work do not take them below it.
+constexpr double kShareMargin = 1.01;
 /// Slot-seconds that a rank is owed at most.
 constexpr double kMostOwed = 5;
 constexpr milliseconds kUnknownServiceTime{50};
@@ -211,7 +215,10 @@
     rank.share = 0;
   }
   for (const RankShare& declared : ranks) {
-    m_ranks[declared.priority].share += declared.share_percent / 100.0;
+    m_ranks[declared.priority].share += declared.share_percent / kPercent;
+  }
+  for (auto it = m_ranks.begin(); it != m_ranks.end(); ++it) {
+    it->second.share *= it == m_ranks.begin() ? 1 : kShareMargin;
   }
 }
 
@@ -328,8 +335,7 @@
     if (rank.queue.empty() || !IsEntitled(rank)) {
       continue;
     }
-    const double filled =
-        static_cast<double>(rank.in_flight) / Guarantee(rank);
+    const double filled = FilledPart(it->first, rank);
     if (picked == m_ranks.end() || filled < least_filled) {
       picked = it;
       least_filled = filled;
@@ -338,6 +344,14 @@
   return picked;
 }
 
+double AdmissionQueue::FilledPart(std::uint8_t priority,
+                                  const RankState& rank) const {
+  // The most urgent rank has no claim to be repaid at the cost of others.
+  const bool repaid = priority != m_ranks.begin()->first && HasPaid(rank);
+  const auto held = static_cast<double>(rank.in_flight);
+  return (repaid ? held - 1 : held) / Guarantee(rank);
+}
+
 AdmissionQueue::RankMap::iterator AdmissionQueue::PickOldest() {
   auto oldest = m_ranks.end();
   for (auto it = m_ranks.begin(); it != m_ranks.end(); ++it) {
@@ -363,9 +377,13 @@
   if (held < whole) {
     return true;
   }
+  return held < whole + 1 && HasPaid(rank);
+}
+
+bool AdmissionQueue::HasPaid(const RankState& rank) const {
   const double price =
-      (1 - Fraction(guarantee)) * CreditUnit(rank, m_advanced_to);
-  return held < whole + 1 && rank.credit >= price;
+      (1 - Fraction(Guarantee(rank))) * CreditUnit(rank, m_advanced_to);
+  return rank.credit >= price;
 }
 
 bool AdmissionQueue::MayBorrow(const RankState& rank, TimePoint now) const {
@@ -459,8 +477,7 @@
   if (!m_options.refuse_late) {
     return entry.deadline;
   }
-  return entry.deadline -
-         rank.service_time.Likely(now).value_or(Duration{});
+  return entry.deadline - rank.service_time.Likely(now).value_or(Duration{});
 }
 
 }  // namespace banyantrail
--- a/packages/traffic/banyantrail/traffic/admission.h
+++ b/packages/traffic/banyantrail/traffic/admission.h
@@ -222,8 +222,12 @@
   /// Of the ranks below their guarantee, the one that has the least part of
   /// it; the most urgent of equals.
   RankMap::iterator PickEntitled();
+  double FilledPart(std::uint8_t priority, const detail::RankState& rank) const;
   RankMap::iterator PickOldest();
   bool IsEntitled(const detail::RankState& rank) const;
+  /// Whether the rank's credit pays for a slot above the whole part of its
+  /// guarantee.
+  bool HasPaid(const detail::RankState& rank) const;
   bool MayBorrow(const detail::RankState& rank, TimePoint now) const;
   bool HoldsSlotsForLong(const detail::RankState& rank, TimePoint now) const;
   double ReserveFor(std::uint8_t priority, const detail::RankState& rank) const;
--- a/packages/traffic/banyantrail/traffic/concurrency_limit.cc
+++ b/packages/traffic/banyantrail/traffic/concurrency_limit.cc
@@ -49,8 +49,8 @@
   }
   const double difference = value - m_mean;
   m_mean += kMeanWeight * difference;
-  m_variance = (1 - kMeanWeight) *
-               (m_variance + kMeanWeight * difference * difference);
+  m_variance =
+      (1 - kMeanWeight) * (m_variance + kMeanWeight * difference * difference);
   if (m_epoch.count == 0) {
     m_epoch_start = now;
   }
@@ -70,8 +70,8 @@
 void LatencyHistory::CloseWindow(TimePoint now) {
   m_window = {};
   const bool first = !m_has_baseline && m_epoch.count >= kMinWindowSamples;
-  const bool full = m_epoch.count >= kMinEpochSamples &&
-                    now - m_epoch_start >= kEpochLength;
+  const bool full =
+      m_epoch.count >= kMinEpochSamples && now - m_epoch_start >= kEpochLength;
   if (first || full) {
     CloseEpoch(now);
   }
@@ -102,8 +102,8 @@
 }
 
 double LatencyHistory::Baseline(TimePoint now) const {
-  const std::int64_t oldest = now.time_since_epoch() / kSlotWidth -
-                              static_cast<std::int64_t>(kSlots);
+  const std::int64_t oldest =
+      now.time_since_epoch() / kSlotWidth - static_cast<std::int64_t>(kSlots);
   double least = std::numeric_limits<double>::infinity();
   for (const Slot& slot : m_slots) {
     if (slot.number > oldest) {
--- a/tests/bench/flood_simulation.h
+++ b/tests/bench/flood_simulation.h
@@ -53,6 +53,8 @@
   std::uint64_t shed_by_backend_server = 0;
   /// Of good answers, from arrival.
   double p99_seconds = 0;
+  /// Part of all slot time that the rank held.
+  double held_share = 0;
   /// Part of all slot time that went into good answers.
   double kept_share = 0;
   /// From the flood's start to the end of the last half second in which fewer
--- /dev/null
+++ b/tests/traffic/flood_test.cc
@@ -0,0 +1,90 @@
+// The targets of service by rank, checked in virtual time at both users' sizes.
+
+#include "bench/flood_simulation.h"
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using banyantrail::AdmissionOptions;
+using banyantrail::bench::Fleet;
+using banyantrail::bench::Flood;
+using banyantrail::bench::FloodResult;
+using banyantrail::bench::LiushuFleet;
+using banyantrail::bench::PistaClaraFleet;
+using banyantrail::bench::Simulate;
+
+namespace {
+
+constexpr double kTopRankTarget = 0.99;
+constexpr double kCapacityTarget = 0.90;
+constexpr std::uint8_t kTopRank = 0;
+
+struct Verdict {
+  /// The top rank keeps 99 % of its demand under floods of lower work.
+  bool top_rank_served = true;
+  /// Under a flood of the top rank each lower rank keeps its share.
+  bool shares_kept = true;
+  /// Slots are not left idle while work waits.
+  bool capacity_used = true;
+};
+
+void Judge(const Fleet& fleet, const FloodResult& result, Verdict& verdict) {
+  verdict.capacity_used &= result.capacity_used > kCapacityTarget;
+  if (result.flood.priority != kTopRank) {
+    verdict.top_rank_served &= result.ranks[0].GoodRatio() >= kTopRankTarget;
+    return;
+  }
+  for (std::size_t i = 1; i < fleet.ranks.size(); ++i) {
+    const double share = fleet.ranks[i].share_percent / 100.0;
+    verdict.shares_kept &= result.ranks[i].held_share >= share;
+  }
+}
+
+Verdict RunFloods(const Fleet& fleet, const AdmissionOptions& policy) {
+  Verdict verdict;
+  for (const double factor : {3.0, 10.0}) {
+    const std::vector<Flood> floods = {{.priority = 2, .factor = factor},
+                                       {.priority = 1, .factor = factor},
+                                       {.priority = 0, .factor = factor}};
+    const auto results = Simulate({.fleet = fleet,
+                                   .floods = floods,
+                                   .admission = policy,
+                                   .seed = 20261204});
+    for (const FloodResult& result : results) {
+      Judge(fleet, result, verdict);
+    }
+  }
+  return verdict;
+}
+
+void CheckAllTargets(const Fleet& fleet) {
+  const Verdict verdict = RunFloods(fleet, {});
+  CHECK(verdict.top_rank_served);
+  CHECK(verdict.shares_kept);
+  CHECK(verdict.capacity_used);
+}
+
+}  // namespace
+
+TEST_GROUP(Flood){};
+
+TEST(Flood, LiushuMeetsTheTargetsOneFloodAfterTheOther) {
+  CheckAllTargets(LiushuFleet());
+}
+
+TEST(Flood, PistaClaraMeetsTheTargetsOneFloodAfterTheOther) {
+  CheckAllTargets(PistaClaraFleet());
+}
+
+TEST(Flood, WithoutRanksTheTopRankIsCrowdedOut) {
+  const Verdict verdict = RunFloods(LiushuFleet(), {.order_by_rank = false});
+  CHECK(!verdict.top_rank_served);
+}
+
+TEST(Flood, WithoutGuaranteesLowerRanksLoseTheirShare) {
+  const Verdict verdict = RunFloods(LiushuFleet(), {.guarantee_shares = false});
+  CHECK(!verdict.shares_kept);
+}
