--- a/packages/node/banyantrail/node/admin_api.cc
+++ b/packages/node/banyantrail/node/admin_api.cc
@@ -3,17 +3,18 @@
 #include <algorithm>
 #include <charconv>
 #include <chrono>
-#include <ctime>
 #include <utility>
 #include <vector>
 
 #include "banyantrail/config/change.h"
 #include "banyantrail/config/compile.h"
+#include "banyantrail/config/domain_status.h"
 #include "banyantrail/config/json_object_reader.h"
 #include "banyantrail/config/release_loader.h"
 #include "banyantrail/config/release_publisher.h"
 #include "banyantrail/config/selector_match.h"
-#include "banyantrail/distribution/domain_status.h"
+#include "banyantrail/core/wall_time.h"
+#include "banyantrail/net/http_server.h"
 
 namespace banyantrail {
 namespace {
@@ -86,12 +87,9 @@
 }
 
 json BackendServerJson(const BackendServerRecord& server) {
-  return {{"id", server.id.str()},
-          {"service", server.service.str()},
-          {"labels", server.labels},
-          {"address", ToString(server.address)},
-          {"slots", server.slots},
-          {"state", ToText(server.state)}};
+  return {{"id", server.id.str()},   {"service", server.service.str()},
+          {"labels", server.labels}, {"address", ToString(server.address)},
+          {"slots", server.slots},   {"state", ToText(server.state)}};
 }
 
 json MemberJson(const MemberRecord& member) {
@@ -111,17 +109,6 @@
           {"backend_servers", servers}};
 }
 
-/// Wall-clock time for people, ISO 8601 in UTC.
-std::string NowText() {
-  const std::time_t now = std::time(nullptr);
-  std::tm parts{};
-  gmtime_r(&now, &parts);
-  std::string text(sizeof("2026-01-01T00:00:00Z"), '\0');
-  text.resize(
-      std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%SZ", &parts));
-  return text;
-}
-
 json RuleVerdictJson(std::string_view kind,
                      const RuleName& rule,
                      const SelectorName& selector,
@@ -140,8 +127,8 @@
                   const Labels& labels,
                   json& list) {
   for (const Rule& rule : rules) {
-    const auto selector = std::ranges::find(selectors, rule.selector,
-                                            &SelectorObject::name);
+    const auto selector =
+        std::ranges::find(selectors, rule.selector, &SelectorObject::name);
     if (selector != selectors.end()) {
       list.push_back(RuleVerdictJson(kind, rule.name, rule.selector,
                                      ExplainSelector(*selector, labels)));
@@ -392,9 +379,9 @@
                         {"backend_servers", servers}});
     }
   }
-  return Answer(http::status::ok,
-                {{"revision", snapshot ? snapshot->revision() : 0},
-                 {"routes", routes}});
+  return Answer(
+      http::status::ok,
+      {{"revision", snapshot ? snapshot->revision() : 0}, {"routes", routes}});
 }
 
 HttpResponse AdminApi::Announce(const Call& call) {
@@ -441,8 +428,8 @@
 asio::awaitable<HttpResponse> AdminApi::History(Call call) {
   constexpr std::size_t kDefaultEntries = 20;
   constexpr std::size_t kMaxEntries = 200;
-  const std::size_t limit = std::min(
-      QueryNumber(call.query, "limit", kDefaultEntries), kMaxEntries);
+  const std::size_t limit =
+      std::min(QueryNumber(call.query, "limit", kDefaultEntries), kMaxEntries);
   const std::vector<HistoryEntry> history =
       co_await LoadHistory(m_options.platform, limit);
   json list = json::array();
@@ -461,8 +448,9 @@
   if (!parsed.proposal) {
     co_return FaultsAnswer("the change is not valid", parsed.faults);
   }
-  PublishOptions options{.time = NowText(),
-                         .held = m_options.control.release()};
+  PublishOptions options{
+      .time = FormatWallTime(std::chrono::system_clock::now()),
+      .held = m_options.control.release()};
   const PublishOutcome outcome =
       co_await Publish(m_options.platform, *parsed.proposal, options);
   if (outcome.release) {
@@ -480,12 +468,13 @@
   try {
     const std::string prefix(kStatusPrefix);
     const auto listed = co_await m_options.platform.List(prefix);
-    const auto now = std::chrono::duration_cast<milliseconds>(
-        std::chrono::system_clock::now().time_since_epoch());
+    const WallTime now = std::chrono::system_clock::now();
     for (const StoredObject& object : listed.objects) {
-      json summary = ToJson(DomainStatusFromJson(object.value));
-      const auto written = summary.at("time").get<std::int64_t>();
-      summary["age_ms"] = std::max<std::int64_t>(now.count() - written, 0);
+      const DomainStatus status = ParseDomainStatus(object.value);
+      const Duration age = now - ParseWallTime(status.time);
+      json summary = ToJson(status);
+      summary["age_ms"] = std::max<std::int64_t>(
+          std::chrono::duration_cast<milliseconds>(age).count(), 0);
       body["domains"].push_back(std::move(summary));
     }
   } catch (const Error&) {
--- /dev/null
+++ b/packages/node/banyantrail/node/platform_duty.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <memory>
+
+#include "banyantrail/distribution/status_summary.h"
+#include "banyantrail/net/asio.h"
+#include "banyantrail/node/control_plane.h"
+#include "banyantrail/node/metrics.h"
+#include "banyantrail/node/settings.h"
+#include "banyantrail/platform/platform_client.h"
+#include "banyantrail/platform/relay_task.h"
+
+namespace banyantrail {
+
+/// What a node does towards the platform: the relay duty of its failure domain
+/// while it holds a lease, first contact with its peers, and, as a baseline to
+/// measure against, watching the platform by itself.
+class PlatformDuty {
+ public:
+  PlatformDuty(asio::io_context& io,
+               const NodeSettings& settings,
+               PlatformClient& platform,
+               ControlPlane& control,
+               Metrics& metrics);
+  PlatformDuty(const PlatformDuty&) = delete;
+  PlatformDuty& operator=(const PlatformDuty&) = delete;
+
+  void OnMembers(const MembershipView& view);
+
+  /// Hands the lease back, for the planned stop.
+  asio::awaitable<void> GiveBack();
+
+ private:
+  using Task = RelayTask<PlatformClient>;
+
+  void StartRelayTask();
+  void TakeRelease(Release release);
+  std::optional<nlohmann::json> TakeDueStatus();
+  asio::awaitable<void> FindPeers();
+  asio::awaitable<void> WatchByItself();
+  asio::awaitable<bool> ReadHead();
+  asio::awaitable<void> Pause(Duration duration);
+  void ExportMetrics();
+
+  asio::io_context& m_io;
+  const NodeSettings& m_settings;
+  PlatformClient& m_platform;
+  ControlPlane& m_control;
+  Metrics& m_metrics;
+  StatusSummary m_summary;
+  std::shared_ptr<Task> m_task;
+  /// The newest release read, so that its chunks are not read again before the
+  /// actors have applied it.
+  std::shared_ptr<const Release> m_newest;
+  bool m_stopped = false;
+};
+
+}  // namespace banyantrail
