--- /dev/null
+++ b/packages/core/banyantrail/core/wall_time.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <chrono>
+#include <string>
+
+namespace banyantrail {
+
+/// Wall-clock time, for people to read. No decision rests on it.
+using WallTime = std::chrono::system_clock::time_point;
+
+/// ISO 8601 in UTC with seconds, for example "2026-12-04T09:30:00Z".
+std::string FormatWallTime(WallTime time);
+
+/// The inverse of FormatWallTime. Throws Error{kMalformedMessage}.
+WallTime ParseWallTime(const std::string& text);
+
+}  // namespace banyantrail
