Read the shared status type in banyantrailctl

The failure domain's status type lives in packages/config for relays and tools alike. A relay at rest writes its summary every 10 s, so a summary counts as old above 25 s instead of 10 s; at 10 s a healthy domain would have been unknown between two writes.

--- a/packages/ctl/banyantrail/ctl/rule_status.h
+++ b/packages/ctl/banyantrail/ctl/rule_status.h
@@ -2,14 +2,13 @@
 
 #include <chrono>
 #include <map>
-#include <optional>
 #include <string>
 #include <vector>
 
+#include "banyantrail/config/domain_status.h"
 #include "banyantrail/config/release.h"
 #include "banyantrail/core/clock.h"
 #include "banyantrail/core/ids.h"
-#include "banyantrail/distribution/domain_status.h"
 
 /// Works out where each rule is in force from what the relays reported.
 namespace banyantrail::ctl {
@@ -63,8 +62,8 @@
   DomainId domain;
   RuleState state = RuleState::kUnknown;
   std::string why;
-  /// With kUnknown: wall-clock time of the last report.
-  std::optional<UnixMillis> since;
+  /// With kUnknown: wall-clock time of the last report; empty if there is none.
+  std::string since;
 
   friend bool operator==(const RuleOnProxy&, const RuleOnProxy&) = default;
 };
@@ -79,8 +78,9 @@
 };
 
 struct RuleStatusOptions {
-  /// A summary above this age says nothing about the present.
-  milliseconds max_report_age{10'000};
+  /// A summary above this age says nothing about the present. Relays write one
+  /// every 10 s at rest.
+  milliseconds max_report_age{25'000};
 };
 
 /// `declared` holds the rules asked about. `releases` holds the objects of
