Choose backend servers by load, latency and outcome

Cause: the entry node chose at random among the nearest.

Change: the entry stage feeds its load table with the load that owner nodes report, the latency and the outcome of each attempt, and chooses by it.

--- a/packages/node/banyantrail/node/data_plane.cc
+++ b/packages/node/banyantrail/node/data_plane.cc
@@ -27,7 +27,7 @@
 EntryStage::Options EntryOptions(Metrics& metrics,
                                  const NodeSettings& settings) {
   return {
-      .domain = settings.domain,
+      .choice = {.domain = settings.domain, .region = settings.region},
       .limits = {.max_header_bytes = settings.limits.max_header_bytes},
       .hooks = {
           .count_refusal =
--- a/packages/proxy/banyantrail/proxy/entry_stage.cc
+++ b/packages/proxy/banyantrail/proxy/entry_stage.cc
@@ -55,6 +55,54 @@
          SystemOutcomeOf(attempt).empty();
 }
 
+/// What an owner node's refusal says of its backend server.
+EndpointOutcome RefusalOutcomeOf(const Attempt& attempt) {
+  const std::string_view reason =
+      FieldValue(attempt.answer->get(), kReasonHeader);
+  const bool is_load = reason == ToString(RefusalReason::kQueueFull) ||
+                       reason == ToString(RefusalReason::kDeadline) ||
+                       reason == ToString(RefusalReason::kDraining) ||
+                       reason == ToString(RefusalReason::kShedByBackendServer);
+  if (is_load) {
+    return EndpointOutcome::kShed;
+  }
+  return reason == ToString(RefusalReason::kConnectFailed)
+             ? EndpointOutcome::kConnectFailed
+             : EndpointOutcome::kFailed;
+}
+
+EndpointOutcome OutcomeOf(const Attempt& attempt) {
+  switch (attempt.result) {
+    case UpstreamResult::kAnswered:
+      if (!SystemOutcomeOf(attempt).empty()) {
+        return RefusalOutcomeOf(attempt);
+      }
+      return http::to_status_class(attempt.answer->get().result()) ==
+                     http::status_class::server_error
+                 ? EndpointOutcome::kFailed
+                 : EndpointOutcome::kAnswered;
+    case UpstreamResult::kNotRun:
+      return EndpointOutcome::kConnectFailed;
+    case UpstreamResult::kUnknown:
+      return EndpointOutcome::kFailed;
+    case UpstreamResult::kCallerGone:
+      return EndpointOutcome::kCancelled;
+  }
+  return EndpointOutcome::kCancelled;
+}
+
+EndpointResult ResultOf(const Attempt& attempt, Duration latency) {
+  EndpointResult result{.outcome = OutcomeOf(attempt)};
+  if (attempt.result == UpstreamResult::kAnswered) {
+    result.load =
+        ParseReportedLoad(FieldValue(attempt.answer->get(), kLoadHeader));
+  }
+  if (result.outcome == EndpointOutcome::kAnswered) {
+    result.latency = latency;
+  }
+  return result;
+}
+
 }  // namespace
 
 struct EntryStage::Passage {
@@ -64,8 +112,8 @@
   const RoutedService* service = nullptr;
   TimePoint started;
   TimePoint deadline;
-  /// Backend servers already tried.
-  std::vector<BackendServerId> tried;
+  /// Endpoints already tried.
+  std::vector<EndpointKey> tried;
 };
 
 EntryStage::EntryStage(asio::any_io_executor executor,
@@ -74,10 +122,12 @@
     : m_executor(std::move(executor)),
       m_pool(pool),
       m_options(std::move(options)),
-      m_rng(m_options.seed) {}
+      m_rng(m_options.seed),
+      m_loads(m_options.loads) {}
 
 void EntryStage::SetSnapshot(std::shared_ptr<const RoutingSnapshot> snapshot) {
   m_snapshot = std::move(snapshot);
+  m_loads.Retain(m_snapshot->services(), SystemClock().Now());
 }
 
 asio::awaitable<void> EntryStage::Serve(beast::tcp_stream stream) {
@@ -133,24 +183,6 @@
   co_await Forward(downstream, passage);
 }
 
-const ServiceEndpoint* EntryStage::Choose(const Passage& passage) {
-  std::vector<const ServiceEndpoint*> own_domain;
-  std::vector<const ServiceEndpoint*> others;
-  for (const ServiceEndpoint& endpoint : passage.service->endpoints) {
-    const bool tried =
-        std::ranges::find(passage.tried, endpoint.id) != passage.tried.end();
-    if (!tried) {
-      (endpoint.domain == m_options.domain ? own_domain : others)
-          .push_back(&endpoint);
-    }
-  }
-  const auto& candidates = own_domain.empty() ? others : own_domain;
-  if (candidates.empty()) {
-    return nullptr;
-  }
-  return candidates[UniformIndex(m_rng, candidates.size())];
-}
-
 AttemptOptions EntryStage::OptionsFor(const Passage& passage,
                                       const ServiceEndpoint& endpoint) const {
   AttemptOptions options{.server = endpoint.mesh_address,
@@ -171,21 +203,18 @@
 asio::awaitable<void> EntryStage::Forward(Downstream& downstream,
                                           Passage& passage) {
   while (true) {
-    const ServiceEndpoint* endpoint = Choose(passage);
+    const ServiceEndpoint* endpoint =
+        Choose(passage.service->endpoints, m_loads, m_options.choice,
+               SystemClock().Now(), m_rng, passage.tried);
     if (endpoint == nullptr) {
       co_await Refuse(downstream, passage, RefusalReason::kNoBackendServer);
       co_return;
     }
-    passage.tried.push_back(endpoint->id);
-    Attempt attempt = co_await MakeAttempt(m_pool, downstream, passage.request,
-                                           OptionsFor(passage, *endpoint));
+    Attempt attempt = co_await Try(downstream, passage, *endpoint);
     if (attempt.result == UpstreamResult::kCallerGone) {
       downstream.must_close = true;
       co_return;
     }
-    if (attempt.result == UpstreamResult::kUnknown) {
-      m_pool.Distrust(endpoint->mesh_address);
-    }
     if (MayRetry(passage, attempt)) {
       continue;
     }
@@ -198,6 +227,23 @@
   }
 }
 
+asio::awaitable<Attempt> EntryStage::Try(Downstream& downstream,
+                                         Passage& passage,
+                                         const ServiceEndpoint& endpoint) {
+  passage.tried.push_back(KeyOf(endpoint));
+  const TimePoint started = SystemClock().Now();
+  m_loads.OnStart(endpoint, started);
+  AttemptOptions options = OptionsFor(passage, endpoint);
+  Attempt attempt = co_await MakeAttempt(m_pool, downstream, passage.request,
+                                         std::move(options));
+  const TimePoint now = SystemClock().Now();
+  m_loads.OnResult(endpoint, ResultOf(attempt, now - started), now);
+  if (attempt.result == UpstreamResult::kUnknown) {
+    m_pool.Distrust(endpoint.mesh_address);
+  }
+  co_return attempt;
+}
+
 bool EntryStage::MayRetry(const Passage& passage, const Attempt& attempt) {
   if (IsBackendAnswer(attempt)) {
     return false;
--- a/packages/proxy/banyantrail/proxy/entry_stage.h
+++ b/packages/proxy/banyantrail/proxy/entry_stage.h
@@ -10,6 +10,8 @@
 #include "banyantrail/proxy/answer_relay.h"
 #include "banyantrail/proxy/inbound_request.h"
 #include "banyantrail/proxy/upstream_pool.h"
+#include "banyantrail/traffic/choose.h"
+#include "banyantrail/traffic/load_table.h"
 #include "banyantrail/traffic/routing_snapshot.h"
 
 namespace banyantrail {
@@ -29,7 +31,8 @@
 class EntryStage {
  public:
   struct Options {
-    DomainId domain;
+    ChoiceOptions choice;
+    LoadTableOptions loads;
     InboundLimits limits;
     EntryStageHooks hooks;
     std::uint64_t seed = 0;
@@ -68,7 +71,9 @@
                                Attempt& attempt);
   AttemptOptions OptionsFor(const Passage& passage,
                             const ServiceEndpoint& endpoint) const;
-  const ServiceEndpoint* Choose(const Passage& passage);
+  asio::awaitable<Attempt> Try(Downstream& downstream,
+                               Passage& passage,
+                               const ServiceEndpoint& endpoint);
   bool MayRetry(const Passage& passage, const Attempt& attempt);
   void Finish(const Passage& passage, unsigned status);
 
@@ -77,6 +82,7 @@
   Options m_options;
   Rng m_rng;
   std::shared_ptr<const RoutingSnapshot> m_snapshot;
+  LoadTable m_loads;
   bool m_draining = false;
   std::size_t m_in_progress = 0;
 };
