--- /dev/null
+++ b/tests/process/faults_process_test.py
@@ -0,0 +1,114 @@
+"""The promises hold under faults: histories of real processes, checked."""
+
+import time
+import unittest
+
+import harness
+import scenario
+
+SERVICES = ["catalogue", "order-desk", "upload-counter", "catalogue",
+            "order-desk", "upload-counter"]
+DECLARATIONS = harness.ROOT / "examples" / "liushu" / "declarations"
+SEED = 20261204
+
+LOAD = [
+    {"name": "orders", "method": "POST", "path": "/orders?ms=20",
+     "per_second": 20, "body_bytes": 300, "deadline_ms": 2000,
+     "idempotency_keys": True, "resends": 3, "resend_pause_ms": 200},
+    {"name": "lookups", "path": "/catalogue/willow?bytes=3000",
+     "per_second": 40, "deadline_ms": 1000},
+    {"name": "uploads", "method": "PUT", "path": "/uploads/7",
+     "per_second": 2, "body_bytes": 300000, "body_ms": 2500,
+     "deadline_ms": 8000},
+]
+
+
+class FaultsTest(unittest.TestCase):
+
+    def scenario(self, name):
+        run = scenario.Scenario(name, harness.small_topology(*SERVICES),
+                                DECLARATIONS)
+        self.addCleanup(run.__exit__, None, None, None)
+        run.start()
+        return run
+
+    def check(self, run):
+        """Checks the promises and keeps the history if one is broken."""
+        try:
+            run.check_promises()
+        except AssertionError:
+            run.keep_history()
+            raise
+
+    def test_killed_vms_come_back_with_what_they_had_served(self):
+        run = self.scenario("killed_vms")
+        load = run.start_load(LOAD, 8, SEED)
+        time.sleep(1)
+        with run.fault("kill", "n2", "n3", "n2-server", "n3-server"):
+            run.kill_vm("n2")
+            run.kill_vm("n3")
+            run.apply("n1")
+            run.start_vm("n2")
+            run.start_vm("n3")
+        run.finish_load(load)
+        self.check(run)
+
+    def test_frozen_node_catches_up(self):
+        run = self.scenario("frozen_node")
+        load = run.start_load(LOAD, 8, SEED)
+        time.sleep(1)
+        with run.fault("freeze", "n1"):
+            run.fleet.nodes["n1"].freeze()
+            run.apply("n2")
+            time.sleep(4)
+            run.fleet.nodes["n1"].thaw()
+        run.finish_load(load)
+        self.check(run)
+
+    def test_platform_outage_refuses_changes_and_serves_on(self):
+        run = self.scenario("platform_outage")
+        lookups = [entry for entry in LOAD if entry["name"] == "lookups"]
+        load = run.start_load(lookups, 5, SEED)
+        run.fleet.platform_faults(outage=True)
+        started = time.monotonic()
+        refused = run.fleet.ctl("n1", "apply", run.next_edition())
+        self.assertNotEqual(refused.returncode, 0)
+        self.assertLess(time.monotonic() - started, 10)
+        time.sleep(2)
+        run.fleet.platform_faults(outage=False)
+        report = run.finish_load(load)
+        self.assertEqual(report["lookups"]["outcomes"]["ok"],
+                         report["lookups"]["sent"])
+        run.apply("n1")
+        time.sleep(3)
+        self.check(run)
+
+    def test_lost_answer_makes_no_second_change(self):
+        run = self.scenario("lost_answer")
+        before = run.record_accepted("n1")
+        run.fleet.platform_faults(lose_answers=3)
+        folder = run.next_edition()
+        harness.wait_until(
+            lambda: run.fleet.ctl("n1", "apply", folder).returncode == 0, 20,
+            "apply succeeds after lost answers")
+        self.assertEqual(run.record_accepted("n1"), before + 1)
+        time.sleep(3)
+        self.check(run)
+
+    def test_planned_stops_cut_nothing(self):
+        run = self.scenario("planned_stops")
+        callers = [vm.caller for vm in run.fleet.topology.vms
+                   if vm.node != "n4"]
+        load = run.start_load(LOAD, 8, SEED, targets=callers)
+        time.sleep(2)
+        self.assertEqual(run.stop(run.fleet.backends["n3"]), 0)
+        self.assertEqual(run.stop(run.fleet.nodes["n4"]), 0)
+        report = run.finish_load(load)
+        for name, entry in report.items():
+            self.assertEqual(entry["outcomes"]["ok"], entry["sent"],
+                             f"{name}: {entry['reasons']}")
+        self.check(run)
+
+
+if __name__ == "__main__":
+    unittest.main()
