Decide on retries by proof, layer, budget and deadline

Cause: retries must not run an order twice, and calls 10 deep must not multiply. Change: RetryPolicy with two token buckets; refusals for a drain need no token.

--- a/packages/node/banyantrail/node/admin_api.cc
+++ b/packages/node/banyantrail/node/admin_api.cc
@@ -86,12 +86,9 @@
 }
 
 json BackendServerJson(const BackendServerRecord& server) {
-  return {{"id", server.id.str()},
-          {"service", server.service.str()},
-          {"labels", server.labels},
-          {"address", ToString(server.address)},
-          {"slots", server.slots},
-          {"state", ToText(server.state)}};
+  return {{"id", server.id.str()},   {"service", server.service.str()},
+          {"labels", server.labels}, {"address", ToString(server.address)},
+          {"slots", server.slots},   {"state", ToText(server.state)}};
 }
 
 json MemberJson(const MemberRecord& member) {
@@ -140,8 +137,8 @@
                   const Labels& labels,
                   json& list) {
   for (const Rule& rule : rules) {
-    const auto selector = std::ranges::find(selectors, rule.selector,
-                                            &SelectorObject::name);
+    const auto selector =
+        std::ranges::find(selectors, rule.selector, &SelectorObject::name);
     if (selector != selectors.end()) {
       list.push_back(RuleVerdictJson(kind, rule.name, rule.selector,
                                      ExplainSelector(*selector, labels)));
@@ -392,9 +389,9 @@
                         {"backend_servers", servers}});
     }
   }
-  return Answer(http::status::ok,
-                {{"revision", snapshot ? snapshot->revision() : 0},
-                 {"routes", routes}});
+  return Answer(
+      http::status::ok,
+      {{"revision", snapshot ? snapshot->revision() : 0}, {"routes", routes}});
 }
 
 HttpResponse AdminApi::Announce(const Call& call) {
@@ -441,8 +438,8 @@
 asio::awaitable<HttpResponse> AdminApi::History(Call call) {
   constexpr std::size_t kDefaultEntries = 20;
   constexpr std::size_t kMaxEntries = 200;
-  const std::size_t limit = std::min(
-      QueryNumber(call.query, "limit", kDefaultEntries), kMaxEntries);
+  const std::size_t limit =
+      std::min(QueryNumber(call.query, "limit", kDefaultEntries), kMaxEntries);
   const std::vector<HistoryEntry> history =
       co_await LoadHistory(m_options.platform, limit);
   json list = json::array();
--- /dev/null
+++ b/tests/bench/retry_chain.cc
@@ -0,0 +1,83 @@
+#include "bench/retry_chain.h"
+
+#include <random>
+#include <vector>
+
+#include "banyantrail/core/random.h"
+
+namespace banyantrail::bench {
+
+namespace {
+
+class Chain {
+ public:
+  explicit Chain(const RetryChainOptions& options)
+      : m_options(options),
+        m_rng(options.seed),
+        m_policies(options.depth, RetryPolicy(options.policy)) {}
+
+  RetryChainResult Run() {
+    for (std::uint32_t call = 0; call < m_options.calls; ++call) {
+      ++m_result.calls;
+      m_result.good += Call(0) ? 1 : 0;
+    }
+    return m_result;
+  }
+
+ private:
+  /// One logical call at a layer; whether it got a good answer. A failure
+  /// below is a whole answer of this layer's backend server, so it is passed
+  /// on and not retried here.
+  bool Call(std::uint32_t depth) {
+    if (depth == m_options.depth) {
+      return true;
+    }
+    ++m_result.first_attempts;
+    m_policies[depth].OnFirstAttempt();
+    FailedAttempt attempt{.idempotent = true,
+                          .attempts = 0,
+                          .depth = depth,
+                          .deadline = TimePoint::max()};
+    for (;;) {
+      ++m_result.sends;
+      ++attempt.attempts;
+      if (!HitsFailingServer()) {
+        return Call(depth + 1);
+      }
+      attempt.reason = RefusalReason::kConnectFailed;
+      if (std::bernoulli_distribution(m_options.ran_before_failure)(m_rng)) {
+        attempt.reason = RefusalReason::kConnectionLost;
+        Call(depth + 1);
+      }
+      if (!IsRetry(m_policies[depth].Decide(attempt, TimePoint{}))) {
+        return false;
+      }
+    }
+  }
+
+  bool HitsFailingServer() {
+    return UniformIndex(m_rng, m_options.servers_per_service) <
+           m_options.failing_servers;
+  }
+
+  const RetryChainOptions& m_options;
+  Rng m_rng;
+  std::vector<RetryPolicy> m_policies;
+  RetryChainResult m_result;
+};
+
+}  // namespace
+
+double RetryChainResult::SendsOverWork(std::uint32_t depth) const {
+  return static_cast<double>(sends) / static_cast<double>(calls * depth);
+}
+
+double RetryChainResult::SendsOverFirstAttempts() const {
+  return static_cast<double>(sends) / static_cast<double>(first_attempts);
+}
+
+RetryChainResult RunRetryChain(const RetryChainOptions& options) {
+  return Chain(options).Run();
+}
+
+}  // namespace banyantrail::bench
--- /dev/null
+++ b/tests/bench/retry_chain_bench.cc
@@ -0,0 +1,62 @@
+// A chain of calls through the mesh under failing backend servers: how much
+// more work retries send, with and without their bounds.
+
+#include <tclap/CmdLine.h>
+
+#include <cstdio>
+#include <vector>
+
+#include "bench/retry_chain.h"
+
+namespace {
+
+using banyantrail::RetryPolicyOptions;
+using banyantrail::bench::RetryChainOptions;
+using banyantrail::bench::RetryChainResult;
+using banyantrail::bench::RunRetryChain;
+
+struct Policy {
+  const char* name;
+  RetryPolicyOptions options;
+};
+
+const std::vector<Policy>& Policies() {
+  static const std::vector<Policy> policies = {
+      {.name = "no retries", .options = {.max_attempts = 1}},
+      {.name = "budget, one layer", .options = {}},
+      {.name = "budget, every layer", .options = {.one_layer = false}},
+      {.name = "no budget, one layer", .options = {.use_budget = false}},
+      {.name = "no budget, every layer",
+       .options = {.use_budget = false, .one_layer = false}}};
+  return policies;
+}
+
+void Print(const Policy& policy, const RetryChainOptions& options) {
+  const RetryChainResult result = RunRetryChain(options);
+  std::printf("| %s | %.1f | %.2f | %.3f | %.3f |\n", policy.name,
+              100.0 * options.failing_servers / options.servers_per_service,
+              100.0 * static_cast<double>(result.good) /
+                  static_cast<double>(result.calls),
+              result.SendsOverWork(options.depth),
+              result.SendsOverFirstAttempts());
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  TCLAP::CmdLine command("Measures retry amplification in a chain of calls.");
+  TCLAP::ValueArg<std::uint64_t> seed("", "seed", "Seed of the run.", false, 1,
+                                      "number", command);
+  command.parse(argc, argv);
+  std::printf(
+      "| policy | failing servers %% | good %% | sends / work without failures "
+      "| sends / first attempts |\n|---|---|---|---|---|\n");
+  for (const std::uint32_t failing : {1U, 3U}) {
+    for (const Policy& policy : Policies()) {
+      Print(policy, {.policy = policy.options,
+                     .seed = seed.getValue(),
+                     .failing_servers = failing});
+    }
+  }
+  return 0;
+}
--- /dev/null
+++ b/tests/traffic/retry_policy_test.cc
@@ -0,0 +1,121 @@
+#include "banyantrail/traffic/retry_policy.h"
+
+#include <set>
+#include <string_view>
+
+#include "bench/retry_chain.h"
+
+#include <CppUTest/TestHarness.h>
+
+using banyantrail::FailedAttempt;
+using banyantrail::IsRetry;
+using banyantrail::kRefusalReasonCount;
+using banyantrail::kRetryDecisionCount;
+using banyantrail::ProvesNotRun;
+using banyantrail::RefusalReason;
+using banyantrail::RetryDecision;
+using banyantrail::RetryPolicy;
+using banyantrail::seconds;
+using banyantrail::TimePoint;
+using banyantrail::ToString;
+using banyantrail::bench::RetryChainOptions;
+using banyantrail::bench::RunRetryChain;
+
+namespace {
+
+constexpr double kMostWork = 1.2;
+const TimePoint kNow = TimePoint{} + seconds(1000);
+
+FailedAttempt Failed(RefusalReason reason) {
+  return {.reason = reason, .deadline = kNow + seconds(1)};
+}
+
+}  // namespace
+
+TEST_GROUP(RetryPolicy){};
+
+TEST(RetryPolicy, EachDecisionHasItsOwnName) {
+  std::set<std::string_view> names;
+  for (std::size_t i = 0; i < kRetryDecisionCount; ++i) {
+    names.insert(ToString(static_cast<RetryDecision>(i)));
+  }
+  LONGS_EQUAL(kRetryDecisionCount, names.size());
+}
+
+TEST(RetryPolicy, WhatMayHaveRunIsNeverSentAgainUnlessIdempotent) {
+  for (std::size_t i = 0; i < kRefusalReasonCount; ++i) {
+    const auto reason = static_cast<RefusalReason>(i);
+    RetryPolicy policy;
+    const RetryDecision decision = policy.Decide(Failed(reason), kNow);
+    CHECK(!IsRetry(decision) || ProvesNotRun(reason));
+  }
+}
+
+TEST(RetryPolicy, AnIdempotentRequestIsSentAgainAtTheOutermostLayerOnly) {
+  RetryPolicy policy;
+  FailedAttempt attempt = Failed(RefusalReason::kConnectionLost);
+  attempt.idempotent = true;
+  CHECK(policy.Decide(attempt, kNow) == RetryDecision::kRetryIdempotent);
+  attempt.depth = 1;
+  CHECK(policy.Decide(attempt, kNow) == RetryDecision::kInnerLayer);
+}
+
+TEST(RetryPolicy, ANestedRequestThatDidNotRunIsSentAgain) {
+  RetryPolicy policy;
+  FailedAttempt attempt = Failed(RefusalReason::kConnectFailed);
+  attempt.depth = 5;
+  CHECK(policy.Decide(attempt, kNow) == RetryDecision::kRetryNotRun);
+}
+
+TEST(RetryPolicy, TheOwnerNodeLeavesRetriesToTheEntryNode) {
+  RetryPolicy policy;
+  FailedAttempt attempt = Failed(RefusalReason::kConnectFailed);
+  attempt.forwarded = true;
+  CHECK(policy.Decide(attempt, kNow) == RetryDecision::kInnerLayer);
+}
+
+TEST(RetryPolicy, KeepsToTheDeadlineTheAttemptsAndTheBody) {
+  RetryPolicy policy;
+  FailedAttempt attempt = Failed(RefusalReason::kQueueFull);
+  attempt.expected_duration = seconds(1);
+  CHECK(policy.Decide(attempt, kNow) == RetryDecision::kDeadlineTooClose);
+  attempt.attempts = 3;
+  CHECK(policy.Decide(attempt, kNow) == RetryDecision::kAttemptsExhausted);
+  attempt.body_replayable = false;
+  CHECK(policy.Decide(attempt, kNow) == RetryDecision::kBodyConsumed);
+}
+
+TEST(RetryPolicy, ADrainNeedsNoBudget) {
+  RetryPolicy policy({.burst = 0});
+  CHECK(policy.Decide(Failed(RefusalReason::kQueueFull), kNow) ==
+        RetryDecision::kBudgetEmpty);
+  CHECK(policy.Decide(Failed(RefusalReason::kDraining), kNow) ==
+        RetryDecision::kRetryNotRun);
+}
+
+TEST(RetryPolicy, FirstAttemptsFillTheBudget) {
+  RetryPolicy policy({.not_run_ratio = 0.5, .burst = 1});
+  const FailedAttempt attempt = Failed(RefusalReason::kQueueFull);
+  CHECK(policy.Decide(attempt, kNow) == RetryDecision::kRetryNotRun);
+  CHECK(policy.Decide(attempt, kNow) == RetryDecision::kBudgetEmpty);
+  policy.OnFirstAttempt();
+  policy.OnFirstAttempt();
+  CHECK(policy.Decide(attempt, kNow) == RetryDecision::kRetryNotRun);
+}
+
+TEST(RetryPolicy, AChainTenDeepSendsAtMostAFifthMoreThanItsWork) {
+  for (const double ran : {0.0, 0.5, 1.0}) {
+    const RetryChainOptions options{.ran_before_failure = ran};
+    const auto result = RunRetryChain(options);
+    CHECK(result.SendsOverWork(options.depth) <= kMostWork);
+    CHECK(result.SendsOverFirstAttempts() <= kMostWork);
+  }
+}
+
+TEST(RetryPolicy, WithoutTheBoundsTheChainSendsFarMore) {
+  const RetryChainOptions options{
+      .policy = {.use_budget = false, .one_layer = false},
+      .calls = 500,
+      .ran_before_failure = 1};
+  CHECK(RunRetryChain(options).SendsOverWork(options.depth) > kMostWork);
+}
