--- a/packages/distribution/banyantrail/distribution/distribution_protocol.cc
+++ b/packages/distribution/banyantrail/distribution/distribution_protocol.cc
@@ -426,8 +426,10 @@
     OfferToSome(m_options.gate.min_answers, true);
     m_next_question = m_now + Jittered(m_options.question_interval);
   }
-  if (IsRelay() && m_now >= m_next_offer) {
-    OfferToForeignDomains();
+  if (m_now >= m_next_offer) {
+    if (IsRelay() || DrawsOfferDuty()) {
+      OfferToForeignDomains();
+    }
     m_next_offer = m_now + Jittered(m_options.foreign_offer_interval);
   }
   const bool digest_due = m_options.digest_interval > Duration::zero() &&
@@ -450,6 +452,10 @@
                    m_options.self) != m_peers.relays.end();
 }
 
+bool DistributionProtocol::DrawsOfferDuty() {
+  return UniformIndex(m_rng, m_peers.own_domain.size() + 1) == 0;
+}
+
 bool DistributionProtocol::IsFirstRelay() const {
   return m_peers.relays.empty() || m_peers.relays.front() == m_options.self;
 }
--- a/packages/distribution/banyantrail/distribution/distribution_protocol.h
+++ b/packages/distribution/banyantrail/distribution/distribution_protocol.h
@@ -118,11 +118,15 @@
     /// before it asks.
     Duration request_grace = milliseconds(30);
     /// How long a relay of the second slot, or a node that learned a revision
-    /// from a foreign domain, waits for the push of another before its own.
-    Duration second_push_delay = milliseconds(100);
+    /// from a foreign domain, waits for the push of another before its own. 0
+    /// for until the next tick: receivers of both pushes forward only to
+    /// members that the first one left out.
+    Duration second_push_delay = Duration::zero();
     /// How often a node that may not serve yet asks peers for their revision.
     Duration question_interval = milliseconds(250);
-    /// How often a relay offers its revision to each foreign domain.
+    /// How often a relay offers its revision to each foreign domain. Of the
+    /// other members one does so in each interval, on average, so that a
+    /// domain without relays is no island.
     Duration foreign_offer_interval = seconds(1);
     /// How often the node sends its digest to a random member. 0 when the
     /// membership exchange carries the digest.
@@ -220,6 +224,7 @@
 
   bool IsOwnDomain(const NodeId& node) const;
   bool IsRelay() const;
+  bool DrawsOfferDuty();
   bool IsFirstRelay() const;
   bool UsesTree() const;
   ReleaseName Current() const;
