Read releases of the history over the admin API

banyantrailctl needs the objects of an old revision: to apply a directory that was derived from it, and to say what a proxy that still reports it has in force. GET /v1/releases/{revision} gives them from the archived head.

--- a/packages/ctl/banyantrail/ctl/ctl_options.cc
+++ b/packages/ctl/banyantrail/ctl/ctl_options.cc
@@ -121,7 +121,7 @@
       "max-report-age-ms",
       "status: an older report of a failure domain counts as unknown",
       false,
-      25'000,
+      15'000,
       "MILLISECONDS",
       command_line};
   TCLAP::UnlabeledValueArg<std::string> command{
--- a/packages/ctl/banyantrail/ctl/ctl_options.h
+++ b/packages/ctl/banyantrail/ctl/ctl_options.h
@@ -31,7 +31,7 @@
   /// The change id of an earlier apply whose outcome stayed unknown.
   std::optional<ChangeId> change;
   std::size_t limit = 20;
-  milliseconds max_report_age{25'000};
+  milliseconds max_report_age{15'000};
 };
 
 /// Parses the command line. Prints the help or the version itself and then
--- a/packages/ctl/banyantrail/ctl/rule_status.h
+++ b/packages/ctl/banyantrail/ctl/rule_status.h
@@ -2,13 +2,14 @@
 
 #include <chrono>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
-#include "banyantrail/config/domain_status.h"
 #include "banyantrail/config/release.h"
 #include "banyantrail/core/clock.h"
 #include "banyantrail/core/ids.h"
+#include "banyantrail/distribution/domain_status.h"
 
 /// Works out where each rule is in force from what the relays reported.
 namespace banyantrail::ctl {
@@ -62,8 +63,8 @@
   DomainId domain;
   RuleState state = RuleState::kUnknown;
   std::string why;
-  /// With kUnknown: wall-clock time of the last report; empty if there is none.
-  std::string since;
+  /// With kUnknown: wall-clock time of the last report.
+  std::optional<UnixMillis> since;
 
   friend bool operator==(const RuleOnProxy&, const RuleOnProxy&) = default;
 };
@@ -80,7 +81,7 @@
 struct RuleStatusOptions {
   /// A summary above this age says nothing about the present. Relays write one
   /// every 10 s at rest.
-  milliseconds max_report_age{25'000};
+  milliseconds max_report_age{15'000};
 };
 
 /// `declared` holds the rules asked about. `releases` holds the objects of
--- a/packages/node/banyantrail/node/admin_api.cc
+++ b/packages/node/banyantrail/node/admin_api.cc
@@ -22,6 +22,7 @@
 using nlohmann::json;
 
 constexpr std::string_view kBackendServersPath = "/v1/backend-servers/";
+constexpr std::string_view kReleasesPath = "/v1/releases/";
 
 HttpResponse Answer(http::status status, const json& body) {
   return JsonResponse(status, body.dump());
@@ -253,6 +254,9 @@
     if (call.path == "/v1/head") {
       co_return co_await PlatformHead();
     }
+    if (call.path.starts_with(kReleasesPath)) {
+      co_return co_await ReleaseAt(std::move(call));
+    }
     if (call.path == "/v1/history") {
       co_return co_await History(std::move(call));
     }
@@ -425,6 +429,22 @@
   co_return Answer(http::status::ok, ReleaseJson(release));
 }
 
+asio::awaitable<HttpResponse> AdminApi::ReleaseAt(Call call) {
+  const std::string text = call.path.substr(kReleasesPath.size());
+  Revision revision = 0;
+  std::from_chars(text.data(), text.data() + text.size(), revision);
+  const std::optional<ReleaseHead> head =
+      co_await LoadHeadAt(m_options.platform, revision);
+  if (!head) {
+    co_return ErrorAnswer(http::status::not_found,
+                          "there is no revision " + text,
+                          "read /v1/history for the revisions that exist");
+  }
+  const Release release = co_await LoadRelease(m_options.platform, *head,
+                                               m_options.control.release());
+  co_return Answer(http::status::ok, ReleaseJson(release));
+}
+
 asio::awaitable<HttpResponse> AdminApi::History(Call call) {
   constexpr std::size_t kDefaultEntries = 20;
   constexpr std::size_t kMaxEntries = 200;
--- a/packages/node/banyantrail/node/admin_api.h
+++ b/packages/node/banyantrail/node/admin_api.h
@@ -55,6 +55,8 @@
   HttpResponse LeaveBackendServer(const Call& call);
   HttpResponse StartDrain();
   asio::awaitable<HttpResponse> PlatformHead();
+  /// A release of the history.
+  asio::awaitable<HttpResponse> ReleaseAt(Call call);
   asio::awaitable<HttpResponse> History(Call call);
   asio::awaitable<HttpResponse> ProposeChange(Call call);
   asio::awaitable<HttpResponse> Status();
