Retry by proof and budget; let no byte out before the body begins

Cause: the entry stage retried with a fixed number of attempts and no budget. An owner node sent the head of a streamed request to the backend server before the sender had begun the body, so a sender that gave up could not prove that nothing ran.

Change: RetryPolicy per service decides; reasons are typed from end to end; the depth of nested calls is counted up at each entry node. The owner connects, asks for the body, and sends the head together with the first piece. A node that no longer has the backend server says so as "backend_server_down", which may be tried elsewhere.

--- a/packages/proxy/banyantrail/proxy/attempt.cc
+++ b/packages/proxy/banyantrail/proxy/attempt.cc
@@ -94,15 +94,14 @@
 }
 
 /// Waits until the server has said that it wants the body. Returns true if
-/// the body is to be sent; otherwise `attempt` is complete.
+/// the body is to be sent; otherwise `attempt` is complete. The server sends
+/// nothing on before the body begins, so silence proves "not run".
 asio::awaitable<bool> WaitForPermission(Attempt& attempt, http::verb method) {
   const boost::system::error_code error =
       co_await ReadAnswerHead(attempt, method);
   if (error) {
     attempt.result = UpstreamResult::kNotRun;
-    attempt.reason = error == beast::error::timeout
-                         ? RefusalReason::kAnswerTimeout
-                         : RefusalReason::kConnectionLost;
+    attempt.reason = RefusalReason::kConnectFailed;
     co_return false;
   }
   if (attempt.answer->get().result() == http::status::continue_) {
@@ -113,30 +112,78 @@
   co_return false;
 }
 
+/// Fills in the result of a wait for the answer.
+void Conclude(Attempt& attempt,
+              const RequestMonitor& monitor,
+              const boost::system::error_code& error) {
+  if (monitor.caller_gone()) {
+    attempt.result = UpstreamResult::kCallerGone;
+    attempt.reason = RefusalReason::kCancelled;
+  } else if (!error) {
+    attempt.result = UpstreamResult::kAnswered;
+    attempt.upstream_spent = !monitor.body_sent();
+  } else if (!monitor.head_sent()) {
+    attempt.result = UpstreamResult::kNotRun;
+    attempt.reason = RefusalReason::kConnectFailed;
+  } else {
+    attempt.result = UpstreamResult::kUnknown;
+    attempt.reason = error == beast::error::timeout
+                         ? RefusalReason::kAnswerTimeout
+                         : RefusalReason::kConnectionLost;
+  }
+}
+
+/// Waits for the answer while the monitor looks after the downstream side.
 asio::awaitable<void> AwaitAnswer(Attempt& attempt,
                                   Downstream& downstream,
                                   InboundRequest& request,
-                                  http::request_header<> head) {
+                                  http::request_header<> head,
+                                  bool head_sent) {
   const http::verb method = request.head().method();
   RequestMonitor monitor(downstream, *attempt.upstream, request,
-                         std::move(head));
+                         std::move(head), head_sent);
   const asio::any_io_executor executor = co_await asio::this_coro::executor;
   monitor.Start(executor);
   const boost::system::error_code error =
       co_await ReadFinalAnswerHead(attempt, method);
   co_await monitor.Stop();
-  if (monitor.caller_gone()) {
-    attempt.result = UpstreamResult::kCallerGone;
-    attempt.reason = RefusalReason::kCancelled;
-  } else if (error) {
-    attempt.result = UpstreamResult::kUnknown;
-    attempt.reason = error == beast::error::timeout
-                         ? RefusalReason::kAnswerTimeout
-                         : RefusalReason::kConnectionLost;
+  Conclude(attempt, monitor, error);
+}
+
+/// Sends the head now, with the body if that is at hand. Returns false when
+/// `attempt` is complete already.
+asio::awaitable<bool> SendNow(Attempt& attempt,
+                              const InboundRequest& request,
+                              const AttemptOptions& options,
+                              const http::request_header<>& head) {
+  std::size_t written = 0;
+  const boost::system::error_code error =
+      co_await SendHeadAndSmallBody(*attempt.upstream, request, head, written);
+  if (!error) {
+    if (!request.streams) {
+      co_return true;
+    }
+    const bool permitted =
+        co_await WaitForPermission(attempt, request.head().method());
+    co_return permitted;
+  }
+  const bool body_held_back = request.streams && options.ask_before_body;
+  const bool proven = written == 0 || body_held_back;
+  attempt.result = proven ? UpstreamResult::kNotRun : UpstreamResult::kUnknown;
+  attempt.reason =
+      proven ? RefusalReason::kConnectFailed : RefusalReason::kConnectionLost;
+  co_return false;
+}
+
+asio::awaitable<UpstreamPtr> TakeConnection(UpstreamPool& pool,
+                                            const AttemptOptions& options) {
+  UpstreamPtr upstream;
+  if (options.fresh_connection) {
+    upstream = co_await pool.Connect(options.server, options.deadline);
   } else {
-    attempt.result = UpstreamResult::kAnswered;
-    attempt.upstream_spent = !monitor.body_sent();
+    upstream = co_await pool.Take(options.server, options.deadline);
   }
+  co_return upstream;
 }
 
 }  // namespace
@@ -146,11 +193,7 @@
                                      InboundRequest& request,
                                      AttemptOptions options) {
   Attempt attempt;
-  if (options.fresh_connection) {
-    attempt.upstream = co_await pool.Connect(options.server, options.deadline);
-  } else {
-    attempt.upstream = co_await pool.Take(options.server, options.deadline);
-  }
+  attempt.upstream = co_await TakeConnection(pool, options);
   if (!attempt.upstream) {
     attempt.reason = RefusalReason::kConnectFailed;
     co_return attempt;
@@ -159,25 +202,18 @@
 
   const http::request_header<> head =
       WithFraming(std::move(options.head), request, options.ask_before_body);
-  std::size_t written = 0;
-  const boost::system::error_code error =
-      co_await SendHeadAndSmallBody(*attempt.upstream, request, head, written);
-  if (error) {
-    const bool body_held_back = request.streams;
-    attempt.result = written == 0 || body_held_back ? UpstreamResult::kNotRun
-                                                    : UpstreamResult::kUnknown;
-    attempt.reason = RefusalReason::kConnectionLost;
-    co_return attempt;
-  }
-  if (request.streams && options.ask_before_body &&
-      !co_await WaitForPermission(attempt, request.head().method())) {
-    co_return attempt;
+  const bool send_now = !request.streams || options.ask_before_body;
+  if (send_now) {
+    const bool goes_on = co_await SendNow(attempt, request, options, head);
+    if (!goes_on) {
+      co_return attempt;
+    }
   }
   if (request.streams) {
     co_await SendContinue(downstream, request);
     downstream.stream.expires_at(options.deadline);
   }
-  co_await AwaitAnswer(attempt, downstream, request, head);
+  co_await AwaitAnswer(attempt, downstream, request, head, send_now);
   co_return attempt;
 }
 
--- a/packages/proxy/banyantrail/proxy/entry_stage.cc
+++ b/packages/proxy/banyantrail/proxy/entry_stage.cc
@@ -9,8 +9,6 @@
 namespace banyantrail {
 namespace {
 
-constexpr unsigned kMaxAttempts = 3;
-
 std::string_view PathOf(const http::request_header<>& head) {
   const std::string_view target(head.target().data(), head.target().size());
   return target.substr(0, target.find('?'));
@@ -42,12 +40,17 @@
   return FieldValue(attempt.answer->get(), kOutcomeHeader);
 }
 
-/// Whether this attempt provably did not run the request.
-bool ProvedNotRun(const Attempt& attempt) {
-  if (attempt.result == UpstreamResult::kAnswered) {
-    return SystemOutcomeOf(attempt) == kOutcomeNotRun;
+/// The reason of an attempt without an answer of a backend server.
+RefusalReason ReasonOf(const Attempt& attempt) {
+  if (attempt.result != UpstreamResult::kAnswered) {
+    return attempt.reason;
   }
-  return attempt.result == UpstreamResult::kNotRun;
+  return ParseRefusalReason(FieldValue(attempt.answer->get(), kReasonHeader))
+      .value_or(RefusalReason::kMalformedAnswer);
+}
+
+std::uint32_t DepthOf(const http::request_header<>& head) {
+  return NumberField(head, kDepthHeader).value_or(0);
 }
 
 bool IsBackendAnswer(const Attempt& attempt) {
@@ -57,18 +60,18 @@
 
 /// What an owner node's refusal says of its backend server.
 EndpointOutcome RefusalOutcomeOf(const Attempt& attempt) {
-  const std::string_view reason =
-      FieldValue(attempt.answer->get(), kReasonHeader);
-  const bool is_load = reason == ToString(RefusalReason::kQueueFull) ||
-                       reason == ToString(RefusalReason::kDeadline) ||
-                       reason == ToString(RefusalReason::kDraining) ||
-                       reason == ToString(RefusalReason::kShedByBackendServer);
-  if (is_load) {
-    return EndpointOutcome::kShed;
+  switch (ReasonOf(attempt)) {
+    case RefusalReason::kQueueFull:
+    case RefusalReason::kDeadline:
+    case RefusalReason::kDraining:
+    case RefusalReason::kShedByBackendServer:
+      return EndpointOutcome::kShed;
+    case RefusalReason::kConnectFailed:
+    case RefusalReason::kBackendServerDown:
+      return EndpointOutcome::kConnectFailed;
+    default:
+      return EndpointOutcome::kFailed;
   }
-  return reason == ToString(RefusalReason::kConnectFailed)
-             ? EndpointOutcome::kConnectFailed
-             : EndpointOutcome::kFailed;
 }
 
 EndpointOutcome OutcomeOf(const Attempt& attempt) {
@@ -191,6 +194,8 @@
                          .ask_before_body = true};
   StripInternalFields(options.head);
   SetField(options.head, kDeadlineHeader, RemainingMs(passage.deadline));
+  SetField(options.head, kDepthHeader,
+           std::to_string(DepthOf(passage.request.head()) + 1));
   SetField(options.head, kPriorityHeader,
            std::to_string(passage.route->priority));
   SetField(options.head, kIdempotentHeader,
@@ -202,6 +207,7 @@
 
 asio::awaitable<void> EntryStage::Forward(Downstream& downstream,
                                           Passage& passage) {
+  PolicyFor(passage.service->name).OnFirstAttempt();
   while (true) {
     const ServiceEndpoint* endpoint =
         Choose(passage.service->endpoints, m_loads, m_options.choice,
@@ -248,15 +254,23 @@
   if (IsBackendAnswer(attempt)) {
     return false;
   }
-  const bool safe = ProvedNotRun(attempt) || passage.route->idempotent;
-  const bool sendable = !passage.request.body_taken;
-  const bool in_time = SystemClock().Now() < passage.deadline;
+  const FailedAttempt failed{
+      .reason = ReasonOf(attempt),
+      .idempotent = passage.route->idempotent,
+      .body_replayable = !passage.request.body_taken,
+      .attempts = static_cast<std::uint32_t>(passage.tried.size()),
+      .depth = DepthOf(passage.request.head()),
+      .deadline = passage.deadline};
+  const RetryDecision decision =
+      PolicyFor(passage.service->name).Decide(failed, SystemClock().Now());
+  m_options.hooks.count_retry(ToString(decision));
   const bool choice_left =
       passage.tried.size() < passage.service->endpoints.size();
-  const bool retry = safe && sendable && in_time && choice_left &&
-                     passage.tried.size() < kMaxAttempts;
-  m_options.hooks.count_retry(retry ? "sent_again" : "given_up");
-  return retry;
+  return IsRetry(decision) && choice_left;
+}
+
+RetryPolicy& EntryStage::PolicyFor(const ServiceName& service) {
+  return m_retry_policies.try_emplace(service, m_options.retries).first->second;
 }
 
 asio::awaitable<void> EntryStage::Return(Downstream& downstream,
--- a/packages/proxy/banyantrail/proxy/entry_stage.h
+++ b/packages/proxy/banyantrail/proxy/entry_stage.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string_view>
@@ -12,6 +13,7 @@
 #include "banyantrail/proxy/upstream_pool.h"
 #include "banyantrail/traffic/choose.h"
 #include "banyantrail/traffic/load_table.h"
+#include "banyantrail/traffic/retry_policy.h"
 #include "banyantrail/traffic/routing_snapshot.h"
 
 namespace banyantrail {
@@ -33,6 +35,7 @@
   struct Options {
     ChoiceOptions choice;
     LoadTableOptions loads;
+    RetryPolicyOptions retries;
     InboundLimits limits;
     EntryStageHooks hooks;
     std::uint64_t seed = 0;
@@ -75,6 +78,7 @@
                                Passage& passage,
                                const ServiceEndpoint& endpoint);
   bool MayRetry(const Passage& passage, const Attempt& attempt);
+  RetryPolicy& PolicyFor(const ServiceName& service);
   void Finish(const Passage& passage, unsigned status);
 
   asio::any_io_executor m_executor;
@@ -83,6 +87,7 @@
   Rng m_rng;
   std::shared_ptr<const RoutingSnapshot> m_snapshot;
   LoadTable m_loads;
+  std::map<ServiceName, RetryPolicy> m_retry_policies;
   bool m_draining = false;
   std::size_t m_in_progress = 0;
 };
--- a/packages/proxy/banyantrail/proxy/owner_stage.cc
+++ b/packages/proxy/banyantrail/proxy/owner_stage.cc
@@ -98,7 +98,8 @@
 std::optional<RefusalReason> OwnerStage::RefusalFor(
     const BackendPtr& backend) const {
   if (!backend) {
-    return RefusalReason::kNoBackendServer;
+    // It left since the sender's snapshot; another one may take the request.
+    return RefusalReason::kBackendServerDown;
   }
   switch (backend->record.state) {
     case BackendServerState::kServing:
--- a/packages/proxy/banyantrail/proxy/request_monitor.cc
+++ b/packages/proxy/banyantrail/proxy/request_monitor.cc
@@ -18,12 +18,14 @@
   State(Downstream& down,
         Upstream& up,
         InboundRequest& inbound,
-        http::request_header<> outgoing_head)
+        http::request_header<> outgoing_head,
+        bool head_already_sent)
       : downstream(down),
         upstream(up),
         request(inbound),
         head(std::move(outgoing_head)),
-        finished(down.stream.get_executor()) {}
+        finished(down.stream.get_executor()),
+        head_sent(head_already_sent) {}
 
   Downstream& downstream;
   Upstream& upstream;
@@ -31,6 +33,7 @@
   http::request_header<> head;
   /// Expires when the monitor's coroutine has ended.
   asio::steady_timer finished;
+  bool head_sent;
   bool running = false;
   bool stopping = false;
   bool caller_gone = false;
@@ -58,7 +61,9 @@
   std::array<char, kPumpBytes> piece{};
   boost::system::error_code error;
   outgoing.body().more = true;
-  SkipHead(serializer);
+  if (state.head_sent) {
+    SkipHead(serializer);
+  }
   state.request.body_taken = true;
   while (!serializer.is_done()) {
     parser.get().body().data = piece.data();
@@ -79,6 +84,7 @@
     if (size == 0 && outgoing.body().more) {
       continue;
     }
+    state.head_sent = true;
     co_await http::async_write(
         state.upstream.stream, serializer,
         asio::redirect_error(asio::use_awaitable, error));
@@ -111,11 +117,13 @@
 RequestMonitor::RequestMonitor(Downstream& downstream,
                                Upstream& upstream,
                                InboundRequest& request,
-                               http::request_header<> head)
+                               http::request_header<> head,
+                               bool head_sent)
     : m_state(std::make_shared<State>(downstream,
                                       upstream,
                                       request,
-                                      std::move(head))) {}
+                                      std::move(head),
+                                      head_sent)) {}
 
 void RequestMonitor::Start(const asio::any_io_executor& executor) {
   m_state->finished.expires_at(TimePoint::max());
@@ -158,6 +166,10 @@
   return m_state->caller_gone;
 }
 
+bool RequestMonitor::head_sent() const {
+  return m_state->head_sent;
+}
+
 bool RequestMonitor::body_sent() const {
   return m_state->body_sent;
 }
--- a/packages/proxy/banyantrail/proxy/request_monitor.h
+++ b/packages/proxy/banyantrail/proxy/request_monitor.h
@@ -17,11 +17,14 @@
 class RequestMonitor {
  public:
   /// `head` is the outgoing head; with a streaming request the monitor sends
-  /// the body, framed as the head says.
+  /// the body, framed as the head says. Unless the head was already sent, it
+  /// goes out with the first piece of the body, so that a sender that gave up
+  /// before has proof that nothing reached the upstream.
   RequestMonitor(Downstream& downstream,
                  Upstream& upstream,
                  InboundRequest& request,
-                 http::request_header<> head);
+                 http::request_header<> head,
+                 bool head_sent);
   RequestMonitor(const RequestMonitor&) = delete;
   RequestMonitor& operator=(const RequestMonitor&) = delete;
 
@@ -33,6 +36,9 @@
   /// The caller closed or broke its connection.
   bool caller_gone() const;
 
+  /// The head, or part of it, may have reached the upstream.
+  bool head_sent() const;
+
   /// The whole request body reached the upstream connection.
   bool body_sent() const;
 
--- a/packages/traffic/banyantrail/traffic/refusal_reason.cc
+++ b/packages/traffic/banyantrail/traffic/refusal_reason.cc
@@ -1,5 +1,7 @@
 #include "banyantrail/traffic/refusal_reason.h"
 
+#include <algorithm>
+
 namespace banyantrail {
 
 namespace {
@@ -56,6 +58,14 @@
   return FactsOf(reason).name;
 }
 
+std::optional<RefusalReason> ParseRefusalReason(std::string_view name) {
+  const auto found = std::ranges::find(kFacts, name, &ReasonFacts::name);
+  if (found == kFacts.end()) {
+    return std::nullopt;
+  }
+  return static_cast<RefusalReason>(found - kFacts.begin());
+}
+
 bool ProvesNotRun(RefusalReason reason) {
   return FactsOf(reason).proves_not_run;
 }
--- a/packages/traffic/banyantrail/traffic/refusal_reason.h
+++ b/packages/traffic/banyantrail/traffic/refusal_reason.h
@@ -3,6 +3,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string_view>
 
 namespace banyantrail {
@@ -48,6 +49,9 @@
 /// Stable snake_case name of a reason.
 std::string_view ToString(RefusalReason reason);
 
+/// The inverse of ToString; empty for any other text.
+std::optional<RefusalReason> ParseRefusalReason(std::string_view name);
+
 /// Whether the reason alone proves that no backend server ran the request.
 /// True only for refusals that precede the first byte sent to a backend server,
 /// and for a backend server's own statement that it shed the request.
