--- /dev/null
+++ b/tests/process/soak.py
@@ -0,0 +1,116 @@
+#!/usr/bin/env python3
+"""A long run under random faults, two at once at times, outside CI.
+
+    python3 tests/process/soak.py --seed 7 --rounds 10
+
+The seed fixes the schedule of faults and of the load. Prints it again, with
+the broken promises, on failure.
+"""
+
+import argparse
+import random
+import sys
+import time
+
+import faults_process_test
+import harness
+import scenario
+
+SETTLE_S = 5
+ROUND_S = 4
+
+
+def kill_vms(run, rng):
+    nodes = rng.sample(sorted(run.fleet.nodes), rng.choice([1, 2, 3]))
+    with run.fault("kill", *nodes):
+        for node in nodes:
+            run.kill_vm(node)
+        time.sleep(ROUND_S)
+        for node in nodes:
+            run.start_vm(node)
+
+
+def freeze_node(run, rng):
+    node = rng.choice(sorted(run.fleet.nodes))
+    with run.fault("freeze", node):
+        run.fleet.nodes[node].freeze()
+        time.sleep(ROUND_S)
+        run.fleet.nodes[node].thaw()
+
+
+def cut_platform_link(run, rng):
+    link = run.fleet.platform_links[rng.choice("abc")]
+    with run.fault("platform_cut"):
+        rng.choice([link.cut, link.silence])()
+        time.sleep(ROUND_S)
+        link.heal()
+
+
+def platform_outage(run, _):
+    with run.fault("platform_outage"):
+        run.fleet.platform_faults(outage=True)
+        time.sleep(ROUND_S)
+        run.fleet.platform_faults(outage=False)
+
+
+def slow_platform(run, _):
+    with run.fault("platform_slow"):
+        run.fleet.platform_faults(delay_ms=300, lose_answers=2)
+        time.sleep(ROUND_S)
+        run.fleet.platform_faults(delay_ms=0, lose_answers=0)
+
+
+def silent_backend(run, rng):
+    node = rng.choice(sorted(run.fleet.backends))
+    with run.fault("silence", f"{node}-server"):
+        run.fleet.backend_faults(node, silence_open=True)
+        time.sleep(ROUND_S)
+
+
+def drain_backend(run, rng):
+    process = run.fleet.backends[rng.choice(sorted(run.fleet.backends))]
+    run.stop(process)
+    process.start()
+
+
+FAULTS = [kill_vms, freeze_node, cut_platform_link, platform_outage,
+          slow_platform, silent_backend, drain_backend]
+
+
+def run_rounds(run, rng, rounds):
+    for number in range(rounds):
+        chosen = rng.sample(FAULTS, rng.choice([1, 1, 2]))
+        names = " then ".join(fault.__name__ for fault in chosen)
+        print(f"round {number + 1}: {names}", flush=True)
+        for fault in chosen:
+            fault(run, rng)
+        time.sleep(SETTLE_S)
+        run.apply(rng.choice(sorted(run.fleet.nodes)))
+        time.sleep(SETTLE_S)
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--rounds", type=int, default=5)
+    arguments = parser.parse_args()
+    rng = random.Random(arguments.seed)
+    seconds = arguments.rounds * (4 * ROUND_S + 2 * SETTLE_S)
+    try:
+        with scenario.Scenario(
+                f"soak-{arguments.seed}",
+                harness.small_topology(*faults_process_test.SERVICES),
+                faults_process_test.DECLARATIONS) as run:
+            run.start()
+            run.start_load(faults_process_test.LOAD, seconds, arguments.seed)
+            run_rounds(run, rng, arguments.rounds)
+            run.check_promises()
+    except AssertionError as failure:
+        print(f"seed {arguments.seed}: {failure}", file=sys.stderr)
+        return 1
+    print(f"seed {arguments.seed}: every promise held")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
