Hand a relay lease over when other nodes are the candidates

Cause: the nodes of a domain report their status to the first two members in rendezvous order. A holder that members with a higher order had displaced kept its lease, got no reports and would have written all nodes as silent.

Change: a holder that is no candidate any more gives its lease back. A lease of a node that the failure detector holds for gone is free after 4 s in place of 2 s, which had left no margin over the interval of the renewals.

--- a/packages/platform/banyantrail/platform/relay_lease.cc
+++ b/packages/platform/banyantrail/platform/relay_lease.cc
@@ -164,10 +164,11 @@
   if (!known) {
     return std::nullopt;
   }
+  const bool eligible = !m_draining && IsCandidate();
   if (const auto own = OwnSlot()) {
-    return WriteTo(*own, m_draining ? NodeId() : m_options.self);
+    return WriteTo(*own, eligible ? m_options.self : NodeId());
   }
-  if (m_draining || !IsCandidate()) {
+  if (!eligible) {
     return std::nullopt;
   }
   if (const auto free = FreeSlot(now)) {
--- a/packages/platform/banyantrail/platform/relay_lease.h
+++ b/packages/platform/banyantrail/platform/relay_lease.h
@@ -78,8 +78,9 @@
     /// A lease whose version has not changed for so long is free. At least
     /// three times the interval between two calls of Decide.
     Duration expiry = seconds(6);
-    /// The same when the failure detector holds the node for gone.
-    Duration expiry_of_dead = seconds(2);
+    /// The same when the failure detector holds the node for gone. At least
+    /// twice that interval.
+    Duration expiry_of_dead = seconds(4);
   };
 
   explicit RelayLease(Options options);
@@ -97,8 +98,9 @@
   /// candidate.
   bool NeedsSlots() const;
 
-  /// The write to make now, if any: a renewal of the lease held, or the taking
-  /// of a free one.
+  /// The write to make now, if any: a renewal of the lease held, the taking of
+  /// a free one, or giving one back because other nodes are the candidates now,
+  /// which are those that the domain's nodes report to.
   std::optional<RelayLeaseWrite> Decide(TimePoint now) const;
 
   /// The write took effect.
