Measure convergence and control cost of fleets of real processes

Change: tests/measure/fleet.py starts 12 to 100 nodes, changes one of 200 rules and times until each node has it in force, at rest, with ten endpoint changes a second, with nodes killed during the change, after an outage and after a restart of all.

--- /dev/null
+++ b/tests/measure/fleet.py
@@ -0,0 +1,332 @@
+#!/usr/bin/env python3
+"""Measures a fleet of real node processes on one machine.
+
+Convergence of a change from the start of its apply to the moment each node has
+it in force, control bytes for each node, processor time, memory and platform
+calls; at rest, with constant churn of endpoints, with a share of the nodes
+killed during the change, after an outage of the platform and after a restart
+of all nodes. Prints one JSON object for each case.
+
+    tests/measure/fleet.py --nodes 12,40,100 --mode tree
+"""
+
+import argparse
+import concurrent.futures
+import hashlib
+import json
+import pathlib
+import random
+import re
+import statistics
+import sys
+import threading
+import time
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent /
+                       "process"))
+import harness  # noqa: E402
+
+# Room for the five ports of each of up to 300 nodes.
+harness.PORT_BLOCK = 1600
+harness.PORT_BLOCKS = 12
+
+DOMAINS = "abcd"
+POLL_S = 0.01
+CONVERGENCE_LIMIT_S = 15
+REST_S = 6
+OUTAGE_S = 30
+OBJECTS = 200
+
+
+def topology(count):
+    """`count` nodes in four failure domains, one backend server record each."""
+    nodes = [{"node": f"n{i}", "domain": DOMAINS[i % len(DOMAINS)],
+              "service": "s", "slots": 8, "service_ms": 1}
+             for i in range(count)]
+    return {"name": "measure", "region": "r1", "first_port": 0, "nodes": nodes}
+
+
+def declarations(tag):
+    """A configuration of OBJECTS routing rules; `tag` changes one of them."""
+    objects = {
+        "service/s": {"kind": "service", "name": "s"},
+        "selector/all": {"kind": "selector", "name": "all"},
+        "rank/urgent": {"kind": "rank", "name": "urgent", "priority": 0,
+                        "share_percent": 50},
+    }
+    for i in range(OBJECTS):
+        rule = {"kind": "routing_rule", "name": f"rule-{i}", "selector": "all",
+                "path_prefix": f"/path-{i}", "service": "s", "rank": "urgent",
+                "idempotent": True, "deadline_ms": 1000}
+        objects[f"routing_rule/rule-{i}"] = rule
+    objects["routing_rule/rule-0"]["deadline_ms"] = 1000 + tag
+    return objects
+
+
+class Measured(harness.Fleet):
+    """A fleet without backend server processes: announcements are posted."""
+
+    def __init__(self, count, settings):
+        super().__init__(topology(count), settings)
+        self.count = count
+        self.change = 0
+
+    def start_nodes(self):
+        self.start_platform()
+        for node in self.nodes.values():
+            node.start()
+        for vm in self.topology.vms:
+            self.wait_for(vm, "/healthz")
+
+    def announce(self, vm, slots=8):
+        body = {"service": "s", "address": vm.backend, "slots": slots}
+        harness.request(vm.admin, "PUT",
+                        f"/v1/backend-servers/{vm.backend_id}",
+                        json.dumps(body).encode())
+
+    def apply(self):
+        """Proposes the next change; returns its revision and start time."""
+        self.change += 1
+        vm = next(vm for vm in self.topology.vms
+                  if self.nodes[vm.node].running())
+        release = harness.get_json(vm.admin, "/v1/release")
+        held = release["objects"]
+        wanted = declarations(self.change)
+        keys = wanted if not held else ["routing_rule/rule-0"]
+        expected = {}
+        for key in keys:
+            text = held.get(key)
+            canonical = json.dumps(text, sort_keys=True, separators=(",", ":"),
+                                   ensure_ascii=False)
+            expected[key] = (hashlib.sha256(canonical.encode()).hexdigest()
+                             if text else None)
+        proposal = {"change": f"measure-{self.change}-{time.time_ns()}",
+                    "author": "measure", "summary": "measure",
+                    "base_revision": release["revision"],
+                    "upserts": {key: wanted[key] for key in keys},
+                    "deletes": [], "expected": expected}
+        started = time.monotonic()
+        answer = harness.request(vm.admin, "POST", "/v1/changes",
+                                 json.dumps(proposal).encode(), timeout=10)
+        if answer[0] != 200:
+            raise RuntimeError(f"apply: {answer[0]} {answer[2][:300]}")
+        return json.loads(answer[2])["revision"], started
+
+    def alive(self):
+        return [vm for vm in self.topology.vms
+                if self.nodes[vm.node].running()]
+
+    def converge(self, revision, started, vms):
+        """Seconds from `started` until each node has the revision, sorted."""
+        def wait(vm):
+            while time.monotonic() - started < CONVERGENCE_LIMIT_S:
+                if gauge(self, vm, "banyantrail_applied_revision") >= revision:
+                    return time.monotonic() - started
+                time.sleep(POLL_S)
+            return float("inf")
+        with concurrent.futures.ThreadPoolExecutor(len(vms)) as pool:
+            return sorted(pool.map(wait, vms))
+
+
+def metrics(vm):
+    try:
+        return harness.request(vm.admin, "GET", "/metrics",
+                               timeout=5)[2].decode()
+    except OSError:
+        return ""
+
+
+def gauge(_fleet, vm, name):
+    found = re.search(rf"^{name} (\S+)", metrics(vm), re.MULTILINE)
+    return float(found.group(1)) if found else 0.0
+
+
+def sent_bytes(vm):
+    found = re.search(
+        r'banyantrail_peer_bytes_total\{direction="sent"\} (\S+)', metrics(vm))
+    return float(found.group(1)) if found else 0.0
+
+
+def received_bytes(vm):
+    found = re.search(
+        r'banyantrail_peer_bytes_total\{direction="received"\} (\S+)',
+        metrics(vm))
+    return float(found.group(1)) if found else 0.0
+
+
+def platform_calls(fleet):
+    counters = harness.get_json(fleet.topology.platform, "/standin/counters")
+    return {key: counters.get(key, 0)
+            for key in ("reads", "writes", "watches")}
+
+
+def spread(values):
+    ordered = sorted(values)
+    return {"p50": round(statistics.median(ordered), 3),
+            "p99": round(ordered[min(len(ordered) - 1,
+                                     int(len(ordered) * 0.99))], 3),
+            "max": round(ordered[-1], 3)}
+
+
+class Window:
+    """Bytes, processor time and platform calls between two moments."""
+
+    def __init__(self, fleet, vms):
+        self.fleet, self.vms = fleet, vms
+        self.started = time.monotonic()
+        self.bytes = {vm.node: (sent_bytes(vm), received_bytes(vm))
+                      for vm in vms}
+        self.cpu = {vm.node: fleet.nodes[vm.node].cpu_seconds() for vm in vms}
+        self.platform = platform_calls(fleet)
+
+    def report(self):
+        duration = time.monotonic() - self.started
+        sent, received, cpu = [], [], []
+        for vm in self.vms:
+            before = self.bytes[vm.node]
+            sent.append((sent_bytes(vm) - before[0]) / duration)
+            received.append((received_bytes(vm) - before[1]) / duration)
+            cpu.append((self.fleet.nodes[vm.node].cpu_seconds() -
+                        self.cpu[vm.node]) / duration * 100)
+        both = [a + b for a, b in zip(sent, received)]
+        after = platform_calls(self.fleet)
+        return {
+            "seconds": round(duration, 1),
+            "bytes_per_s_mean": round(statistics.mean(both)),
+            "bytes_per_s_busiest": round(max(both)),
+            "cpu_percent_mean": round(statistics.mean(cpu), 2),
+            "cpu_percent_max": round(max(cpu), 2),
+            "platform_per_s": {
+                key: round((after[key] - self.platform[key]) / duration, 2)
+                for key in after},
+        }
+
+
+def emit(case, fleet, mode, **figures):
+    print(json.dumps({"case": case, "nodes": fleet.count, "mode": mode,
+                      **figures}), flush=True)
+
+
+def case_rest(fleet, mode):
+    window = Window(fleet, fleet.topology.vms)
+    time.sleep(REST_S)
+    idle = window.report()
+    memory = [fleet.nodes[vm.node].memory_mb() for vm in fleet.topology.vms]
+    times, window = [], Window(fleet, fleet.topology.vms)
+    for _ in range(3):
+        revision, started = fleet.apply()
+        times += fleet.converge(revision, started, fleet.topology.vms)
+    emit("rest", fleet, mode, convergence_s=spread(times), idle=idle,
+         during_changes=window.report(), memory_mb_max=round(max(memory), 1))
+
+
+def case_churn(fleet, mode):
+    """Ten endpoint changes a second, spread over the fleet."""
+    stop = threading.Event()
+
+    def churn():
+        slots = 8
+        while not stop.wait(0.1):
+            slots += 1
+            fleet.announce(random.choice(fleet.topology.vms), slots)
+
+    thread = threading.Thread(target=churn)
+    thread.start()
+    time.sleep(2)
+    window, times = Window(fleet, fleet.topology.vms), []
+    for _ in range(3):
+        revision, started = fleet.apply()
+        times += fleet.converge(revision, started, fleet.topology.vms)
+        time.sleep(1)
+    figures = window.report()
+    stop.set()
+    thread.join()
+    emit("churn_10_per_s", fleet, mode, convergence_s=spread(times),
+         load=figures)
+
+
+def case_kill(fleet, mode, percent):
+    victims = random.sample(fleet.topology.vms[1:],
+                            round(fleet.count * percent / 100))
+    revision, started = None, None
+    killer = threading.Thread(target=lambda: [
+        fleet.nodes[vm.node].kill() for vm in victims])
+    killer.start()
+    revision, started = fleet.apply()
+    killer.join()
+    survivors = [vm for vm in fleet.topology.vms if vm not in victims]
+    times = fleet.converge(revision, started, survivors)
+    emit(f"kill_{percent}_percent", fleet, mode, convergence_s=spread(times),
+         killed=len(victims))
+    for vm in victims:
+        fleet.nodes[vm.node].start()
+    times = fleet.converge(revision, time.monotonic(), victims or survivors)
+    emit(f"return_of_{percent}_percent", fleet, mode,
+         convergence_s=spread(times))
+
+
+def case_outage(fleet, mode):
+    fleet.platform_faults(outage=True)
+    time.sleep(OUTAGE_S)
+    window = Window(fleet, fleet.topology.vms)
+    fleet.platform_faults(outage=False)
+    healed = time.monotonic()
+    while True:
+        try:
+            revision, started = fleet.apply()
+            break
+        except RuntimeError:
+            time.sleep(0.05)
+    times = fleet.converge(revision, started, fleet.topology.vms)
+    emit("after_30_s_outage", fleet, mode, convergence_s=spread(times),
+         first_accepted_apply_s=round(started - healed, 2),
+         load=window.report())
+
+
+def case_restart_all(fleet, mode):
+    for node in fleet.nodes.values():
+        node.kill()
+    revision = fleet.change
+    started = time.monotonic()
+    for node in fleet.nodes.values():
+        node.start()
+    times = fleet.converge(revision, started, fleet.topology.vms)
+    emit("restart_of_all", fleet, mode, convergence_s=spread(times),
+         platform=platform_calls(fleet))
+
+
+def run(count, mode, cases):
+    settings = {"distribution": mode, "log_level": "error"}
+    with Measured(count, settings) as fleet:
+        fleet.start_nodes()
+        for vm in fleet.topology.vms:
+            fleet.announce(vm)
+        time.sleep(3)
+        revision, started = fleet.apply()
+        fleet.converge(revision, started, fleet.topology.vms)
+        runners = {
+            "rest": lambda: case_rest(fleet, mode),
+            "churn": lambda: case_churn(fleet, mode),
+            "kill": lambda: [case_kill(fleet, mode, p) for p in (5, 30)],
+            "outage": lambda: case_outage(fleet, mode),
+            "restart": lambda: case_restart_all(fleet, mode),
+        }
+        for case in cases:
+            runners[case]()
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--nodes", default="12")
+    parser.add_argument("--mode", default="tree")
+    parser.add_argument("--cases", default="rest,churn,kill,outage,restart")
+    parser.add_argument("--seed", type=int, default=1)
+    options = parser.parse_args()
+    random.seed(options.seed)
+    for count in options.nodes.split(","):
+        for mode in options.mode.split(","):
+            run(int(count), mode, options.cases.split(","))
+
+
+if __name__ == "__main__":
+    main()
