--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -1,9 +1,23 @@
 #!/usr/bin/env bash
-# Installs what is missing, builds everything and runs all tests.
+# Installs what is missing, builds everything and runs all tests. Tests listed
+# in KNOWN-RED.txt run too, but their failure does not fail the whole.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
 scripts/install_packages.sh
 cmake -S . -B build -G Ninja >/dev/null
 cmake --build build
-ctest --test-dir build --output-on-failure --parallel 4
+
+known_red=$(sed -n 's/^test: //p' KNOWN-RED.txt | paste -sd '|')
+run_tests() {
+  ctest --test-dir build --output-on-failure --no-tests=error "$@"
+}
+if [ -z "$known_red" ]; then
+  run_tests --parallel 4
+  exit
+fi
+run_tests --parallel 4 --exclude-regex "^($known_red)\$"
+echo "Known failing tests, see KNOWN-RED.txt:"
+if run_tests --tests-regex "^($known_red)\$"; then
+  echo "They all pass now: take them off the list."
+fi
