Keep one status type, in the configuration package

Cause: two types of the same name and namespace were linked into the node, and banyantrailctl could not read what the node wrote: "status" failed.

Change: the configuration package's type is the one; the node computes a report's age from its time.

Measured: tests/process/path_process_test.py: 1 of 6 failed before, 6 of 6 pass.

--- a/packages/core/banyantrail/core/wall_time.cc
+++ b/packages/core/banyantrail/core/wall_time.cc
@@ -3,6 +3,8 @@
 #include <array>
 #include <ctime>
 
+#include "banyantrail/core/errors.h"
+
 namespace banyantrail {
 
 std::string FormatWallTime(WallTime time) {
@@ -15,4 +17,15 @@
   return {text.data(), length};
 }
 
+WallTime ParseWallTime(const std::string& text) {
+  std::tm parts{};
+  const char* end = strptime(text.c_str(), "%Y-%m-%dT%H:%M:%SZ", &parts);
+  if (end == nullptr || *end != '\0') {
+    throw Error({.kind = ErrorKind::kMalformedMessage,
+                 .message = "'" + text + "' is not a time",
+                 .remedy = "write it as 2026-12-04T09:30:00Z"});
+  }
+  return WallTime(std::chrono::seconds(timegm(&parts)));
+}
+
 }  // namespace banyantrail
--- a/packages/node/banyantrail/node/admin_api.cc
+++ b/packages/node/banyantrail/node/admin_api.cc
@@ -8,12 +8,12 @@
 
 #include "banyantrail/config/change.h"
 #include "banyantrail/config/compile.h"
+#include "banyantrail/config/domain_status.h"
 #include "banyantrail/config/json_object_reader.h"
 #include "banyantrail/config/release_loader.h"
 #include "banyantrail/config/release_publisher.h"
 #include "banyantrail/config/selector_match.h"
 #include "banyantrail/core/wall_time.h"
-#include "banyantrail/distribution/domain_status.h"
 #include "banyantrail/net/http_server.h"
 
 namespace banyantrail {
@@ -470,8 +470,8 @@
     const auto listed = co_await m_options.platform.List(prefix);
     const WallTime now = std::chrono::system_clock::now();
     for (const StoredObject& object : listed.objects) {
-      const DomainStatus status = DomainStatusFromJson(object.value);
-      const Duration age = now - status.time;
+      const DomainStatus status = ParseDomainStatus(object.value);
+      const Duration age = now - ParseWallTime(status.time);
       json summary = ToJson(status);
       summary["age_ms"] = std::max<std::int64_t>(
           std::chrono::duration_cast<milliseconds>(age).count(), 0);
--- a/packages/node/banyantrail/node/platform_duty.cc
+++ b/packages/node/banyantrail/node/platform_duty.cc
@@ -15,11 +15,6 @@
 
 constexpr Duration kPollInterval = milliseconds(20);
 
-UnixMillis WallClock() {
-  return std::chrono::time_point_cast<milliseconds>(
-      std::chrono::system_clock::now());
-}
-
 bool IsLive(const MemberRecord& record) {
   return record.state == MemberState::kAlive ||
          record.state == MemberState::kSuspect;
@@ -84,7 +79,8 @@
   const TimePoint now = SystemClock().Now();
   m_summary.OnReport(m_control.distribution().report, now);
   ExportMetrics();
-  const std::optional<DomainStatus> due = m_summary.TakeDue(now, WallClock());
+  const std::optional<DomainStatus> due =
+      m_summary.TakeDue(now, std::chrono::system_clock::now());
   if (!due) {
     return std::nullopt;
   }
