--- a/packages/ctl/banyantrail/ctl/node_answers.cc
+++ b/packages/ctl/banyantrail/ctl/node_answers.cc
@@ -28,7 +28,7 @@
   const milliseconds age(reader.RequiredInteger("age_ms", {.max = kMaxAgeMs}));
   ThrowIfFaulty(faults, kRemedy);
   summary.erase("age_ms");
-  return {.status = DomainStatusFromJson(summary), .age = age};
+  return {.status = ParseDomainStatus(summary), .age = age};
 }
 
 FleetMember ReadMember(JsonObjectReader reader) {
--- a/packages/ctl/banyantrail/ctl/render.cc
+++ b/packages/ctl/banyantrail/ctl/render.cc
@@ -1,7 +1,6 @@
 #include "banyantrail/ctl/render.h"
 
 #include <array>
-#include <ctime>
 #include <map>
 #include <string_view>
 #include <utility>
@@ -79,8 +78,8 @@
 }
 
 std::string Reason(const RuleOnProxy& entry) {
-  if (entry.since) {
-    return "since " + TimeText(*entry.since) + ": " + entry.why;
+  if (!entry.since.empty()) {
+    return "since " + entry.since + ": " + entry.why;
   }
   return entry.why;
 }
@@ -134,8 +133,8 @@
               {"domain", entry.domain.str()},
               {"state", ToString(entry.state)},
               {"why", entry.why}};
-  if (entry.since) {
-    out["since"] = TimeText(*entry.since);
+  if (!entry.since.empty()) {
+    out["since"] = entry.since;
   }
   return out;
 }
@@ -212,14 +211,4 @@
   return rules;
 }
 
-std::string TimeText(UnixMillis time) {
-  const std::time_t whole =
-      std::chrono::duration_cast<seconds>(time.time_since_epoch()).count();
-  std::tm parts{};
-  gmtime_r(&whole, &parts);
-  std::array<char, sizeof("2026-01-01T00:00:00Z")> text{};
-  std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%SZ", &parts);
-  return text.data();
-}
-
 }  // namespace banyantrail::ctl
--- a/packages/ctl/banyantrail/ctl/render.h
+++ b/packages/ctl/banyantrail/ctl/render.h
@@ -28,7 +28,4 @@
 std::string RuleStatusText(const std::vector<RuleStatus>& statuses);
 nlohmann::json RuleStatusJson(const std::vector<RuleStatus>& statuses);
 
-/// ISO 8601 in UTC.
-std::string TimeText(UnixMillis time);
-
 }  // namespace banyantrail::ctl
--- a/packages/ctl/banyantrail/ctl/rule_status.cc
+++ b/packages/ctl/banyantrail/ctl/rule_status.cc
@@ -21,7 +21,7 @@
   Revision revision = 0;
   /// Why there is no fresh report.
   std::string why_unknown;
-  std::optional<UnixMillis> since;
+  std::string since;
   std::optional<Labels> labels;
   std::string refusal;
 };
@@ -49,7 +49,7 @@
   explicit ReportCollector(RuleStatusOptions options) : m_options(options) {}
 
   void AddDomain(const ReportedDomain& domain) {
-    for (const RevisionHolders& entry : domain.status.revisions) {
+    for (const NodesAtRevision& entry : domain.status.revisions) {
       for (const NodeId& node : entry.nodes) {
         AddReported(domain, node, entry.revision);
       }
@@ -101,11 +101,11 @@
                                  const NodeId& node) {
     ProxyReport report{
         .proxy = node, .domain = domain.status.domain, .age = domain.age};
-    const auto labels = domain.status.labels.find(node);
+    const auto labels = domain.status.labels.find(node.str());
     if (labels != domain.status.labels.end()) {
       report.labels = labels->second;
     }
-    for (const RefusingNode& refused : domain.status.refused) {
+    for (const RefusedRevision& refused : domain.status.refused) {
       if (refused.node == node) {
         report.refusal = "it refused revision " +
                          std::to_string(refused.revision) + ": " +
@@ -274,7 +274,7 @@
 std::vector<Revision> ReportedRevisions(const FleetStatus& fleet) {
   std::set<Revision> revisions;
   for (const ReportedDomain& domain : fleet.domains) {
-    for (const RevisionHolders& entry : domain.status.revisions) {
+    for (const NodesAtRevision& entry : domain.status.revisions) {
       revisions.insert(entry.revision);
     }
   }
--- a/packages/ctl/banyantrail/ctl/rule_status.h
+++ b/packages/ctl/banyantrail/ctl/rule_status.h
@@ -2,14 +2,13 @@
 
 #include <chrono>
 #include <map>
-#include <optional>
 #include <string>
 #include <vector>
 
+#include "banyantrail/config/domain_status.h"
 #include "banyantrail/config/release.h"
 #include "banyantrail/core/clock.h"
 #include "banyantrail/core/ids.h"
-#include "banyantrail/distribution/domain_status.h"
 
 /// Works out where each rule is in force from what the relays reported.
 namespace banyantrail::ctl {
@@ -63,8 +62,8 @@
   DomainId domain;
   RuleState state = RuleState::kUnknown;
   std::string why;
-  /// With kUnknown: wall-clock time of the last report.
-  std::optional<UnixMillis> since;
+  /// With kUnknown: wall-clock time of the last report; empty if there is none.
+  std::string since;
 
   friend bool operator==(const RuleOnProxy&, const RuleOnProxy&) = default;
 };
--- a/tests/config/publish_outcome_test.cc
+++ b/tests/config/publish_outcome_test.cc
@@ -4,13 +4,18 @@
 
 #include <vector>
 
+#include "banyantrail/config/domain_status.h"
 #include "banyantrail/config/release_json.h"
 #include "banyantrail/core/errors.h"
 #include "config/sample_release.h"
 
 using banyantrail::AnswerOf;
+using banyantrail::DomainId;
+using banyantrail::DomainStatus;
 using banyantrail::Error;
+using banyantrail::NodeId;
 using banyantrail::ParseChangeAnswer;
+using banyantrail::ParseDomainStatus;
 using banyantrail::ParseRelease;
 using banyantrail::PublishOutcome;
 using banyantrail::PublishStatus;
@@ -55,3 +60,18 @@
   json["objects"]["rank/orders"]["share_percent"] = 61;
   CHECK_THROWS(Error, ParseRelease(json));
 }
+
+TEST(PublishOutcome, DomainStatusSurvivesItsJson) {
+  const DomainStatus status{
+      .domain = DomainId("north-1"),
+      .relay = NodeId("a"),
+      .time = "2026-12-04T10:00:00Z",
+      .revisions = {{.revision = 3, .nodes = {NodeId("a"), NodeId("b")}}},
+      .refused = {{.node = NodeId("b"), .revision = 4, .reason = "no rank"}},
+      .silent = {{.node = NodeId("c"), .since = "2026-12-04T09:00:00Z"}},
+      .labels = {{"a", {{"tier", "gold"}}}}};
+  CHECK(ParseDomainStatus(ToJson(status)) == status);
+  auto json = ToJson(status);
+  json["silent"][0]["since"] = 5;
+  CHECK_THROWS(Error, ParseDomainStatus(json));
+}
--- a/tests/ctl/node_answers_test.cc
+++ b/tests/ctl/node_answers_test.cc
@@ -15,7 +15,7 @@
 TEST(NodeAnswers, ReadsStatusWithItsAges) {
   const auto fleet = ParseFleetStatus(nlohmann::json::parse(R"({
       "revision":4,"platform":"reachable","domains":[{"domain":"north",
-      "relay":"a","time":1000,"revisions":[{"revision":4,"nodes":["a"]}],
+      "relay":"a","time":"2026-12-04T10:00:00Z","revisions":[{"revision":4,"nodes":["a"]}],
       "refused":[],"silent":[],"labels":{"a":{}},"age_ms":250}]})"));
   CHECK(fleet.platform_reachable);
   CHECK(fleet.domains.at(0).status.domain == DomainId("north"));
@@ -25,7 +25,7 @@
 TEST(NodeAnswers, RefusesStatusWithoutAge) {
   CHECK_THROWS(Error, ParseFleetStatus(nlohmann::json::parse(R"({
       "revision":4,"platform":"reachable",
-      "domains":[{"domain":"north","relay":"a","time":1000}]})")));
+      "domains":[{"domain":"north","relay":"a","time":"2026-12-04T10:00:00Z"}]})")));
 }
 
 TEST(NodeAnswers, RefusesAnswerThatIsNotJson) {
--- a/tests/ctl/rule_status_test.cc
+++ b/tests/ctl/rule_status_test.cc
@@ -15,7 +15,6 @@
 using banyantrail::Revision;
 using banyantrail::ServiceName;
 using banyantrail::ServiceObject;
-using banyantrail::UnixMillis;
 using banyantrail::ctl::ComputeRuleStatus;
 using banyantrail::ctl::FleetStatus;
 using banyantrail::ctl::ReportedDomain;
@@ -35,14 +34,14 @@
 ReportedDomain Reported(const std::string& node, Revision revision) {
   return {.status = {.domain = DomainId("north"),
                      .relay = NodeId("relay"),
-                     .time = UnixMillis(milliseconds(1000)),
+                     .time = "2026-12-04T10:00:00Z",
                      .revisions = {{revision, {NodeId(node)}}},
-                     .labels = {{NodeId(node), Labels{}}}}};
+                     .labels = {{node, Labels{}}}}};
 }
 
 ReportedDomain Silent(const std::string& node) {
   return {.status = {.domain = DomainId("north"),
-                     .silent = {{NodeId(node), UnixMillis(milliseconds(5))}}}};
+                     .silent = {{NodeId(node), "2026-12-04T09:00:00Z"}}}};
 }
 
 /// The state of the sample's routing rule on the only proxy of the fleet.
@@ -96,7 +95,7 @@
 TEST(RuleStatus, SilentProxyIsUnknownSinceItsLastReport) {
   const RuleOnProxy state = StateIn({.domains = {Silent("a")}}, {});
   CHECK(state.state == RuleState::kUnknown);
-  CHECK(state.since == UnixMillis(milliseconds(5)));
+  CHECK(state.since == "2026-12-04T09:00:00Z");
 }
 
 TEST(RuleStatus, OldSummarySaysNothingOfThePresent) {
@@ -104,12 +103,12 @@
   domain.age = milliseconds(15'001);
   const RuleOnProxy state = StateIn({.domains = {domain}}, {});
   CHECK(state.state == RuleState::kUnknown);
-  CHECK(state.since == UnixMillis(milliseconds(1000)));
+  CHECK(state.since == "2026-12-04T10:00:00Z");
 }
 
 TEST(RuleStatus, ProxyListedAsSilentAndReportedIsUnknown) {
   ReportedDomain domain = Reported("a", kDeclared);
-  domain.status.silent = {{NodeId("a"), UnixMillis(milliseconds(5))}};
+  domain.status.silent = {{NodeId("a"), "2026-12-04T09:00:00Z"}};
   CHECK(StateOf(domain) == RuleState::kUnknown);
 }
 
@@ -157,7 +156,7 @@
       "0\n"
       "  in force on 2 (at revision 7; the selector chooses every proxy): a, "
       "b\n"
-      "  unknown on 1 (since 1970-01-01T00:00:00Z: it stopped reporting): c\n",
+      "  unknown on 1 (since 2026-12-04T09:00:00Z: it stopped reporting): c\n",
       banyantrail::ctl::RuleStatusText(
           ComputeRuleStatus(fleet, declared, {{kDeclared, declared.objects}}))
           .c_str());
