--- a/tests/process/faults_process_test.py
+++ b/tests/process/faults_process_test.py
@@ -14,7 +14,7 @@
 LOAD = [
     {"name": "orders", "method": "POST", "path": "/orders?ms=20",
      "per_second": 20, "body_bytes": 300, "deadline_ms": 2000,
-     "idempotency_keys": True, "resends": 3, "resend_pause_ms": 200},
+     "idempotency_keys": True},
     {"name": "lookups", "path": "/catalogue/willow?bytes=3000",
      "per_second": 40, "deadline_ms": 1000},
     {"name": "uploads", "method": "PUT", "path": "/uploads/7",
@@ -23,6 +23,12 @@
 ]
 
 
+# Callers that send an order again, under its key, until they know its fate.
+# Each runs long enough for some to be running when a fault begins.
+RESENT_ORDERS = [LOAD[0] | {"path": "/orders?ms=200", "per_second": 40,
+                            "resends": 3, "resend_pause_ms": 200}]
+
+
 class FaultsTest(unittest.TestCase):
 
     def scenario(self, name):
@@ -40,9 +46,9 @@
             run.keep_history()
             raise
 
-    def test_killed_vms_come_back_with_what_they_had_served(self):
-        run = self.scenario("killed_vms")
-        load = run.start_load(LOAD, 8, SEED)
+    def kill_two_vms(self, run, classes):
+        """Two VMs die under load while a change is applied, and return."""
+        load = run.start_load(classes, 8, SEED)
         time.sleep(1)
         with run.fault("kill", "n2", "n3", "n2-server", "n3-server"):
             run.kill_vm("n2")
@@ -53,9 +59,9 @@
         run.finish_load(load)
         self.check(run)
 
-    def test_frozen_node_catches_up(self):
-        run = self.scenario("frozen_node")
-        load = run.start_load(LOAD, 8, SEED)
+    def freeze_a_node(self, run, classes):
+        """A node is frozen under load past its lease, during a change."""
+        load = run.start_load(classes, 8, SEED)
         time.sleep(1)
         with run.fault("freeze", "n1"):
             run.fleet.nodes["n1"].freeze()
@@ -65,6 +71,45 @@
         run.finish_load(load)
         self.check(run)
 
+    def test_killed_vms_come_back_with_what_they_had_served(self):
+        self.kill_two_vms(self.scenario("killed_vms"), LOAD)
+
+    def test_resent_orders_run_once_when_vms_die(self):
+        self.kill_two_vms(self.scenario("resent_killed"), RESENT_ORDERS)
+
+    def test_frozen_node_catches_up(self):
+        self.freeze_a_node(self.scenario("frozen_node"), LOAD)
+
+    def test_resent_orders_run_once_when_a_node_freezes(self):
+        self.freeze_a_node(self.scenario("resent_frozen"), RESENT_ORDERS)
+
+    def test_domain_cut_from_the_platform_follows_its_peers(self):
+        run = self.scenario("domain_cut")
+        link = run.fleet.platform_links["c"]
+        link.cut()
+        revision = run.apply("n1")
+        run.fleet.wait_revision(revision, 3)
+        link.heal()
+        link.silence()
+        revision = run.apply("n2")
+        run.fleet.wait_revision(revision, 3)
+        link.heal()
+        time.sleep(3)
+        self.check(run)
+
+    def test_silent_connections_are_replaced(self):
+        run = self.scenario("silent_connections")
+        lookups = [LOAD[1] | {"per_second": 100}]
+        run.finish_load(run.start_load(lookups, 1, SEED))
+        with run.fault("silence", "n1-server", "n4-server"):
+            run.fleet.backend_faults("n1", silence_open=True)
+            run.fleet.backend_faults("n4", silence_open=True)
+            run.finish_load(run.start_load(lookups, 4, SEED))
+        report = run.finish_load(run.start_load(lookups, 2, SEED))
+        self.assertEqual(report["lookups"]["outcomes"]["ok"],
+                         report["lookups"]["sent"])
+        self.check(run)
+
     def test_platform_outage_refuses_changes_and_serves_on(self):
         run = self.scenario("platform_outage")
         lookups = [entry for entry in LOAD if entry["name"] == "lookups"]
--- a/tests/process/harness.py
+++ b/tests/process/harness.py
@@ -343,11 +343,19 @@
     def start(self):
         """Starts everything and waits until all nodes answer."""
         self.start_platform()
-        for process in [*self.nodes.values(), *self.backends.values()]:
+        for process in self.nodes.values():
             process.start()
+        for node in self.backends:
+            self.start_backend(node)
         for vm in self.topology.vms:
             self.wait_for(vm, "/healthz")
 
+    def start_backend(self, node):
+        self.backends[node].start()
+        address = self.topology.vm(node).backend
+        wait_until(lambda: get_json(address, "/standin/counters"),
+                   READY_TIMEOUT_S, f"{node}'s backend server answers")
+
     def start_platform(self):
         self.platform.start()
         wait_until(lambda: get_json(self.topology.platform,
--- a/tests/process/scenario.py
+++ b/tests/process/scenario.py
@@ -195,7 +195,7 @@
     def start_vm(self, node):
         """The VM is replaced in place."""
         self.fleet.nodes[node].start()
-        self.fleet.backends[node].start()
+        self.fleet.start_backend(node)
         self.fleet.wait_for(self.fleet.topology.vm(node), "/readyz")
 
     def stop(self, process):
--- a/tests/process/soak.py
+++ b/tests/process/soak.py
@@ -68,9 +68,9 @@
 
 
 def drain_backend(run, rng):
-    process = run.fleet.backends[rng.choice(sorted(run.fleet.backends))]
-    run.stop(process)
-    process.start()
+    node = rng.choice(sorted(run.fleet.backends))
+    run.stop(run.fleet.backends[node])
+    run.fleet.start_backend(node)
 
 
 FAULTS = [kill_vms, freeze_node, cut_platform_link, platform_outage,
