--- a/packages/proxy/banyantrail/proxy/entry_stage.cc
+++ b/packages/proxy/banyantrail/proxy/entry_stage.cc
@@ -9,8 +9,6 @@
 namespace banyantrail {
 namespace {
 
-constexpr unsigned kMaxAttempts = 3;
-
 std::string_view PathOf(const http::request_header<>& head) {
   const std::string_view target(head.target().data(), head.target().size());
   return target.substr(0, target.find('?'));
@@ -42,12 +40,17 @@
   return FieldValue(attempt.answer->get(), kOutcomeHeader);
 }
 
-/// Whether this attempt provably did not run the request.
-bool ProvedNotRun(const Attempt& attempt) {
-  if (attempt.result == UpstreamResult::kAnswered) {
-    return SystemOutcomeOf(attempt) == kOutcomeNotRun;
+/// The reason of an attempt without an answer of a backend server.
+RefusalReason ReasonOf(const Attempt& attempt) {
+  if (attempt.result != UpstreamResult::kAnswered) {
+    return attempt.reason;
   }
-  return attempt.result == UpstreamResult::kNotRun;
+  return ParseRefusalReason(FieldValue(attempt.answer->get(), kReasonHeader))
+      .value_or(RefusalReason::kMalformedAnswer);
+}
+
+std::uint32_t DepthOf(const http::request_header<>& head) {
+  return NumberField(head, kDepthHeader).value_or(0);
 }
 
 bool IsBackendAnswer(const Attempt& attempt) {
@@ -55,6 +58,54 @@
          SystemOutcomeOf(attempt).empty();
 }
 
+/// What an owner node's refusal says of its backend server.
+EndpointOutcome RefusalOutcomeOf(const Attempt& attempt) {
+  switch (ReasonOf(attempt)) {
+    case RefusalReason::kQueueFull:
+    case RefusalReason::kDeadline:
+    case RefusalReason::kDraining:
+    case RefusalReason::kShedByBackendServer:
+      return EndpointOutcome::kShed;
+    case RefusalReason::kConnectFailed:
+    case RefusalReason::kBackendServerDown:
+      return EndpointOutcome::kConnectFailed;
+    default:
+      return EndpointOutcome::kFailed;
+  }
+}
+
+EndpointOutcome OutcomeOf(const Attempt& attempt) {
+  switch (attempt.result) {
+    case UpstreamResult::kAnswered:
+      if (!SystemOutcomeOf(attempt).empty()) {
+        return RefusalOutcomeOf(attempt);
+      }
+      return http::to_status_class(attempt.answer->get().result()) ==
+                     http::status_class::server_error
+                 ? EndpointOutcome::kFailed
+                 : EndpointOutcome::kAnswered;
+    case UpstreamResult::kNotRun:
+      return EndpointOutcome::kConnectFailed;
+    case UpstreamResult::kUnknown:
+      return EndpointOutcome::kFailed;
+    case UpstreamResult::kCallerGone:
+      return EndpointOutcome::kCancelled;
+  }
+  return EndpointOutcome::kCancelled;
+}
+
+EndpointResult ResultOf(const Attempt& attempt, Duration latency) {
+  EndpointResult result{.outcome = OutcomeOf(attempt)};
+  if (attempt.result == UpstreamResult::kAnswered) {
+    result.load =
+        ParseReportedLoad(FieldValue(attempt.answer->get(), kLoadHeader));
+  }
+  if (result.outcome == EndpointOutcome::kAnswered) {
+    result.latency = latency;
+  }
+  return result;
+}
+
 }  // namespace
 
 struct EntryStage::Passage {
@@ -64,8 +115,8 @@
   const RoutedService* service = nullptr;
   TimePoint started;
   TimePoint deadline;
-  /// Backend servers already tried.
-  std::vector<BackendServerId> tried;
+  /// Endpoints already tried.
+  std::vector<EndpointKey> tried;
 };
 
 EntryStage::EntryStage(asio::any_io_executor executor,
@@ -74,10 +125,12 @@
     : m_executor(std::move(executor)),
       m_pool(pool),
       m_options(std::move(options)),
-      m_rng(m_options.seed) {}
+      m_rng(m_options.seed),
+      m_loads(m_options.loads) {}
 
 void EntryStage::SetSnapshot(std::shared_ptr<const RoutingSnapshot> snapshot) {
   m_snapshot = std::move(snapshot);
+  m_loads.Retain(m_snapshot->services(), SystemClock().Now());
 }
 
 asio::awaitable<void> EntryStage::Serve(beast::tcp_stream stream) {
@@ -133,24 +186,6 @@
   co_await Forward(downstream, passage);
 }
 
-const ServiceEndpoint* EntryStage::Choose(const Passage& passage) {
-  std::vector<const ServiceEndpoint*> own_domain;
-  std::vector<const ServiceEndpoint*> others;
-  for (const ServiceEndpoint& endpoint : passage.service->endpoints) {
-    const bool tried =
-        std::ranges::find(passage.tried, endpoint.id) != passage.tried.end();
-    if (!tried) {
-      (endpoint.domain == m_options.domain ? own_domain : others)
-          .push_back(&endpoint);
-    }
-  }
-  const auto& candidates = own_domain.empty() ? others : own_domain;
-  if (candidates.empty()) {
-    return nullptr;
-  }
-  return candidates[UniformIndex(m_rng, candidates.size())];
-}
-
 AttemptOptions EntryStage::OptionsFor(const Passage& passage,
                                       const ServiceEndpoint& endpoint) const {
   AttemptOptions options{.server = endpoint.mesh_address,
@@ -159,6 +194,8 @@
                          .ask_before_body = true};
   StripInternalFields(options.head);
   SetField(options.head, kDeadlineHeader, RemainingMs(passage.deadline));
+  SetField(options.head, kDepthHeader,
+           std::to_string(DepthOf(passage.request.head()) + 1));
   SetField(options.head, kPriorityHeader,
            std::to_string(passage.route->priority));
   SetField(options.head, kIdempotentHeader,
@@ -170,22 +207,20 @@
 
 asio::awaitable<void> EntryStage::Forward(Downstream& downstream,
                                           Passage& passage) {
+  PolicyFor(passage.service->name).OnFirstAttempt();
   while (true) {
-    const ServiceEndpoint* endpoint = Choose(passage);
+    const ServiceEndpoint* endpoint =
+        Choose(passage.service->endpoints, m_loads, m_options.choice,
+               SystemClock().Now(), m_rng, passage.tried);
     if (endpoint == nullptr) {
       co_await Refuse(downstream, passage, RefusalReason::kNoBackendServer);
       co_return;
     }
-    passage.tried.push_back(endpoint->id);
-    Attempt attempt = co_await MakeAttempt(m_pool, downstream, passage.request,
-                                           OptionsFor(passage, *endpoint));
+    Attempt attempt = co_await Try(downstream, passage, *endpoint);
     if (attempt.result == UpstreamResult::kCallerGone) {
       downstream.must_close = true;
       co_return;
     }
-    if (attempt.result == UpstreamResult::kUnknown) {
-      m_pool.Distrust(endpoint->mesh_address);
-    }
     if (MayRetry(passage, attempt)) {
       continue;
     }
@@ -198,19 +233,44 @@
   }
 }
 
+asio::awaitable<Attempt> EntryStage::Try(Downstream& downstream,
+                                         Passage& passage,
+                                         const ServiceEndpoint& endpoint) {
+  passage.tried.push_back(KeyOf(endpoint));
+  const TimePoint started = SystemClock().Now();
+  m_loads.OnStart(endpoint, started);
+  AttemptOptions options = OptionsFor(passage, endpoint);
+  Attempt attempt = co_await MakeAttempt(m_pool, downstream, passage.request,
+                                         std::move(options));
+  const TimePoint now = SystemClock().Now();
+  m_loads.OnResult(endpoint, ResultOf(attempt, now - started), now);
+  if (attempt.result == UpstreamResult::kUnknown) {
+    m_pool.Distrust(endpoint.mesh_address);
+  }
+  co_return attempt;
+}
+
 bool EntryStage::MayRetry(const Passage& passage, const Attempt& attempt) {
   if (IsBackendAnswer(attempt)) {
     return false;
   }
-  const bool safe = ProvedNotRun(attempt) || passage.route->idempotent;
-  const bool sendable = !passage.request.body_taken;
-  const bool in_time = SystemClock().Now() < passage.deadline;
+  const FailedAttempt failed{
+      .reason = ReasonOf(attempt),
+      .idempotent = passage.route->idempotent,
+      .body_replayable = !passage.request.body_taken,
+      .attempts = static_cast<std::uint32_t>(passage.tried.size()),
+      .depth = DepthOf(passage.request.head()),
+      .deadline = passage.deadline};
+  const RetryDecision decision =
+      PolicyFor(passage.service->name).Decide(failed, SystemClock().Now());
+  m_options.hooks.count_retry(ToString(decision));
   const bool choice_left =
       passage.tried.size() < passage.service->endpoints.size();
-  const bool retry = safe && sendable && in_time && choice_left &&
-                     passage.tried.size() < kMaxAttempts;
-  m_options.hooks.count_retry(retry ? "sent_again" : "given_up");
-  return retry;
+  return IsRetry(decision) && choice_left;
+}
+
+RetryPolicy& EntryStage::PolicyFor(const ServiceName& service) {
+  return m_retry_policies.try_emplace(service, m_options.retries).first->second;
 }
 
 asio::awaitable<void> EntryStage::Return(Downstream& downstream,
--- a/packages/proxy/banyantrail/proxy/entry_stage.h
+++ b/packages/proxy/banyantrail/proxy/entry_stage.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string_view>
@@ -10,6 +11,9 @@
 #include "banyantrail/proxy/answer_relay.h"
 #include "banyantrail/proxy/inbound_request.h"
 #include "banyantrail/proxy/upstream_pool.h"
+#include "banyantrail/traffic/choose.h"
+#include "banyantrail/traffic/load_table.h"
+#include "banyantrail/traffic/retry_policy.h"
 #include "banyantrail/traffic/routing_snapshot.h"
 
 namespace banyantrail {
@@ -29,7 +33,9 @@
 class EntryStage {
  public:
   struct Options {
-    DomainId domain;
+    ChoiceOptions choice;
+    LoadTableOptions loads;
+    RetryPolicyOptions retries;
     InboundLimits limits;
     EntryStageHooks hooks;
     std::uint64_t seed = 0;
@@ -68,8 +74,11 @@
                                Attempt& attempt);
   AttemptOptions OptionsFor(const Passage& passage,
                             const ServiceEndpoint& endpoint) const;
-  const ServiceEndpoint* Choose(const Passage& passage);
+  asio::awaitable<Attempt> Try(Downstream& downstream,
+                               Passage& passage,
+                               const ServiceEndpoint& endpoint);
   bool MayRetry(const Passage& passage, const Attempt& attempt);
+  RetryPolicy& PolicyFor(const ServiceName& service);
   void Finish(const Passage& passage, unsigned status);
 
   asio::any_io_executor m_executor;
@@ -77,6 +86,8 @@
   Options m_options;
   Rng m_rng;
   std::shared_ptr<const RoutingSnapshot> m_snapshot;
+  LoadTable m_loads;
+  std::map<ServiceName, RetryPolicy> m_retry_policies;
   bool m_draining = false;
   std::size_t m_in_progress = 0;
 };
