Run an order at most once through claims in the platform's store

Cause: a caller that resends an order under its idempotency key, at any node, must not have it run twice, and "not run" must be true.

--- /dev/null
+++ b/packages/traffic/banyantrail/traffic/once_only_ledger.h
@@ -0,0 +1,185 @@
+#pragma once
+
+// Boost.Asio 1.74 uses std::exchange without including it.
+#include <utility>
+
+#include <boost/asio/awaitable.hpp>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "banyantrail/config/object_store.h"
+#include "banyantrail/core/errors.h"
+#include "banyantrail/traffic/once_only.h"
+
+namespace banyantrail {
+
+/// The right to run an order, as the ledger confirmed it.
+struct HeldClaim {
+  std::string object_key;
+  std::string attempt;
+  std::uint64_t version = 0;
+
+  friend bool operator==(const HeldClaim&, const HeldClaim&) = default;
+};
+
+/// The ledger's answer to an attempt: a claim, or the reason for none.
+struct ClaimResult {
+  /// Empty when the attempt must not be forwarded.
+  std::optional<HeldClaim> claim;
+  RefusalReason reason = RefusalReason::kLedgerInDoubt;
+  /// For kAlreadyRan: the HTTP status of the recorded answer.
+  std::uint32_t recorded_status = 0;
+
+  friend bool operator==(const ClaimResult&, const ClaimResult&) = default;
+};
+
+/// Drives OnceClaim and OnceSettlement against the platform's store. Holds no
+/// state of its own; `Store` must outlive its coroutines.
+template <AsyncObjectStore Store>
+class OnceOnlyLedger {
+ public:
+  explicit OnceOnlyLedger(Store& store) : m_store(store) {}
+
+  /// Claims the order for `attempt`. Call it when the request has arrived,
+  /// before it waits in any queue, and forward only with the claim in hand.
+  boost::asio::awaitable<ClaimResult> Claim(std::string object_key,
+                                            std::string attempt) {
+    OnceClaim machine(attempt);
+    for (;;) {
+      switch (machine.step()) {
+        case OnceClaim::Step::kWrite:
+          co_await WriteClaim(object_key, machine);
+          break;
+        case OnceClaim::Step::kRead:
+          co_await Read(object_key, machine);
+          break;
+        case OnceClaim::Step::kForward:
+          co_return Held(object_key, attempt, machine);
+        case OnceClaim::Step::kRefuse:
+          co_return Denied(machine);
+      }
+    }
+  }
+
+  /// Records that the order ran and how it was answered. False when the ledger
+  /// could not be reached; resends then get "outcome unknown".
+  boost::asio::awaitable<bool> RecordResult(HeldClaim claim,
+                                            std::uint32_t status) {
+    OnceRecord record{
+        .state = OnceState::kDone, .attempt = claim.attempt, .status = status};
+    co_return co_await Settle(std::move(claim), std::move(record));
+  }
+
+  /// Gives up a claim whose order surely did not run and, from this call on,
+  /// never will under it. "Not run" is true whatever the result; false only
+  /// means that resends will get "outcome unknown".
+  boost::asio::awaitable<bool> Release(HeldClaim claim) {
+    OnceRecord record{.state = OnceState::kReleased, .attempt = claim.attempt};
+    co_return co_await Settle(std::move(claim), std::move(record));
+  }
+
+ private:
+  // g++ 12 destroys aggregates twice that are built inside a co_return or a
+  // co_await expression, so they are built outside.
+  static ClaimResult Held(const std::string& object_key,
+                          const std::string& attempt,
+                          const OnceClaim& machine) {
+    return {.claim = HeldClaim{.object_key = object_key,
+                               .attempt = attempt,
+                               .version = machine.claim_version()}};
+  }
+
+  static ClaimResult Denied(const OnceClaim& machine) {
+    return {.reason = machine.reason(),
+            .recorded_status = machine.recorded_status()};
+  }
+
+  boost::asio::awaitable<void> WriteClaim(const std::string& object_key,
+                                          OnceClaim& machine) {
+    try {
+      nlohmann::json value = ToJson(machine.claim());
+      const PutResult result = co_await m_store.Put(
+          object_key, std::move(value), machine.expected_version());
+      if (result.status == PutStatus::kWritten) {
+        machine.OnWritten(result.version);
+      } else {
+        machine.OnVersionMismatch(result.version);
+      }
+    } catch (const Error& error) {
+      ReportWriteError(error, machine);
+    }
+  }
+
+  boost::asio::awaitable<bool> Settle(HeldClaim claim, OnceRecord record) {
+    OnceSettlement machine(record, claim.version);
+    for (;;) {
+      switch (machine.step()) {
+        case OnceSettlement::Step::kWrite:
+          co_await WriteSettlement(claim.object_key, machine);
+          break;
+        case OnceSettlement::Step::kRead:
+          co_await Read(claim.object_key, machine);
+          break;
+        case OnceSettlement::Step::kSettled:
+          co_return true;
+        case OnceSettlement::Step::kGaveUp:
+          co_return false;
+      }
+    }
+  }
+
+  boost::asio::awaitable<void> WriteSettlement(const std::string& object_key,
+                                               OnceSettlement& machine) {
+    try {
+      nlohmann::json value = ToJson(machine.record());
+      const PutResult result = co_await m_store.Put(
+          object_key, std::move(value), machine.expected_version());
+      if (result.status == PutStatus::kWritten) {
+        machine.OnWritten();
+      } else {
+        machine.OnVersionMismatch();
+      }
+    } catch (const Error& error) {
+      ReportWriteError(error, machine);
+    }
+  }
+
+  template <typename Machine>
+  static void ReportWriteError(const Error& error, Machine& machine) {
+    const bool no_effect = error.kind() == ErrorKind::kPlatformUnavailable ||
+                           error.kind() == ErrorKind::kPlatformOverloaded;
+    if (no_effect) {
+      machine.OnUnavailable();
+    } else {
+      machine.OnWriteUnknown();
+    }
+  }
+
+  template <typename Machine>
+  boost::asio::awaitable<void> Read(const std::string& object_key,
+                                    Machine& machine) {
+    try {
+      const std::optional<StoredObject> object =
+          co_await m_store.Get(object_key);
+      machine.OnRead(ToVersioned(object));
+    } catch (const Error&) {
+      machine.OnUnavailable();
+    }
+  }
+
+  /// A value that is no record counts as the claim of an unknown attempt.
+  static std::optional<VersionedOnceRecord> ToVersioned(
+      const std::optional<StoredObject>& object) {
+    if (!object.has_value()) {
+      return std::nullopt;
+    }
+    return VersionedOnceRecord{
+        .version = object->version,
+        .record = OnceRecordFromJson(object->value).value_or(OnceRecord{})};
+  }
+
+  Store& m_store;
+};
+
+}  // namespace banyantrail
--- a/packages/traffic/banyantrail/traffic/refusal_reason.cc
+++ b/packages/traffic/banyantrail/traffic/refusal_reason.cc
@@ -34,7 +34,7 @@
      "Correct the request: it coincided with crashes of backend servers."},
     {"cancelled", true, "None: the caller withdrew the request."},
     {"shed_by_backend_server", true, kResendLater},
-    {"ledger_unavailable", true, kResendLater},
+    {"ledger_unavailable", false, kSameKey},
     {"ledger_in_doubt", false, kSameKey},
     {"attempt_in_flight", false, kSameKey},
     {"already_ran", false, "None: the request ran; the status is recorded."},
--- a/packages/traffic/banyantrail/traffic/refusal_reason.h
+++ b/packages/traffic/banyantrail/traffic/refusal_reason.h
@@ -27,7 +27,9 @@
   kQuarantined,
   kCancelled,
   kShedByBackendServer,
-  // Refused by the once-only ledger.
+  // Refused by the once-only ledger. None of them proves "not run": nobody
+  // knows
+  // then whether an earlier attempt under the same idempotency key ran.
   kLedgerUnavailable,
   kLedgerInDoubt,
   kAttemptInFlight,
