Quarantine requests that crash backend servers

Cause: a request that crashes each backend server that runs it, and is sent again, takes down the fleet. Ruled out: blaming all in flight alike (innocents are refused for good), running suspects on an idle backend server (costs all its slots). Change: Quarantine, pure and bounded; suspects run one at a time, so that the second crash names the culprit; CrashReportMessage at the end of PeerMessage. Measured (traffic_decisions_test -g Quarantine): a poison request sent to 10 nodes crashes 2 backend servers, with the option off 10.

--- a/packages/wire/banyantrail/wire/peer_messages.h
+++ b/packages/wire/banyantrail/wire/peer_messages.h
@@ -167,6 +167,23 @@
                  refusal_reason)
 };
 
+/// A backend server of the sender crashed; these requests may have caused it.
+struct CrashReportMessage {
+  /// With `incarnation` and `sequence` it names the report, so that one which
+  /// arrives twice counts once.
+  NodeId node;
+  Incarnation incarnation = 0;
+  std::uint64_t sequence = 0;
+  /// Fingerprints of the requests in flight.
+  std::vector<std::uint64_t> suspects;
+  /// Members that the receiver has to forward this message to.
+  std::vector<NodeId> subtree;
+
+  friend bool operator==(const CrashReportMessage&,
+                         const CrashReportMessage&) = default;
+  MSGPACK_DEFINE(node, incarnation, sequence, suspects, subtree)
+};
+
 /// Every message between nodes. The position in the list is its wire number,
 /// so new messages go to the end.
 using PeerMessage = std::variant<HelloMessage,
@@ -179,6 +196,7 @@
                                  MembershipUpdateMessage,
                                  ProbeMessage,
                                  ProbeAckMessage,
-                                 StatusReportMessage>;
+                                 StatusReportMessage,
+                                 CrashReportMessage>;
 
 }  // namespace banyantrail
--- /dev/null
+++ b/tests/traffic/quarantine_test.cc
@@ -0,0 +1,138 @@
+#include "banyantrail/traffic/quarantine.h"
+
+#include <numeric>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using banyantrail::CrashReportMessage;
+using banyantrail::FingerprintOf;
+using banyantrail::NodeId;
+using banyantrail::Quarantine;
+using banyantrail::QuarantineOptions;
+using banyantrail::RequestFingerprint;
+using banyantrail::seconds;
+using banyantrail::ServiceName;
+using banyantrail::TimePoint;
+using Verdict = banyantrail::Quarantine::Verdict;
+
+namespace {
+
+constexpr RequestFingerprint kPoison = 1;
+constexpr RequestFingerprint kInnocent = 2;
+constexpr RequestFingerprint kOther = 3;
+
+TimePoint At(seconds since_start) {
+  return TimePoint{} + seconds(1000) + since_start;
+}
+
+CrashReportMessage Report(std::uint64_t sequence,
+                          std::vector<RequestFingerprint> suspects) {
+  return {.node = NodeId("n1"),
+          .incarnation = 1,
+          .sequence = sequence,
+          .suspects = std::move(suspects)};
+}
+
+/// Sends the poison to one node after the other, beside innocent work, as long
+/// as they let it in. Returns the number of backend servers it crashed.
+int CrashesAcrossNodes(const QuarantineOptions& options) {
+  constexpr int kNodes = 10;
+  std::vector<Quarantine> nodes(kNodes, Quarantine(options));
+  int crashes = 0;
+  for (int node = 0; node < kNodes; ++node) {
+    const TimePoint now = At(seconds(node));
+    if (nodes[node].Check(kPoison, now) == Verdict::kRefuse) {
+      continue;
+    }
+    ++crashes;
+    const auto suspects =
+        nodes[node].OnCrash({kPoison, kInnocent, kOther}, now);
+    for (int other = 0; other < kNodes; ++other) {
+      if (other != node) {
+        nodes[other].OnReport(Report(crashes, suspects), now);
+      }
+    }
+  }
+  return crashes;
+}
+
+}  // namespace
+
+TEST_GROUP(Quarantine){};
+
+TEST(Quarantine, APoisonRequestCrashesAtMostTwoBackendServers) {
+  LONGS_EQUAL(2, CrashesAcrossNodes({}));
+  LONGS_EQUAL(10, CrashesAcrossNodes({.enabled = false}));
+}
+
+TEST(Quarantine, SuspectsRunSeriallyUntilAnswered) {
+  Quarantine quarantine;
+  quarantine.OnCrash({kPoison, kInnocent}, At(seconds(0)));
+  CHECK(quarantine.Check(kInnocent, At(seconds(1))) == Verdict::kRunSerially);
+  quarantine.OnAnswered(kInnocent);
+  CHECK(quarantine.Check(kInnocent, At(seconds(1))) == Verdict::kAllow);
+}
+
+TEST(Quarantine, WorkBesideASuspectIsNotBlamed) {
+  Quarantine quarantine;
+  quarantine.OnCrash({kPoison, kInnocent}, At(seconds(0)));
+  quarantine.OnAnswered(kInnocent);
+  const auto suspects =
+      quarantine.OnCrash({kPoison, kInnocent, kOther}, At(seconds(1)));
+  CHECK(suspects == std::vector<RequestFingerprint>{kPoison});
+  CHECK(quarantine.Check(kPoison, At(seconds(2))) == Verdict::kRefuse);
+  CHECK(quarantine.Check(kInnocent, At(seconds(2))) == Verdict::kAllow);
+}
+
+TEST(Quarantine, LetsGoAfterATimeAndForgetsLater) {
+  Quarantine quarantine;
+  quarantine.OnCrash({kPoison}, At(seconds(0)));
+  quarantine.OnCrash({kPoison}, At(seconds(1)));
+  CHECK(quarantine.Check(kPoison, At(seconds(300))) == Verdict::kRefuse);
+  CHECK(quarantine.Check(kPoison, At(seconds(302))) == Verdict::kRunSerially);
+  CHECK(quarantine.Check(kPoison, At(seconds(362))) == Verdict::kAllow);
+}
+
+TEST(Quarantine, AnInnocentResentBesideThePoisonIsNotBlamedForGood) {
+  Quarantine quarantine;
+  quarantine.OnReport(Report(1, {kPoison, kInnocent}), At(seconds(0)));
+  quarantine.OnReport(Report(2, {kPoison, kInnocent, kOther}), At(seconds(0)));
+  CHECK(quarantine.Check(kInnocent, At(seconds(1))) == Verdict::kRefuse);
+  // It is answered by a backend server where it was already in flight.
+  quarantine.OnAnswered(kInnocent);
+  CHECK(quarantine.Check(kInnocent, At(seconds(1))) == Verdict::kAllow);
+  CHECK(quarantine.Check(kPoison, At(seconds(1))) == Verdict::kRefuse);
+}
+
+TEST(Quarantine, AReportThatArrivesTwiceCountsOnce) {
+  Quarantine quarantine;
+  quarantine.OnReport(Report(1, {kPoison}), At(seconds(0)));
+  quarantine.OnReport(Report(1, {kPoison}), At(seconds(1)));
+  CHECK(quarantine.Check(kPoison, At(seconds(2))) == Verdict::kRunSerially);
+}
+
+TEST(Quarantine, ACrashWithTooManyInFlightBlamesNobody) {
+  Quarantine quarantine({.max_suspects = 2});
+  CHECK(quarantine.OnCrash({1, 2, 3}, At(seconds(0))).empty());
+  quarantine.OnReport(Report(1, {1, 2, 3}), At(seconds(0)));
+  LONGS_EQUAL(0, quarantine.size());
+}
+
+TEST(Quarantine, ItsMemoryIsBounded) {
+  Quarantine quarantine({.max_entries = 100});
+  for (RequestFingerprint i = 0; i < 1000; ++i) {
+    quarantine.OnReport(Report(i, {i}), At(seconds(0)));
+  }
+  LONGS_EQUAL(100, quarantine.size());
+}
+
+TEST(Quarantine, RequestsThatCannotBeToldApartHaveNoFingerprint) {
+  const ServiceName cobro("cobro");
+  CHECK(!FingerprintOf({.service = cobro, .method = "POST", .has_body = true})
+             .has_value());
+  const auto one = FingerprintOf({.service = cobro, .distinction = "k1"});
+  const auto other = FingerprintOf({.service = cobro, .distinction = "k2"});
+  CHECK(one.has_value());
+  CHECK(one != other);
+}
