--- a/packages/distribution/banyantrail/distribution/status_summary.cc
+++ b/packages/distribution/banyantrail/distribution/status_summary.cc
@@ -37,20 +37,20 @@
 }
 
 DomainStatus StatusSummary::Summarise(TimePoint now,
-                                      UnixMillis wall_clock) const {
-  DomainStatus status{
-      .domain = m_options.domain, .relay = m_options.relay, .time = wall_clock};
+                                      WallTime wall_clock) const {
+  DomainStatus status{.domain = m_options.domain,
+                      .relay = m_options.relay,
+                      .time = FormatWallTime(wall_clock)};
   std::map<Revision, std::vector<NodeId>, std::greater<>> holders;
   for (const auto& [node, entry] : m_entries) {
     if (IsSilent(entry, now)) {
-      const auto age =
-          std::chrono::duration_cast<milliseconds>(now - entry.heard);
-      status.silent.push_back({.node = node, .since = wall_clock - age});
+      const WallTime since = wall_clock - (now - entry.heard);
+      status.silent.push_back({.node = node, .since = FormatWallTime(since)});
       continue;
     }
     const StatusReportMessage& report = *entry.report;
     holders[report.applied_revision].push_back(node);
-    status.labels[node] = report.labels;
+    status.labels[node.str()] = report.labels;
     if (report.refused_revision > report.applied_revision) {
       status.refused.push_back({.node = node,
                                 .revision = report.refused_revision,
@@ -82,7 +82,7 @@
 }
 
 std::optional<DomainStatus> StatusSummary::TakeDue(TimePoint now,
-                                                   UnixMillis wall_clock) {
+                                                   WallTime wall_clock) {
   const bool too_early =
       m_last_attempt && now - *m_last_attempt < m_options.min_write_interval;
   if (too_early) {
--- a/packages/distribution/banyantrail/distribution/status_summary.h
+++ b/packages/distribution/banyantrail/distribution/status_summary.h
@@ -5,9 +5,10 @@
 #include <set>
 #include <vector>
 
+#include "banyantrail/config/domain_status.h"
 #include "banyantrail/core/clock.h"
 #include "banyantrail/core/ids.h"
-#include "banyantrail/distribution/domain_status.h"
+#include "banyantrail/core/wall_time.h"
 #include "banyantrail/wire/peer_messages.h"
 
 namespace banyantrail {
@@ -45,12 +46,12 @@
   void OnLeft(const NodeId& node);
 
   /// The summary to write now, if a write is due; it then counts as written.
-  std::optional<DomainStatus> TakeDue(TimePoint now, UnixMillis wall_clock);
+  std::optional<DomainStatus> TakeDue(TimePoint now, WallTime wall_clock);
 
   /// The write that TakeDue asked for failed and should come again.
   void OnWriteFailed() { m_written.reset(); }
 
-  DomainStatus Summarise(TimePoint now, UnixMillis wall_clock) const;
+  DomainStatus Summarise(TimePoint now, WallTime wall_clock) const;
 
  private:
   struct Entry {
--- a/tests/distribution/status_summary_test.cc
+++ b/tests/distribution/status_summary_test.cc
@@ -6,19 +6,18 @@
 
 using banyantrail::DomainId;
 using banyantrail::DomainStatus;
-using banyantrail::DomainStatusFromJson;
 using banyantrail::Error;
 using banyantrail::ManualClock;
 using banyantrail::milliseconds;
 using banyantrail::NodeId;
+using banyantrail::ParseDomainStatus;
 using banyantrail::Revision;
 using banyantrail::seconds;
 using banyantrail::StatusSummary;
-using banyantrail::UnixMillis;
 
 TEST_GROUP(StatusSummary) {
   ManualClock clock;
-  UnixMillis wall{milliseconds(1'000'000)};
+  banyantrail::WallTime wall{seconds(1'000'000)};
   StatusSummary summary{{.domain = DomainId("east"), .relay = NodeId("a")}};
 
   void Report(const char* node, Revision applied, Revision refused = 0) {
@@ -62,8 +61,8 @@
   const DomainStatus status = Now();
   CHECK(status.revisions.at(0).nodes == std::vector<NodeId>{NodeId("a")});
   CHECK(status.silent.at(0).node == NodeId("b"));
-  CHECK(status.silent.at(0).since == UnixMillis(milliseconds(1'000'000)));
-  LONGS_EQUAL(0, status.labels.count(NodeId("b")));
+  STRCMP_EQUAL("1970-01-12T13:46:40Z", status.silent.at(0).since.c_str());
+  LONGS_EQUAL(0, status.labels.count("b"));
 }
 
 TEST(StatusSummary, AMemberThatNeverReportedIsSilent) {
@@ -118,16 +117,16 @@
   Report("b", 4, 5);
   summary.OnMembers({NodeId("c")}, clock.Now());
   const DomainStatus status = Now();
-  CHECK(DomainStatusFromJson(ToJson(status)) == status);
+  CHECK(ParseDomainStatus(ToJson(status)) == status);
 }
 
 TEST(StatusSummary, RefusesJsonWithAWrongOrUnknownField) {
   Report("a", 5);
   nlohmann::json wrong = ToJson(Now());
   wrong["revisions"][0]["revision"] = "5";
-  CHECK_THROWS(Error, DomainStatusFromJson(wrong));
+  CHECK_THROWS(Error, ParseDomainStatus(wrong));
   nlohmann::json unknown = ToJson(Now());
   unknown["colour"] = 1;
-  CHECK_THROWS(Error, DomainStatusFromJson(unknown));
-  CHECK_THROWS(Error, DomainStatusFromJson(nlohmann::json::array()));
+  CHECK_THROWS(Error, ParseDomainStatus(unknown));
+  CHECK_THROWS(Error, ParseDomainStatus(nlohmann::json::array()));
 }
