Claim keyed orders before they run, and isolate requests that crash servers

A request that crashes each backend server that runs it was sent on for ever.

Change: the entry stage claims an order in the platform before its first byte goes out, records its answer, releases the claim before it says "not run", and says "not run" of a keyed order only while it holds the claim. The owner stage keeps the fingerprints of what is in flight, asks the backend server for a new connection when one breaks, reports a crash to the nodes that own others of the service, runs suspects one at a time and refuses the culprit. A second lost connection ends the retries of a request.

--- a/packages/node/banyantrail/node/control_plane.cc
+++ b/packages/node/banyantrail/node/control_plane.cc
@@ -1,5 +1,6 @@
 #include "banyantrail/node/control_plane.h"
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <caf/all.hpp>
 #include <utility>
@@ -147,6 +148,10 @@
     }
     return;
   }
+  if (const auto* crash = std::get_if<CrashReportMessage>(&message)) {
+    m_hooks.on_crash_report(*crash);
+    return;
+  }
   if (IsForDistribution(message)) {
     caf::anon_send(m_distribution_actor,
                    PeerMessageReceived{from, std::move(message)});
@@ -229,6 +234,23 @@
   caf::anon_send(m_distribution_actor, PlatformHeadRead{revision});
 }
 
+void ControlPlane::ReportCrash(const ServiceName& service,
+                               std::vector<std::uint64_t> suspects) {
+  const CrashReportMessage report{.node = m_members->own.node,
+                                  .incarnation = m_incarnation,
+                                  .sequence = ++m_last_crash_report,
+                                  .suspects = std::move(suspects)};
+  for (const MemberRecord& member : m_members->members) {
+    const bool owns_one = std::ranges::any_of(
+        member.backend_servers, [&service](const BackendServerRecord& server) {
+          return server.service == service;
+        });
+    if (owns_one && member.node != report.node) {
+      m_transport.Send(member.node, report);
+    }
+  }
+}
+
 void ControlPlane::StartDrain() {
   caf::anon_send(m_membership, DrainStarted{});
 }
--- a/packages/node/banyantrail/node/control_plane.h
+++ b/packages/node/banyantrail/node/control_plane.h
@@ -21,6 +21,7 @@
   /// A new snapshot for the request path.
   std::function<void(std::shared_ptr<const RoutingSnapshot>)> on_snapshot;
   std::function<void(std::shared_ptr<const MembershipView>)> on_members;
+  std::function<void(const CrashReportMessage&)> on_crash_report;
 };
 
 /// Membership, distribution and the compilation of snapshots: the actors that
@@ -49,6 +50,10 @@
   void SetSeeds(std::vector<IpEndpoint> seeds);
   void OnReleaseRead(std::shared_ptr<const Release> release);
   void OnPlatformHead(Revision revision);
+  /// Tells the nodes that own backend servers of the service which requests
+  /// were in flight at a crash.
+  void ReportCrash(const ServiceName& service,
+                   std::vector<std::uint64_t> suspects);
   /// Tells the fleet that this node takes no new requests.
   void StartDrain();
   /// Says goodbye; the messages go out before Stop.
@@ -85,6 +90,7 @@
   caf::actor m_distribution_actor;
   caf::actor m_routing;
   asio::steady_timer m_tick;
+  std::uint64_t m_last_crash_report = 0;
   bool m_stopped = false;
   std::function<void(const StatusReportMessage&)> m_on_status;
 
--- a/packages/node/banyantrail/node/data_plane.cc
+++ b/packages/node/banyantrail/node/data_plane.cc
@@ -11,7 +11,8 @@
 
 OwnerStage::Options OwnerOptions(Metrics& metrics,
                                  LocalBackendServers& servers,
-                                 std::function<void()> on_change) {
+                                 std::function<void()> on_change,
+                                 const DataPlane::Options& options) {
   return {.hooks = {.count_refusal =
                         [&metrics](RefusalReason reason) {
                           metrics.CountRefusal("mesh", ToString(reason));
@@ -24,8 +25,15 @@
                         }}};
 }
 
+/// Names the attempts of this life of the node.
+std::string AttemptPrefix(const NodeSettings& settings) {
+  const auto started = std::chrono::system_clock::now().time_since_epoch();
+  return settings.node.str() + "/" + std::to_string(started.count()) + "/";
+}
+
 EntryStage::Options EntryOptions(Metrics& metrics,
-                                 const NodeSettings& settings) {
+                                 const NodeSettings& settings,
+                                 const OnceOnlyHooks& once_only) {
   return {
       .choice = {.domain = settings.domain, .region = settings.region},
       .limits = {.max_header_bytes = settings.limits.max_header_bytes},
@@ -44,6 +52,8 @@
                 metrics.ObserveLatency(
                     priority, std::chrono::duration<double>(latency).count());
               }},
+      .once_only = once_only,
+      .attempt_prefix = AttemptPrefix(settings),
       .seed = Hash64(settings.node.str())};
 }
 
@@ -59,10 +69,14 @@
       m_pool(io.get_executor(), {}),
       m_owner(io.get_executor(),
               m_pool,
-              OwnerOptions(metrics,
-                           m_backend_servers,
-                           [this] { OnBackendServersChanged(); })),
-      m_entry(io.get_executor(), m_pool, EntryOptions(metrics, settings)),
+              OwnerOptions(
+                  metrics,
+                  m_backend_servers,
+                  [this] { OnBackendServersChanged(); },
+                  m_options)),
+      m_entry(io.get_executor(),
+              m_pool,
+              EntryOptions(metrics, settings, m_options.once_only)),
       m_housekeeping(io) {
   TcpListener::Options caller{
       .endpoint = settings.listen.caller,
--- a/packages/node/banyantrail/node/data_plane.h
+++ b/packages/node/banyantrail/node/data_plane.h
@@ -21,6 +21,10 @@
   struct Options {
     /// The backend servers beside this node changed.
     std::function<void(std::vector<BackendServerRecord>)> on_backend_servers;
+    /// A backend server crashed with these requests in flight.
+    std::function<void(const ServiceName&, std::vector<RequestFingerprint>)>
+        on_crash;
+    OnceOnlyHooks once_only;
   };
 
   DataPlane(asio::io_context& io,
@@ -43,6 +47,11 @@
     return m_backend_servers.Records();
   }
 
+  /// Another node reported a crash.
+  void OnCrashReport(const CrashReportMessage& report) {
+    m_owner.OnCrashReport(report);
+  }
+
   /// First step of a planned stop: no new work for the backend servers beside
   /// this node; callers are asked to move on. What is under way goes on.
   void StartDrain();
--- a/packages/node/banyantrail/node/node.cc
+++ b/packages/node/banyantrail/node/node.cc
@@ -12,6 +12,7 @@
 #include "banyantrail/node/metrics.h"
 #include "banyantrail/node/platform_duty.h"
 #include "banyantrail/platform/platform_client.h"
+#include "banyantrail/traffic/once_only_ledger.h"
 
 namespace banyantrail {
 namespace {
@@ -30,15 +31,37 @@
 
 constexpr Duration kPollInterval = milliseconds(20);
 
+/// Without a platform in the settings there is nothing to claim orders in.
+OnceOnlyHooks OnceOnly(OnceOnlyLedger<PlatformClient>& ledger,
+                       const NodeSettings& settings) {
+  if (!settings.once_only || settings.platform.empty()) {
+    return {};
+  }
+  return {.claim =
+              [&ledger](std::string object_key, std::string attempt) {
+                return ledger.Claim(std::move(object_key), std::move(attempt));
+              },
+          .record_result =
+              [&ledger](HeldClaim claim, std::uint32_t status) {
+                return ledger.RecordResult(std::move(claim), status);
+              },
+          .release =
+              [&ledger](HeldClaim claim) {
+                return ledger.Release(std::move(claim));
+              }};
+}
+
 }  // namespace
 
 struct Node::Parts {
   Parts(asio::io_context& io, const NodeSettings& settings)
       : platform(io.get_executor(), {.servers = settings.platform}),
+        ledger(platform),
         signals(io, SIGTERM, SIGINT) {}
 
   Metrics metrics;
   PlatformClient platform;
+  OnceOnlyLedger<PlatformClient> ledger;
   std::unique_ptr<ControlPlane> control;
   std::unique_ptr<DataPlane> data;
   std::unique_ptr<PlatformDuty> duty;
@@ -52,9 +75,16 @@
   Parts& parts = *m_parts;
   parts.data = std::make_unique<DataPlane>(
       m_io, parts.metrics, m_settings,
-      DataPlane::Options{.on_backend_servers = [&parts](auto records) {
-        parts.control->SetBackendServers(std::move(records));
-      }});
+      DataPlane::Options{
+          .on_backend_servers =
+              [&parts](auto records) {
+                parts.control->SetBackendServers(std::move(records));
+              },
+          .on_crash =
+              [&parts](const ServiceName& service, auto suspects) {
+                parts.control->ReportCrash(service, std::move(suspects));
+              },
+          .once_only = OnceOnly(parts.ledger, m_settings)});
   parts.control = std::make_unique<ControlPlane>(
       m_io, parts.metrics, m_settings,
       ControlPlaneHooks{
@@ -67,6 +97,10 @@
                 if (parts.duty) {
                   parts.duty->OnMembers(*view);
                 }
+              },
+          .on_crash_report =
+              [&parts](const CrashReportMessage& report) {
+                parts.data->OnCrashReport(report);
               }});
   parts.duty = std::make_unique<PlatformDuty>(m_io, m_settings, parts.platform,
                                               *parts.control, parts.metrics);
--- a/packages/proxy/banyantrail/proxy/entry_stage.cc
+++ b/packages/proxy/banyantrail/proxy/entry_stage.cc
@@ -115,6 +115,11 @@
   const RoutedService* service = nullptr;
   TimePoint started;
   TimePoint deadline;
+  /// The order carries an idempotency key and must run at most once.
+  bool is_keyed_order = false;
+  std::optional<HeldClaim> claim;
+  /// Status that the ledger has on record, for an order that ran before.
+  std::uint32_t recorded_status = 0;
   /// Endpoints already tried.
   std::vector<EndpointKey> tried;
 };
@@ -183,7 +188,51 @@
   passage.route = lookup.route;
   passage.service = lookup.service;
   passage.deadline = DeadlineOf(head, *lookup.route);
-  co_await Forward(downstream, passage);
+  const bool may_run = co_await ClaimOrder(downstream, passage);
+  if (may_run) {
+    co_await Forward(downstream, passage);
+  }
+}
+
+/// Claims an order that carries an idempotency key. Returns false when it was
+/// answered here, because it must not run now.
+asio::awaitable<bool> EntryStage::ClaimOrder(Downstream& downstream,
+                                             Passage& passage) {
+  const std::string key(
+      FieldValue(passage.request.head(), kIdempotencyKeyHeader));
+  passage.is_keyed_order = !key.empty() && !passage.route->idempotent &&
+                           m_options.once_only.claim != nullptr;
+  if (!passage.is_keyed_order) {
+    co_return true;
+  }
+  const std::string attempt =
+      m_options.attempt_prefix + std::to_string(++m_last_attempt);
+  const std::string object_key = OnceObjectKey(passage.service->name, key);
+  ClaimResult result = co_await m_options.once_only.claim(object_key, attempt);
+  if (!result.claim) {
+    passage.recorded_status = result.recorded_status;
+    co_await Refuse(downstream, passage, result.reason);
+    co_return false;
+  }
+  passage.claim = std::move(result.claim);
+  co_return true;
+}
+
+/// Records how a claimed order was answered, beside the answer's own way.
+void EntryStage::RecordResult(Passage& passage, std::uint32_t status) {
+  if (!passage.claim) {
+    return;
+  }
+  auto record =
+      [](std::function<asio::awaitable<bool>(HeldClaim, std::uint32_t)> hook,
+         HeldClaim claim, std::uint32_t answered) -> asio::awaitable<void> {
+    co_await hook(std::move(claim), answered);
+  };
+  asio::co_spawn(m_executor,
+                 record(m_options.once_only.record_result,
+                        std::move(*passage.claim), status),
+                 asio::detached);
+  passage.claim.reset();
 }
 
 AttemptOptions EntryStage::OptionsFor(const Passage& passage,
@@ -254,8 +303,16 @@
   if (IsBackendAnswer(attempt)) {
     return false;
   }
+  const RefusalReason reason = ReasonOf(attempt);
+  const bool second_loss =
+      reason == RefusalReason::kConnectionLost && passage.tried.size() > 1;
+  if (second_loss) {
+    // Two connections lost in a row: the request may be what kills them.
+    m_options.hooks.count_retry("second_connection_lost");
+    return false;
+  }
   const FailedAttempt failed{
-      .reason = ReasonOf(attempt),
+      .reason = reason,
       .idempotent = passage.route->idempotent,
       .body_replayable = !passage.request.body_taken,
       .attempts = static_cast<std::uint32_t>(passage.tried.size()),
@@ -277,9 +334,15 @@
                                          Passage& passage,
                                          Attempt& attempt) {
   const bool made_by_system = !SystemOutcomeOf(attempt).empty();
+  if (made_by_system && passage.is_keyed_order) {
+    // The ledger has to know before the caller does.
+    co_await Refuse(downstream, passage, ReasonOf(attempt));
+    co_return;
+  }
   const bool keep_alive = !downstream.must_close && !m_draining &&
                           passage.request.parser->keep_alive();
   const unsigned status = attempt.answer->get().result_int();
+  RecordResult(passage, status);
   http::response_header<> head = ReturnedHead(attempt);
   StripInternalAnswerFields(head, made_by_system);
   const RelayOutcome outcome = co_await RelayAnswer(
@@ -308,6 +371,17 @@
                                          RefusalReason reason) {
   m_options.hooks.count_refusal(ToString(reason));
   SystemAnswer answer = RefusalAnswer(reason);
+  if (passage.is_keyed_order) {
+    const bool not_run = MaySayNotRun(reason, passage.claim.has_value());
+    answer.outcome = not_run ? SystemOutcome::kNotRun : SystemOutcome::kUnknown;
+    answer.recorded_status = passage.recorded_status;
+    if (not_run) {
+      // From here on the claim is never used, so that "not run" stays true.
+      HeldClaim claim = std::move(*passage.claim);
+      passage.claim.reset();
+      co_await m_options.once_only.release(std::move(claim));
+    }
+  }
   const unsigned status = static_cast<unsigned>(answer.status);
   const bool body_unread =
       passage.request.streams && !passage.request.parser->is_done();
--- a/packages/proxy/banyantrail/proxy/entry_stage.h
+++ b/packages/proxy/banyantrail/proxy/entry_stage.h
@@ -13,6 +13,7 @@
 #include "banyantrail/proxy/upstream_pool.h"
 #include "banyantrail/traffic/choose.h"
 #include "banyantrail/traffic/load_table.h"
+#include "banyantrail/traffic/once_only_ledger.h"
 #include "banyantrail/traffic/retry_policy.h"
 #include "banyantrail/traffic/routing_snapshot.h"
 
@@ -27,6 +28,17 @@
   std::function<void(unsigned, unsigned, Duration)> on_answer;
 };
 
+/// The once-only ledger as the entry stage uses it; see OnceOnlyLedger. Empty
+/// functions switch it off.
+struct OnceOnlyHooks {
+  std::function<asio::awaitable<ClaimResult>(std::string object_key,
+                                             std::string attempt)>
+      claim;
+  std::function<asio::awaitable<bool>(HeldClaim, std::uint32_t status)>
+      record_result;
+  std::function<asio::awaitable<bool>(HeldClaim)> release;
+};
+
 /// The first stage of a request's way: any node takes a caller's request,
 /// routes it by rule, chooses a backend server and forwards the request to the
 /// node beside it. Serves the caller listener.
@@ -38,6 +50,9 @@
     RetryPolicyOptions retries;
     InboundLimits limits;
     EntryStageHooks hooks;
+    OnceOnlyHooks once_only;
+    /// Makes the names of attempts unique over nodes and their lives.
+    std::string attempt_prefix;
     std::uint64_t seed = 0;
   };
 
@@ -63,6 +78,8 @@
   struct Passage;
 
   asio::awaitable<void> Handle(Downstream& downstream, InboundRequest& request);
+  asio::awaitable<bool> ClaimOrder(Downstream& downstream, Passage& passage);
+  void RecordResult(Passage& passage, std::uint32_t status);
   asio::awaitable<void> Forward(Downstream& downstream, Passage& passage);
   asio::awaitable<void> RefuseMalformed(Downstream& downstream,
                                         HeadRefusal refusal);
@@ -88,6 +105,7 @@
   std::shared_ptr<const RoutingSnapshot> m_snapshot;
   LoadTable m_loads;
   std::map<ServiceName, RetryPolicy> m_retry_policies;
+  std::uint64_t m_last_attempt = 0;
   bool m_draining = false;
   std::size_t m_in_progress = 0;
 };
--- a/packages/proxy/banyantrail/proxy/owner_stage.cc
+++ b/packages/proxy/banyantrail/proxy/owner_stage.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "banyantrail/core/digest.h"
 #include "banyantrail/proxy/hang_up_watch.h"
 #include "banyantrail/wire/mesh_headers.h"
 
@@ -42,6 +43,23 @@
   }
 }
 
+/// Recognises the request when it is sent again: by its idempotency key, else
+/// by its body if that is at hand.
+std::optional<RequestFingerprint> FingerprintFor(const InboundRequest& request,
+                                                 const ServiceName& service) {
+  const http::request_header<>& head = request.head();
+  const std::string_view key = FieldValue(head, kIdempotencyKeyHeader);
+  const std::string digest = request.body.empty()
+                                 ? std::string()
+                                 : std::to_string(Hash64(request.body));
+  return FingerprintOf(
+      {.service = service,
+       .method = {head.method_string().data(), head.method_string().size()},
+       .target = {head.target().data(), head.target().size()},
+       .distinction = key.empty() ? std::string_view(digest) : key,
+       .has_body = request.streams || !request.body.empty()});
+}
+
 }  // namespace
 
 OwnerStage::OwnerStage(asio::any_io_executor executor,
@@ -49,7 +67,8 @@
                        Options options)
     : m_executor(std::move(executor)),
       m_pool(pool),
-      m_options(std::move(options)) {}
+      m_options(std::move(options)),
+      m_quarantine(m_options.quarantine) {}
 
 asio::awaitable<void> OwnerStage::Serve(beast::tcp_stream stream) {
   Downstream downstream(std::move(stream));
@@ -75,13 +94,93 @@
   if (!refusal) {
     refusal = co_await Admit(downstream, passage);
   }
+  if (!refusal) {
+    refusal = co_await Isolate(passage);
+  }
   if (refusal == RefusalReason::kCancelled) {
     downstream.must_close = true;
   } else if (refusal) {
     co_await Refuse(downstream, request, passage.backend, *refusal);
   } else {
     co_await Forward(downstream, passage);
+    EndIsolation(passage);
+  }
+}
+
+/// Keeps requests that were in flight at a crash from running beside each
+/// other, and those that crash backend servers from running at all.
+asio::awaitable<std::optional<RefusalReason>> OwnerStage::Isolate(
+    Passage& passage) {
+  constexpr Duration kPollInterval = milliseconds(5);
+  passage.fingerprint =
+      FingerprintFor(passage.request, passage.backend->record.service);
+  if (!passage.fingerprint) {
+    co_return std::nullopt;
+  }
+  asio::steady_timer timer(m_executor);
+  while (true) {
+    const TimePoint now = SystemClock().Now();
+    const Quarantine::Verdict verdict =
+        m_quarantine.Check(*passage.fingerprint, now);
+    if (verdict == Quarantine::Verdict::kRefuse) {
+      passage.backend->gate->Cancel(passage.id);
+      co_return RefusalReason::kQuarantined;
+    }
+    passage.is_suspect = verdict == Quarantine::Verdict::kRunSerially;
+    if (!passage.is_suspect || !passage.backend->suspect_runs) {
+      break;
+    }
+    if (now >= passage.deadline) {
+      passage.backend->gate->Cancel(passage.id);
+      co_return RefusalReason::kDeadline;
+    }
+    timer.expires_after(kPollInterval);
+    co_await timer.async_wait(asio::use_awaitable);
   }
+  passage.backend->suspect_runs =
+      passage.backend->suspect_runs || passage.is_suspect;
+  passage.backend->in_flight.insert(*passage.fingerprint);
+  co_return std::nullopt;
+}
+
+void OwnerStage::EndIsolation(Passage& passage) {
+  if (!passage.fingerprint) {
+    return;
+  }
+  std::multiset<RequestFingerprint>& in_flight = passage.backend->in_flight;
+  const auto found = in_flight.find(*passage.fingerprint);
+  if (found != in_flight.end()) {
+    in_flight.erase(found);
+  }
+  if (passage.is_suspect) {
+    passage.backend->suspect_runs = false;
+  }
+}
+
+/// A connection to the backend server broke with the request in flight. If the
+/// backend server does not take a new one either, it crashed, and one of the
+/// requests in flight may be the cause.
+asio::awaitable<void> OwnerStage::LookForCrash(Passage& passage) {
+  const BackendPtr backend = passage.backend;
+  const UpstreamPtr probe =
+      co_await m_pool.Connect(backend->record.address, passage.deadline);
+  if (probe || backend->in_flight.empty()) {
+    co_return;
+  }
+  const std::vector<RequestFingerprint> in_flight(backend->in_flight.begin(),
+                                                  backend->in_flight.end());
+  // The other requests lost in this crash find the set empty.
+  backend->in_flight.clear();
+  std::vector<RequestFingerprint> suspects =
+      m_quarantine.OnCrash(in_flight, SystemClock().Now());
+  m_options.hooks.on_unreachable(backend->record.id);
+  if (!suspects.empty()) {
+    m_options.hooks.on_crash(backend->record.service, std::move(suspects));
+  }
+}
+
+void OwnerStage::OnCrashReport(const CrashReportMessage& report) {
+  m_quarantine.OnReport(report, SystemClock().Now());
 }
 
 OwnerStage::BackendPtr OwnerStage::Find(
@@ -168,6 +267,9 @@
                          ? AttemptEnd::kTimedOut
                          : AttemptEnd::kFailed);
       m_pool.Distrust(passage.backend->record.address);
+      if (attempt.reason == RefusalReason::kConnectionLost) {
+        co_await LookForCrash(passage);
+      }
       break;
   }
   co_await Refuse(downstream, passage.request, passage.backend, attempt.reason);
@@ -191,6 +293,9 @@
   switch (outcome) {
     case RelayOutcome::kWhole:
       Leave(passage, AttemptEnd::kAnswered);
+      if (passage.fingerprint) {
+        m_quarantine.OnAnswered(*passage.fingerprint);
+      }
       if (!attempt.upstream_spent) {
         m_pool.Keep(std::move(attempt.upstream));
       }
--- a/packages/proxy/banyantrail/proxy/owner_stage.h
+++ b/packages/proxy/banyantrail/proxy/owner_stage.h
@@ -12,6 +12,7 @@
 #include "banyantrail/proxy/answer_relay.h"
 #include "banyantrail/proxy/inbound_request.h"
 #include "banyantrail/proxy/upstream_pool.h"
+#include "banyantrail/traffic/quarantine.h"
 #include "banyantrail/wire/member_record.h"
 
 namespace banyantrail {
@@ -22,6 +23,10 @@
   /// Connections to the backend server fail: it is down until it announces
   /// itself again.
   std::function<void(const BackendServerId&)> on_unreachable;
+  /// A backend server crashed with these requests in flight; the nodes that
+  /// own others of the service have to know.
+  std::function<void(const ServiceName&, std::vector<RequestFingerprint>)>
+      on_crash;
 };
 
 /// The last stage of a request's way: the node beside a backend server admits
@@ -31,6 +36,7 @@
   struct Options {
     InboundLimits limits;
     OwnerStageHooks hooks;
+    QuarantineOptions quarantine;
   };
 
   OwnerStage(asio::any_io_executor executor,
@@ -45,6 +51,9 @@
   /// The ranks of a newly applied configuration.
   void SetRanks(std::vector<RankShare> ranks);
 
+  /// Another node reported a crash.
+  void OnCrashReport(const CrashReportMessage& report);
+
   /// Requests admitted or waiting, over all backend servers.
   std::size_t requests_in_progress() const { return m_in_progress; }
 
@@ -53,6 +62,10 @@
     BackendServerRecord record;
     std::unique_ptr<AdmissionGate> gate;
     unsigned failed_connects = 0;
+    /// Fingerprints of what is in flight; one entry for each request.
+    std::multiset<RequestFingerprint> in_flight;
+    /// A request under suspicion runs; others have to wait for its end.
+    bool suspect_runs = false;
   };
   using BackendPtr = std::shared_ptr<Backend>;
 
@@ -61,6 +74,8 @@
     InboundRequest& request;
     BackendPtr backend;
     RequestId id = 0;
+    std::optional<RequestFingerprint> fingerprint;
+    bool is_suspect = false;
     TimePoint deadline;
     TimePoint admitted_at{};
     bool keep_alive = true;
@@ -73,7 +88,10 @@
                                RefusalReason reason);
   asio::awaitable<std::optional<RefusalReason>> Admit(Downstream& downstream,
                                                       Passage& passage);
+  asio::awaitable<std::optional<RefusalReason>> Isolate(Passage& passage);
+  void EndIsolation(Passage& passage);
   asio::awaitable<void> Forward(Downstream& downstream, Passage& passage);
+  asio::awaitable<void> LookForCrash(Passage& passage);
   asio::awaitable<void> Return(Downstream& downstream,
                                Passage& passage,
                                Attempt& attempt);
@@ -87,6 +105,7 @@
   Options m_options;
   std::map<BackendServerId, BackendPtr> m_backends;
   std::vector<RankShare> m_ranks;
+  Quarantine m_quarantine;
   RequestId m_last_request = 0;
   std::size_t m_in_progress = 0;
 };
--- a/packages/proxy/banyantrail/proxy/system_answer.cc
+++ b/packages/proxy/banyantrail/proxy/system_answer.cc
@@ -35,10 +35,13 @@
     response.set(http::field::retry_after,
                  std::to_string(answer.retry_after_s));
   }
-  const nlohmann::json body = {{"error", "the request was not served"},
-                               {"reason", answer.reason},
-                               {"outcome", outcome},
-                               {"remedy", answer.remedy}};
+  nlohmann::json body = {{"error", "the request was not served"},
+                         {"reason", answer.reason},
+                         {"outcome", outcome},
+                         {"remedy", answer.remedy}};
+  if (answer.recorded_status != 0) {
+    body["recorded_status"] = answer.recorded_status;
+  }
   response.body() = body.dump();
   return response;
 }
--- a/packages/proxy/banyantrail/proxy/system_answer.h
+++ b/packages/proxy/banyantrail/proxy/system_answer.h
@@ -26,6 +26,9 @@
   std::string remedy;
   /// The backend server's load for the node that asked, if it is known.
   std::string load;
+  /// HTTP status of the recorded answer of an order that ran before; 0 when
+  /// there is none.
+  unsigned recorded_status = 0;
   /// When another try makes sense; 0 for no advice.
   unsigned retry_after_s = 0;
 };
--- a/tests/proxy/request_path.h
+++ b/tests/proxy/request_path.h
@@ -119,7 +119,8 @@
                           [this](RefusalReason reason) {
                             refusals.emplace_back(ToString(reason));
                           },
-                      .on_unreachable = [](const BackendServerId&) {}}};
+                      .on_unreachable = [](const BackendServerId&) {},
+                      .on_crash = [](const ServiceName&, auto) {}}};
   }
 
   EntryStage::Options EntryOptions() {
