Measure the adaptive limit where slots are overstated

Change: backend servers of the simulation can announce more slots than they have; a property test of the admission queue (seen to fail on a scratch copy in which Cancel forgets to count).

--- a/packages/traffic/banyantrail/traffic/quarantine.h
+++ b/packages/traffic/banyantrail/traffic/quarantine.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -8,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 #include "banyantrail/core/clock.h"
@@ -108,7 +108,10 @@
     Incarnation incarnation = 0;
     std::uint64_t sequence = 0;
 
-    friend auto operator<=>(const ReportId&, const ReportId&) = default;
+    friend bool operator<(const ReportId& a, const ReportId& b) {
+      return std::tie(a.node, a.incarnation, a.sequence) <
+             std::tie(b.node, b.incarnation, b.sequence);
+    }
   };
 
   void Blame(const std::vector<RequestFingerprint>& suspects, TimePoint now);
--- a/tests/bench/flood_bench.cc
+++ b/tests/bench/flood_bench.cc
@@ -80,6 +80,23 @@
   }
 }
 
+/// Backend servers that announce three times the slots they have.
+void RunOverstated(const Fleet& fleet, std::uint64_t seed) {
+  const std::vector<Policy> policies = {
+      {.name = "adaptive limit", .options = {}},
+      {.name = "announced slots", .options = {.limit = {.adaptive = false}}}};
+  for (const Policy& policy : policies) {
+    const SimulationOptions options{.fleet = fleet,
+                                    .floods = FloodsOf(fleet, 3),
+                                    .admission = policy.options,
+                                    .announced_per_slot = 3,
+                                    .seed = seed};
+    for (const FloodResult& result : Simulate(options)) {
+      PrintResult(fleet, policy, result);
+    }
+  }
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -94,5 +111,7 @@
       "|---|---|---|---|---|---|---|---|---|---|---|---|\n");
   RunFleet(banyantrail::bench::LiushuFleet(), seed.getValue());
   RunFleet(banyantrail::bench::PistaClaraFleet(), seed.getValue());
+  RunOverstated(banyantrail::bench::LiushuFleet(), seed.getValue());
+  RunOverstated(banyantrail::bench::PistaClaraFleet(), seed.getValue());
   return 0;
 }
--- a/tests/bench/flood_simulation.cc
+++ b/tests/bench/flood_simulation.cc
@@ -42,6 +42,8 @@
   TimePoint started;
   TimePoint deadline;
   Duration service_time{};
+  /// Duration over that of an idle backend server.
+  double slowdown = 1;
   bool resent = false;
 };
 
@@ -144,7 +146,7 @@
   for (const ServiceSize& service : m_options.fleet.services) {
     m_first_server.push_back(m_servers.size());
     AdmissionOptions admission = m_options.admission;
-    admission.announced_slots = service.slots;
+    admission.announced_slots = service.slots * m_options.announced_per_slot;
     for (const RankLoad& rank : m_options.fleet.ranks) {
       admission.ranks.push_back(
           {.priority = rank.priority, .share_percent = rank.share_percent});
@@ -254,11 +256,17 @@
 void Simulation::Start(RequestId id) {
   Request& request = m_requests.at(id);
   Server& server = m_servers[request.server];
-  if (server.running >= server.slots) {
+  const bool overloaded = server.running >= server.slots;
+  if (overloaded && m_options.announced_per_slot == 1) {
     Shed(id);
     return;
   }
   ++server.running;
+  if (overloaded) {
+    request.slowdown = static_cast<double>(server.running) / server.slots;
+    request.service_time = std::chrono::duration_cast<Duration>(
+        request.service_time * request.slowdown);
+  }
   request.started = m_now;
   Push(std::min(m_now + request.service_time, request.deadline),
        EventKind::kEnd, id);
@@ -330,8 +338,8 @@
     const TimePoint from = std::max(request.started, phase.start);
     const TimePoint to = std::min(m_now, phase.end);
     if (to > from) {
-      const double part =
-          ToSeconds(to - from) / (m_slots * ToSeconds(m_options.flood_length));
+      const double part = ToSeconds(to - from) / request.slowdown /
+                          (m_slots * ToSeconds(m_options.flood_length));
       phase.ranks[request.rank].held_share += part;
       phase.ranks[request.rank].kept_share += good ? part : 0;
     }
--- a/tests/bench/flood_simulation.h
+++ b/tests/bench/flood_simulation.h
@@ -77,6 +77,9 @@
   std::vector<Flood> floods;
   /// Policy under test; slots and ranks are filled in from the fleet.
   AdmissionOptions admission;
+  /// Slots that backend servers announce for each one they have. At 1 they shed
+  /// what is above their slots; else they slow down in proportion.
+  std::uint32_t announced_per_slot = 1;
   std::uint64_t seed = 1;
   Duration warm_up = seconds(10);
   Duration flood_length = seconds(30);
--- a/tests/traffic/admission_test.cc
+++ b/tests/traffic/admission_test.cc
@@ -1,8 +1,11 @@
 #include "banyantrail/traffic/admission.h"
 
+#include <set>
 #include <variant>
 #include <vector>
 
+#include <rapidcheck.h>
+
 #include <CppUTest/TestHarness.h>
 
 using banyantrail::AdmissionChanges;
@@ -53,6 +56,52 @@
   }
 }
 
+/// Follows every request through random calls.
+struct Fates {
+  std::set<RequestId> waiting;
+  std::set<RequestId> running;
+  RequestId next = 0;
+  bool consistent = true;
+
+  void Call(AdmissionQueue& queue, std::uint8_t call, milliseconds now) {
+    const TimePoint time = At(now);
+    if (call % 4 == 0 && !running.empty()) {
+      const RequestId id = *running.begin();
+      running.erase(id);
+      Apply(queue.Release(id, Answered(milliseconds(call)), time));
+    } else if (call % 4 == 1 && !waiting.empty()) {
+      const RequestId id = *waiting.rbegin();
+      waiting.erase(id);
+      Apply(queue.Cancel(id, time));
+    } else if (call % 4 == 2) {
+      Apply(queue.Expire(time));
+    } else {
+      Offer(queue, call, time);
+    }
+  }
+
+  void Offer(AdmissionQueue& queue, std::uint8_t call, TimePoint now) {
+    const RequestId id = next++;
+    const auto rank = static_cast<std::uint8_t>(call / 4 % 3);
+    const OfferResult result =
+        queue.Offer(id, rank, now + milliseconds(call), now);
+    if (std::holds_alternative<Admitted>(result)) {
+      running.insert(id);
+    } else if (std::holds_alternative<Queued>(result)) {
+      waiting.insert(id);
+    }
+  }
+
+  void Apply(const AdmissionChanges& changes) {
+    for (const RequestId id : changes.admitted) {
+      consistent &= waiting.erase(id) == 1 && running.insert(id).second;
+    }
+    for (const auto& refused : changes.refused) {
+      consistent &= waiting.erase(refused.request) == 1;
+    }
+  }
+};
+
 }  // namespace
 
 TEST_GROUP(AdmissionQueue){};
@@ -188,3 +237,19 @@
     CHECK(runs == reserve);
   }
 }
+
+TEST(AdmissionQueue, EachRequestHasExactlyOneFateUnderAnyCalls) {
+  CHECK(rc::check([](const std::vector<std::uint8_t>& calls) {
+    AdmissionQueue queue(FixedLimit(3));
+    Fates fates;
+    milliseconds now{0};
+    for (const std::uint8_t call : calls) {
+      now += milliseconds(call % 32);
+      fates.Call(queue, call, now);
+      RC_ASSERT(queue.load().in_flight == fates.running.size());
+      RC_ASSERT(queue.load().queued == fates.waiting.size());
+      RC_ASSERT(fates.running.size() <= 3);
+    }
+    RC_ASSERT(fates.consistent);
+  }));
+}
