--- a/tests/standins/backend_session.cc
+++ b/tests/standins/backend_session.cc
@@ -127,6 +127,7 @@
   m_request_id = Header(parser, kRequestIdHeader);
   m_deadline_text = Header(parser, kDeadlineHeader);
   m_depth = Header(parser, kDepthHeader);
+  m_run = 0;
   m_keep_alive = parser.get().keep_alive() && !m_server.m_draining;
 
   if (m_target.path.starts_with(kControlPrefix)) {
@@ -224,13 +225,14 @@
 asio::awaitable<bool> BackendSession::RunInSlot(Parser& parser) {
   const SlotHold slot(m_server.m_busy);
   const TimePoint arrived = SystemClock().Now();
+  m_run = ++m_server.m_counters.started;
+  Record("run_received", parser);
   if (parser.get()[http::field::expect] == "100-continue") {
     http::response<http::empty_body> go_on(http::status::continue_, kHttp11);
     co_await http::async_write(m_stream, go_on, asio::use_awaitable);
   }
   ReceivedBody body = co_await ReadBody(parser, nullptr);
 
-  m_run = ++m_server.m_counters.started;
   Record("run_start", parser);
   if (!Header(parser, kCrashHeader).empty()) {
     _exit(kCrashExitStatus);
--- a/tests/standins/run_log.h
+++ b/tests/standins/run_log.h
@@ -9,7 +9,8 @@
 
 /// What a run record says of a request, see docs/HISTORY.md.
 struct RunRecord {
-  /// "run_start", "run_end", "run_cancel" or "run_shed".
+  /// "run_received" when the head has arrived, "run_start" when the body has,
+  /// "run_end", "run_cancel" or "run_shed".
   std::string_view event;
   /// Number of the run in this process.
   std::uint64_t run = 0;
