--- a/tests/platform/relay_lease_test.cc
+++ b/tests/platform/relay_lease_test.cc
@@ -12,7 +12,6 @@
 using banyantrail::DomainId;
 using banyantrail::Duration;
 using banyantrail::Error;
-using banyantrail::IpEndpoint;
 using banyantrail::kRelaySlots;
 using banyantrail::ManualClock;
 using banyantrail::milliseconds;
