Let the admin API use the configuration package's JSON

The admin API had its own writing of releases, outcomes of changes, faults and explanations, which packages/config gives for both ends. It uses those now, 75 lines fewer in admin_api.cc, so that node and tool cannot drift apart.

--- a/packages/config/banyantrail/config/explain.cc
+++ b/packages/config/banyantrail/config/explain.cc
@@ -40,4 +40,12 @@
   return explanations;
 }
 
+nlohmann::json ToJson(const RuleExplanation& explanation) {
+  return {{"rule", explanation.rule.name},
+          {"kind", explanation.rule.kind},
+          {"selector", explanation.selector.str()},
+          {"applies", explanation.verdict.chosen},
+          {"why", explanation.verdict.why}};
+}
+
 }  // namespace banyantrail
--- a/packages/config/banyantrail/config/explain.h
+++ b/packages/config/banyantrail/config/explain.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
 
@@ -25,4 +26,7 @@
 std::vector<RuleExplanation> ExplainRules(const CompiledConfig& config,
                                           const Labels& labels);
 
+/// {"rule","kind","selector","applies","why"}, as GET /v1/explain gives it.
+nlohmann::json ToJson(const RuleExplanation& explanation);
+
 }  // namespace banyantrail
--- a/packages/ctl/banyantrail/ctl/read_commands.cc
+++ b/packages/ctl/banyantrail/ctl/read_commands.cc
@@ -80,14 +80,6 @@
   return text + "\n";
 }
 
-json ExplanationJson(const RuleExplanation& entry) {
-  return {{"rule", entry.rule.name},
-          {"kind", entry.rule.kind},
-          {"selector", entry.selector.str()},
-          {"applies", entry.verdict.chosen},
-          {"why", entry.verdict.why}};
-}
-
 /// The same as GET /v1/explain, for another proxy.
 json ExplainMember(CommandContext& context, const std::string& proxy) {
   const std::vector<FleetMember> members = GetMembers(context.client);
@@ -103,7 +95,7 @@
   if (compiled.config) {
     for (const RuleExplanation& entry :
          ExplainRules(*compiled.config, member->labels)) {
-      rules.push_back(ExplanationJson(entry));
+      rules.push_back(ToJson(entry));
     }
   }
   return {{"node", proxy},
--- a/packages/node/banyantrail/node/admin_api.cc
+++ b/packages/node/banyantrail/node/admin_api.cc
@@ -9,10 +9,12 @@
 #include "banyantrail/config/change.h"
 #include "banyantrail/config/compile.h"
 #include "banyantrail/config/domain_status.h"
+#include "banyantrail/config/explain.h"
 #include "banyantrail/config/json_object_reader.h"
+#include "banyantrail/config/publish_outcome.h"
+#include "banyantrail/config/release_json.h"
 #include "banyantrail/config/release_loader.h"
 #include "banyantrail/config/release_publisher.h"
-#include "banyantrail/config/selector_match.h"
 #include "banyantrail/core/wall_time.h"
 #include "banyantrail/net/http_server.h"
 
@@ -36,29 +38,8 @@
 
 HttpResponse FaultsAnswer(std::string_view error,
                           const std::vector<Fault>& faults) {
-  json list = json::array();
-  for (const Fault& fault : faults) {
-    list.push_back({{"place", fault.place},
-                    {"message", fault.message},
-                    {"remedy", fault.remedy}});
-  }
   return Answer(http::status::unprocessable_entity,
-                {{"error", error}, {"faults", list}});
-}
-
-json ObjectsJson(const ObjectTexts& objects) {
-  json list = json::object();
-  for (const auto& [key, text] : objects) {
-    list[key] = json::parse(text);
-  }
-  return list;
-}
-
-json ReleaseJson(const Release& release) {
-  return {{"revision", release.revision},
-          {"digest", release.digest},
-          {"change", release.change.str()},
-          {"objects", ObjectsJson(release.objects)}};
+                {{"error", error}, {"faults", ToJson(faults)}});
 }
 
 std::string_view ToText(MemberState state) {
@@ -110,33 +91,6 @@
           {"backend_servers", servers}};
 }
 
-json RuleVerdictJson(std::string_view kind,
-                     const RuleName& rule,
-                     const SelectorName& selector,
-                     const SelectorVerdict& verdict) {
-  return {{"rule", rule.str()},
-          {"kind", kind},
-          {"selector", selector.str()},
-          {"applies", verdict.chosen},
-          {"why", verdict.why}};
-}
-
-template <typename Rule>
-void ExplainRules(std::string_view kind,
-                  const std::vector<Rule>& rules,
-                  const std::vector<SelectorObject>& selectors,
-                  const Labels& labels,
-                  json& list) {
-  for (const Rule& rule : rules) {
-    const auto selector =
-        std::ranges::find(selectors, rule.selector, &SelectorObject::name);
-    if (selector != selectors.end()) {
-      list.push_back(RuleVerdictJson(kind, rule.name, rule.selector,
-                                     ExplainSelector(*selector, labels)));
-    }
-  }
-}
-
 BackendServerState ParseServerState(JsonObjectReader& reader) {
   const std::string state =
       reader.OptionalString("state", kFreeTextRule, "serving");
@@ -180,36 +134,8 @@
 }
 
 HttpResponse PublishAnswer(const PublishOutcome& outcome) {
-  switch (outcome.status) {
-    case PublishStatus::kAccepted:
-      return Answer(http::status::ok, {{"revision", outcome.revision}});
-    case PublishStatus::kConflict: {
-      json conflicts = json::array();
-      for (const ChangeConflict& conflict : outcome.conflicts) {
-        conflicts.push_back(
-            {{"object", conflict.object}, {"detail", conflict.detail}});
-      }
-      return Answer(http::status::conflict,
-                    {{"error", "others changed the same objects"},
-                     {"conflicts", conflicts},
-                     {"remedy", kConflictRemedy}});
-    }
-    case PublishStatus::kFaults:
-      return FaultsAnswer("the configuration would not be valid",
-                          outcome.faults);
-    case PublishStatus::kNotRun:
-      return Answer(http::status::service_unavailable,
-                    {{"error", outcome.message},
-                     {"outcome", "not-run"},
-                     {"remedy", outcome.remedy}});
-    case PublishStatus::kOutcomeUnknown:
-      return Answer(http::status::service_unavailable,
-                    {{"error", outcome.message},
-                     {"outcome", "outcome-unknown"},
-                     {"remedy", outcome.remedy}});
-  }
-  return ErrorAnswer(http::status::internal_server_error, "no outcome",
-                     "report this as a defect");
+  const ChangeAnswer answer = AnswerOf(outcome);
+  return Answer(http::int_to_status(answer.http_status), answer.body);
 }
 
 /// The value of a query parameter as a number, or the fallback.
@@ -331,7 +257,7 @@
 }
 
 HttpResponse AdminApi::AppliedRelease() const {
-  return Answer(http::status::ok, ReleaseJson(*m_options.control.release()));
+  return Answer(http::status::ok, ToJson(*m_options.control.release()));
 }
 
 HttpResponse AdminApi::Members() const {
@@ -350,11 +276,10 @@
   const std::optional<CompiledConfig> config =
       CompileRelease(*m_options.control.release()).config;
   if (config) {
-    const Labels& labels = m_options.settings.labels;
-    ExplainRules("routing_rule", config->routing_rules, config->selectors,
-                 labels, rules);
-    ExplainRules("alert_rule", config->alert_rules, config->selectors, labels,
-                 rules);
+    for (const RuleExplanation& entry :
+         ExplainRules(*config, m_options.settings.labels)) {
+      rules.push_back(ToJson(entry));
+    }
   }
   return Answer(http::status::ok,
                 {{"node", m_options.settings.node.str()},
@@ -422,11 +347,11 @@
   const std::optional<VersionedHead> head =
       co_await LoadHead(m_options.platform);
   if (!head) {
-    co_return Answer(http::status::ok, ReleaseJson(Release{}));
+    co_return Answer(http::status::ok, ToJson(Release{}));
   }
   const Release release = co_await LoadRelease(m_options.platform, head->head,
                                                m_options.control.release());
-  co_return Answer(http::status::ok, ReleaseJson(release));
+  co_return Answer(http::status::ok, ToJson(release));
 }
 
 asio::awaitable<HttpResponse> AdminApi::ReleaseAt(Call call) {
@@ -442,7 +367,7 @@
   }
   const Release release = co_await LoadRelease(m_options.platform, *head,
                                                m_options.control.release());
-  co_return Answer(http::status::ok, ReleaseJson(release));
+  co_return Answer(http::status::ok, ToJson(release));
 }
 
 asio::awaitable<HttpResponse> AdminApi::History(Call call) {
