Send recent changes to random members more often

Sending from the origin to three members in each round was tried and made no difference.

Each mechanism was switched off by its option in a scratch copy of the test network. Tests that then fail: no rumours: drain behind members that just crashed. No tree and no rumours: 7 tests. No suspicion time-out: crash, crash of a third, of ring neighbours, cut-off member. No refutation: suspected member, cut-off member, majority loss. No anti-entropy: partition heals. No holding of deaths: cut-off member, majority loss.

--- a/packages/membership/banyantrail/membership/update_spreader.h
+++ b/packages/membership/banyantrail/membership/update_spreader.h
@@ -28,9 +28,9 @@
     Duration batch_interval = milliseconds(100);
     std::size_t arity = 4;
     std::size_t entry_points_per_domain = 2;
-    Duration rumour_interval = milliseconds(150);
+    Duration rumour_interval = milliseconds(100);
     /// How often a node sends each change it learnt to a random member.
-    std::uint32_t rumour_rounds = 4;
+    std::uint32_t rumour_rounds = 6;
     /// Records sent as rumours at most in one interval; the newest go first.
     std::size_t max_rumour_records = 16;
     /// Changes kept for rumours; when many members change at once, the oldest
