--- a/packages/ctl/banyantrail/ctl/rule_status.h
+++ b/packages/ctl/banyantrail/ctl/rule_status.h
@@ -80,7 +80,7 @@
 struct RuleStatusOptions {
   /// A summary above this age says nothing about the present. Relays write one
   /// every 10 s at rest.
-  milliseconds max_report_age{25'000};
+  milliseconds max_report_age{15'000};
 };
 
 /// `declared` holds the rules asked about. `releases` holds the objects of
--- a/tests/ctl/rule_status_test.cc
+++ b/tests/ctl/rule_status_test.cc
@@ -100,7 +100,7 @@
 
 TEST(RuleStatus, OldSummarySaysNothingOfThePresent) {
   ReportedDomain domain = Reported("a", kDeclared);
-  domain.age = milliseconds(25'001);
+  domain.age = milliseconds(15'001);
   const RuleOnProxy state = StateIn({.domains = {domain}}, {});
   CHECK(state.state == RuleState::kUnknown);
   CHECK(state.since == "2026-12-04T10:00:00Z");
