Keep the relay loops running after an unexpected failure

Cause: a loop that ended on an exception other than Error would have left the relay duty undone unnoticed.

--- a/packages/platform/banyantrail/platform/relay_task.h
+++ b/packages/platform/banyantrail/platform/relay_task.h
@@ -3,6 +3,7 @@
 #include <array>
 #include <concepts>
 #include <cstdint>
+#include <exception>
 #include <functional>
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -170,12 +171,13 @@
     }
   }
 
-  /// Runs one step; whether it ended without a failure.
+  /// Runs one step; whether it ended without a failure. Catches everything: a
+  /// loop that ended for one failure would leave its duty undone unnoticed.
   asio::awaitable<bool> Guarded(Loop step) {
     try {
       co_await (this->*step)();
       co_return true;
-    } catch (const Error& error) {
+    } catch (const std::exception& error) {
       ++m_counters.failures;
       m_logger.Warn(std::string(error.what()) + ".");
     }
--- a/tests/platform/fake_platform.h
+++ b/tests/platform/fake_platform.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <stdexcept>
 #include <string>
 #include <utility>
 
@@ -20,6 +21,8 @@
       : m_executor(std::move(executor)) {}
 
   bool outage = false;
+  /// Calls fail with an exception that is no Error.
+  bool throw_unexpected = false;
   /// The next watch ends without the events that its version covers.
   bool hide_events = false;
   /// So many further writes take effect and lose their answers.
@@ -99,6 +102,9 @@
   }
 
   void ThrowIfOut() const {
+    if (throw_unexpected) {
+      throw std::runtime_error("unexpected");
+    }
     if (outage) {
       throw Error({.kind = ErrorKind::kPlatformUnavailable,
                    .message = "the platform is out",
--- a/tests/platform/relay_task_test.cc
+++ b/tests/platform/relay_task_test.cc
@@ -198,3 +198,14 @@
   LONGS_EQUAL(reads, platform.reads);
   StopAll({c.get()});
 }
+
+TEST(RelayTask, OutlivesAnUnexpectedFailure) {
+  const auto node = StartNode("a");
+  CHECK(RunUntil([&] { return node->task->IsRelay(); }));
+  platform.throw_unexpected = true;
+  CHECK(RunUntil([&] { return node->task->counters().failures > 2; }));
+  platform.throw_unexpected = false;
+  Publish(1);
+  CHECK(RunUntil([&] { return node->revisions.size() == 1; }));
+  StopAll({node.get()});
+}
