Stop requests that crash backend servers, through real processes

Cause: a new process test showed 5 of 5 backend servers crashed by one request that was sent again. The hook that reports a crash was never set, so calling it ended the owner's session with bad_function_call, and the listener swallowed every exception, so nobody saw it.

Relay and platform metrics are exported on every node once a second, and the distribution's counters with them. Head refusals carry the same names as the typed reasons. An offer of the distribution alone no longer gets two answers.

--- a/packages/net/banyantrail/net/tcp_listener.cc
+++ b/packages/net/banyantrail/net/tcp_listener.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "banyantrail/core/errors.h"
+#include "banyantrail/core/logging.h"
 
 namespace banyantrail {
 
@@ -17,6 +18,8 @@
 
 namespace {
 
+const PartLogger kLog("net");
+
 void Bind(asio::ip::tcp::acceptor& acceptor, const IpEndpoint& endpoint) {
   boost::system::error_code error;
   const asio::ip::tcp::endpoint tcp = ToTcpEndpoint(endpoint);
@@ -48,8 +51,11 @@
                         beast::tcp_stream stream) -> asio::awaitable<void> {
     try {
       co_await state->options.session(std::move(stream));
-    } catch (const std::exception&) {
+    } catch (const boost::system::system_error&) {
       // A broken connection ends its own session only.
+    } catch (const std::exception& error) {
+      kLog.Warn("A session ended with an unexpected error: " +
+                std::string(error.what()) + ".");
     }
     --state->open;
   };
--- a/packages/node/banyantrail/node/control_plane.cc
+++ b/packages/node/banyantrail/node/control_plane.cc
@@ -157,8 +157,12 @@
                    PeerMessageReceived{from, std::move(message)});
     return;
   }
-  if (std::holds_alternative<DigestMessage>(message)) {
+  if (const auto* digest = std::get_if<DigestMessage>(&message)) {
     caf::anon_send(m_distribution_actor, PeerMessageReceived{from, message});
+    if (digest->membership_hashes.empty()) {
+      // An offer of the distribution alone: membership has nothing to answer.
+      return;
+    }
   }
   caf::anon_send(m_membership, PeerMessageReceived{from, std::move(message)});
 }
@@ -200,6 +204,22 @@
                      static_cast<double>(m_distribution.known_revision));
   m_metrics.SetGauge("banyantrail_members",
                      static_cast<double>(m_members->members.size()));
+  const DistributionCounters& counters = m_distribution.counters;
+  const auto export_count = [this](const std::string& name,
+                                   std::uint64_t count) {
+    m_metrics.SetGauge("banyantrail_distribution_" + name,
+                       static_cast<double>(count));
+  };
+  export_count("applied", counters.applied);
+  export_count("needs_parent", counters.needs_parent);
+  export_count("refused_digest_mismatch", counters.refused_digest_mismatch);
+  export_count("refused_does_not_compile", counters.refused_does_not_compile);
+  export_count("refused_malformed", counters.refused_malformed);
+  export_count("pushes", counters.pushes);
+  export_count("pushes_replaced", counters.pushes_replaced);
+  export_count("requests", counters.requests);
+  export_count("whole_served", counters.whole_served);
+  export_count("busy_sent", counters.busy_sent);
 }
 
 asio::awaitable<void> ControlPlane::RunTicks() {
--- a/packages/node/banyantrail/node/data_plane.cc
+++ b/packages/node/banyantrail/node/data_plane.cc
@@ -22,7 +22,8 @@
                           if (servers.MarkDown(id)) {
                             on_change();
                           }
-                        }}};
+                        },
+                    .on_crash = options.on_crash}};
 }
 
 /// Names the attempts of this life of the node.
--- a/packages/node/banyantrail/node/node.cc
+++ b/packages/node/banyantrail/node/node.cc
@@ -82,6 +82,9 @@
               },
           .on_crash =
               [&parts](const ServiceName& service, auto suspects) {
+                kLog.Warn("A backend server of " + service.str() +
+                          " crashed with " + std::to_string(suspects.size()) +
+                          " suspect requests in flight.");
                 parts.control->ReportCrash(service, std::move(suspects));
               },
           .once_only = OnceOnly(parts.ledger, m_settings)});
--- a/packages/node/banyantrail/node/platform_duty.cc
+++ b/packages/node/banyantrail/node/platform_duty.cc
@@ -41,6 +41,7 @@
   }
   StartRelayTask();
   asio::co_spawn(m_io, FindPeers(), asio::detached);
+  asio::co_spawn(m_io, RunExports(), asio::detached);
   if (settings.distribution_mode == DistributionMode::kPlatformWatch) {
     asio::co_spawn(m_io, WatchByItself(), asio::detached);
   }
@@ -78,7 +79,6 @@
 std::optional<nlohmann::json> PlatformDuty::TakeDueStatus() {
   const TimePoint now = SystemClock().Now();
   m_summary.OnReport(m_control.distribution().report, now);
-  ExportMetrics();
   const std::optional<DomainStatus> due =
       m_summary.TakeDue(now, std::chrono::system_clock::now());
   if (!due) {
@@ -184,6 +184,14 @@
   co_await timer.async_wait(asio::use_awaitable);
 }
 
+asio::awaitable<void> PlatformDuty::RunExports() {
+  constexpr Duration kExportInterval = seconds(1);
+  while (!m_stopped) {
+    ExportMetrics();
+    co_await Pause(kExportInterval);
+  }
+}
+
 void PlatformDuty::ExportMetrics() {
   const PlatformCounters& platform = m_platform.counters();
   m_metrics.SetGauge("banyantrail_platform_reads",
@@ -194,7 +202,16 @@
                      static_cast<double>(platform.unavailable));
   m_metrics.SetGauge("banyantrail_platform_outcome_unknown",
                      static_cast<double>(platform.outcome_unknown));
-  m_metrics.SetGauge("banyantrail_relay", m_task && m_task->IsRelay() ? 1 : 0);
+  m_metrics.SetGauge("banyantrail_platform_overloaded",
+                     static_cast<double>(platform.overloaded));
+  m_metrics.SetGauge("banyantrail_platform_rate_limited",
+                     static_cast<double>(platform.rate_limited));
+  const RelayCounters& relay = m_task->counters();
+  m_metrics.SetGauge("banyantrail_relay", m_task->IsRelay() ? 1 : 0);
+  m_metrics.SetGauge("banyantrail_relay_leases_taken",
+                     static_cast<double>(relay.leases_taken));
+  m_metrics.SetGauge("banyantrail_relay_failures",
+                     static_cast<double>(relay.failures));
 }
 
 }  // namespace banyantrail
--- a/packages/node/banyantrail/node/platform_duty.h
+++ b/packages/node/banyantrail/node/platform_duty.h
@@ -40,6 +40,7 @@
   asio::awaitable<void> WatchByItself();
   asio::awaitable<bool> ReadHead();
   asio::awaitable<void> Pause(Duration duration);
+  asio::awaitable<void> RunExports();
   void ExportMetrics();
 
   asio::io_context& m_io;
--- a/packages/proxy/banyantrail/proxy/inbound_request.cc
+++ b/packages/proxy/banyantrail/proxy/inbound_request.cc
@@ -11,9 +11,9 @@
 HeadRefusal RefusalFor(const boost::system::error_code& error) {
   if (error == http::error::header_limit ||
       error == http::error::buffer_overflow) {
-    return {http::status::request_header_fields_too_large, "header_too_large"};
+    return {http::status::request_header_fields_too_large, "head_too_large"};
   }
-  return {http::status::bad_request, "malformed"};
+  return {http::status::bad_request, "malformed_request"};
 }
 
 bool IsClosed(const boost::system::error_code& error) {
