--- a/packages/net/banyantrail/net/http_server.cc
+++ b/packages/net/banyantrail/net/http_server.cc
@@ -17,12 +17,12 @@
 
 ReadRefusal RefusalFor(const boost::system::error_code& error) {
   if (error == http::error::header_limit) {
-    return {http::status::request_header_fields_too_large, "header_too_large"};
+    return {http::status::request_header_fields_too_large, "head_too_large"};
   }
   if (error == http::error::body_limit) {
     return {http::status::payload_too_large, "body_too_large"};
   }
-  return {http::status::bad_request, "malformed"};
+  return {http::status::bad_request, "malformed_request"};
 }
 
 bool IsProtocolError(const boost::system::error_code& error) {
--- a/tests/measure/fleet.py
+++ b/tests/measure/fleet.py
@@ -295,7 +295,7 @@
          platform=platform_calls(fleet))
 
 
-def run(count, mode, cases):
+def run(count, mode, cases, settle_s):
     settings = {"distribution": mode, "log_level": "error"}
     with Measured(count, settings) as fleet:
         fleet.start_nodes()
@@ -304,6 +304,7 @@
         time.sleep(3)
         revision, started = fleet.apply()
         fleet.converge(revision, started, fleet.topology.vms)
+        time.sleep(settle_s)
         runners = {
             "rest": lambda: case_rest(fleet, mode),
             "churn": lambda: case_churn(fleet, mode),
@@ -321,11 +322,13 @@
     parser.add_argument("--mode", default="tree")
     parser.add_argument("--cases", default="rest,churn,kill,outage,restart")
     parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--settle", type=float, default=0,
+                        help="seconds of rest before the first case")
     options = parser.parse_args()
     random.seed(options.seed)
     for count in options.nodes.split(","):
         for mode in options.mode.split(","):
-            run(int(count), mode, options.cases.split(","))
+            run(int(count), mode, options.cases.split(","), options.settle)
 
 
 if __name__ == "__main__":
