--- a/packages/proxy/banyantrail/proxy/owner_stage.cc
+++ b/packages/proxy/banyantrail/proxy/owner_stage.cc
@@ -74,6 +74,12 @@
   Downstream downstream(std::move(stream));
   while (!downstream.must_close) {
     ReadResult read = co_await ReadRequest(downstream, m_options.limits);
+    if (read.outcome == ReadOutcome::kRefused) {
+      m_options.hooks.count_refusal(RefusalReason::kMalformedRequest);
+      SystemAnswer answer = RefusalAnswer(RefusalReason::kMalformedRequest);
+      answer.status = read.refusal.status;
+      co_await SendSystemAnswer(downstream, std::move(answer), false);
+    }
     if (read.outcome != ReadOutcome::kRequest) {
       break;
     }
