--- a/packages/config/banyantrail/config/compile.cc
+++ b/packages/config/banyantrail/config/compile.cc
@@ -37,6 +37,8 @@
     config.routing_rules.push_back(std::move(*route));
   } else if (auto* alert = std::get_if<AlertRuleObject>(&object)) {
     config.alert_rules.push_back(std::move(*alert));
+  } else if (auto* limits = std::get_if<CallerLimitsObject>(&object)) {
+    config.caller_limits.push_back(std::move(*limits));
   }
 }
 
@@ -135,13 +137,25 @@
   }
 }
 
+void CheckServiceOf(const RoutingRuleObject& rule,
+                    const ServiceName& name,
+                    const Index& index,
+                    Faults& faults) {
+  if (!IsDeclared("service", name, index.services, index)) {
+    faults.push_back(DanglingReference(rule, "service", name.str()));
+  }
+}
+
 void CheckReferences(const CompiledConfig& config,
                      const Index& index,
                      Faults& faults) {
   for (const RoutingRuleObject& rule : config.routing_rules) {
     CheckSelectorOf(rule, rule.selector, index, faults);
-    if (!IsDeclared("service", rule.service, index.services, index)) {
-      faults.push_back(DanglingReference(rule, "service", rule.service.str()));
+    if (rule.split.empty()) {
+      CheckServiceOf(rule, rule.service, index, faults);
+    }
+    for (const WeightedService& part : rule.split) {
+      CheckServiceOf(rule, part.service, index, faults);
     }
     if (!IsDeclared("rank", rule.rank, index.ranks, index)) {
       faults.push_back(DanglingReference(rule, "rank", rule.rank.str()));
@@ -190,6 +204,14 @@
   }
 }
 
+void CheckCallerLimits(const CompiledConfig& config, Faults& faults) {
+  if (config.caller_limits.size() > 1) {
+    faults.push_back({.place = Place(config.caller_limits.back(), "name"),
+                      .message = "is not the only caller_limits",
+                      .remedy = "declare one caller_limits for the fleet"});
+  }
+}
+
 bool MethodsOverlap(const RoutingRuleObject& left,
                     const RoutingRuleObject& right) {
   if (left.methods.empty() || right.methods.empty()) {
@@ -249,9 +271,9 @@
 void CheckAmbiguity(const CompiledConfig& config,
                     const Index& index,
                     Faults& faults) {
-  std::map<std::string, RulesOfPrefix> by_prefix;
+  std::map<std::pair<std::string, std::string>, RulesOfPrefix> by_prefix;
   for (const RoutingRuleObject& rule : config.routing_rules) {
-    by_prefix[rule.path_prefix].push_back(&rule);
+    by_prefix[{rule.host, rule.path_prefix}].push_back(&rule);
   }
   for (const auto& [prefix, rules] : by_prefix) {
     CheckPrefix(rules, index, faults);
@@ -276,6 +298,7 @@
   CheckSelectors(config, result.faults);
   CheckShares(config, result.faults);
   CheckPriorities(config, result.faults);
+  CheckCallerLimits(config, result.faults);
   CheckAmbiguity(config, index, result.faults);
   if (result.faults.empty()) {
     result.config = std::move(config);
--- a/packages/config/banyantrail/config/object_json.cc
+++ b/packages/config/banyantrail/config/object_json.cc
@@ -1,5 +1,6 @@
 #include "banyantrail/config/object_json.h"
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -18,6 +19,12 @@
 constexpr std::uint64_t kMaxPriority = 255;
 constexpr std::uint64_t kMaxSharePercent = 100;
 constexpr std::uint64_t kMaxDeadlineMs = 24ULL * 60 * 60 * 1000;
+constexpr std::size_t kMaxSplitParts = 32;
+constexpr std::uint64_t kMaxWeight = 1'000'000;
+constexpr std::uint64_t kMaxAttempts = 16;
+constexpr std::uint64_t kMaxCallerHeaderBytes = 1U << 20U;
+constexpr std::uint64_t kMaxCallerBodyBytes = 1ULL << 40U;
+constexpr std::uint64_t kMaxCallerTimeoutMs = 60ULL * 60 * 1000;
 constexpr std::uint64_t kMaxHoldForS = 31ULL * 24 * 60 * 60;
 
 struct OperatorName {
@@ -104,16 +111,52 @@
   return rank;
 }
 
-RoutingRuleObject ReadRoutingRule(JsonObjectReader& reader) {
+/// A rule names either one service or a split over several.
+void ReadTarget(JsonObjectReader& reader,
+                std::vector<Fault>& faults,
+                RoutingRuleObject& rule) {
+  for (const json& element : reader.OptionalArray("split", kMaxSplitParts)) {
+    const std::string field =
+        "split[" + std::to_string(rule.split.size()) + "]";
+    JsonObjectReader part(element, reader.PlaceOf(field), faults);
+    rule.split.push_back(
+        {.service = ServiceName(part.RequiredString("service", kNameRule)),
+         .weight = static_cast<std::uint32_t>(
+             part.RequiredInteger("weight", {.max = kMaxWeight}))});
+    part.Finish();
+  }
+  if (rule.split.empty()) {
+    rule.service = ServiceName(reader.RequiredString("service", kNameRule));
+    return;
+  }
+  if (!reader.OptionalString("service", kFreeTextRule, "").empty()) {
+    reader.AddFault("service", "is given beside a split",
+                    "write either service or split");
+  }
+  const bool has_weight = std::ranges::any_of(
+      rule.split, [](const auto& part) { return part.weight > 0; });
+  if (!has_weight) {
+    reader.AddFault("split", "has no weight above 0",
+                    "give at least one service a weight");
+  }
+}
+
+RoutingRuleObject ReadRoutingRule(JsonObjectReader& reader,
+                                  std::vector<Fault>& faults) {
   RoutingRuleObject rule;
   rule.selector = SelectorName(reader.RequiredString("selector", kNameRule));
+  rule.host = reader.OptionalString("host", kHostRule, "");
   rule.path_prefix = reader.RequiredString("path_prefix", kPathPrefixRule);
   rule.methods = reader.OptionalStringSet("methods", kMethodRule, kMaxMethods);
-  rule.service = ServiceName(reader.RequiredString("service", kNameRule));
+  ReadTarget(reader, faults, rule);
   rule.rank = RankName(reader.RequiredString("rank", kNameRule));
   rule.idempotent = reader.OptionalBool("idempotent", false);
   rule.deadline = milliseconds(
       reader.RequiredInteger("deadline_ms", {.min = 1, .max = kMaxDeadlineMs}));
+  rule.target_latency = milliseconds(
+      reader.OptionalInteger("target_latency_ms", {.max = kMaxDeadlineMs}, 0));
+  rule.max_attempts = static_cast<std::uint32_t>(
+      reader.OptionalInteger("max_attempts", {.max = kMaxAttempts}, 0));
   return rule;
 }
 
@@ -129,6 +172,22 @@
   return rule;
 }
 
+milliseconds ReadCallerTimeout(JsonObjectReader& reader, std::string_view key) {
+  return milliseconds(
+      reader.RequiredInteger(key, {.min = 1, .max = kMaxCallerTimeoutMs}));
+}
+
+CallerLimitsObject ReadCallerLimits(JsonObjectReader& reader) {
+  CallerLimitsObject limits;
+  limits.max_header_bytes = static_cast<std::uint32_t>(reader.RequiredInteger(
+      "max_header_bytes", {.min = 1, .max = kMaxCallerHeaderBytes}));
+  limits.max_body_bytes =
+      reader.RequiredInteger("max_body_bytes", {.max = kMaxCallerBodyBytes});
+  limits.header_timeout = ReadCallerTimeout(reader, "header_timeout_ms");
+  limits.idle_timeout = ReadCallerTimeout(reader, "idle_timeout_ms");
+  return limits;
+}
+
 std::optional<ConfigObject> ReadFields(std::string_view kind,
                                        JsonObjectReader& reader,
                                        std::vector<Fault>& faults) {
@@ -142,21 +201,26 @@
     return ReadRank(reader);
   }
   if (kind == "routing_rule") {
-    return ReadRoutingRule(reader);
+    return ReadRoutingRule(reader, faults);
   }
   if (kind == "alert_rule") {
     return ReadAlertRule(reader);
   }
+  if (kind == "caller_limits") {
+    return ReadCallerLimits(reader);
+  }
   return std::nullopt;
 }
 
 bool IsKind(std::string_view text) {
   return text == "service" || text == "selector" || text == "rank" ||
-         text == "routing_rule" || text == "alert_rule";
+         text == "routing_rule" || text == "alert_rule" ||
+         text == "caller_limits";
 }
 
 constexpr TextRule kKindRule{
-    IsKind, "service, selector, rank, routing_rule or alert_rule"};
+    IsKind,
+    "service, selector, rank, routing_rule, alert_rule or caller_limits"};
 
 void SetName(ConfigObject& object, const std::string& name) {
   std::visit(
@@ -221,12 +285,34 @@
 
 void AddFields(const RoutingRuleObject& rule, json& out) {
   out["selector"] = rule.selector.str();
+  if (!rule.host.empty()) {
+    out["host"] = rule.host;
+  }
   out["path_prefix"] = rule.path_prefix;
   out["methods"] = rule.methods;
-  out["service"] = rule.service.str();
+  if (rule.split.empty()) {
+    out["service"] = rule.service.str();
+  }
+  for (const WeightedService& part : rule.split) {
+    out["split"].push_back(
+        {{"service", part.service.str()}, {"weight", part.weight}});
+  }
   out["rank"] = rule.rank.str();
   out["idempotent"] = rule.idempotent;
   out["deadline_ms"] = rule.deadline.count();
+  if (rule.target_latency > milliseconds::zero()) {
+    out["target_latency_ms"] = rule.target_latency.count();
+  }
+  if (rule.max_attempts > 0) {
+    out["max_attempts"] = rule.max_attempts;
+  }
+}
+
+void AddFields(const CallerLimitsObject& limits, json& out) {
+  out["max_header_bytes"] = limits.max_header_bytes;
+  out["max_body_bytes"] = limits.max_body_bytes;
+  out["header_timeout_ms"] = limits.header_timeout.count();
+  out["idle_timeout_ms"] = limits.idle_timeout.count();
 }
 
 void AddFields(const AlertRuleObject& rule, json& out) {
--- a/packages/config/banyantrail/config/objects.cc
+++ b/packages/config/banyantrail/config/objects.cc
@@ -18,6 +18,9 @@
 std::string_view KindOf(const AlertRuleObject&) {
   return "alert_rule";
 }
+std::string_view KindOf(const CallerLimitsObject&) {
+  return "caller_limits";
+}
 
 }  // namespace
 
--- a/packages/config/banyantrail/config/objects.h
+++ b/packages/config/banyantrail/config/objects.h
@@ -56,21 +56,43 @@
   friend bool operator==(const RankObject&, const RankObject&) = default;
 };
 
+/// One of the services that a routing rule divides its requests among.
+struct WeightedService {
+  ServiceName service;
+  /// Its part of the requests, relative to the sum of all weights.
+  std::uint32_t weight = 0;
+
+  friend bool operator==(const WeightedService&,
+                         const WeightedService&) = default;
+};
+
 /// Sends matching requests to a service.
 struct RoutingRuleObject {
   RuleName name;
   SelectorName selector;
+  /// In lower case, without a port. Empty for every host; a rule with a host
+  /// goes before one without.
+  std::string host;
   /// Matches whole path segments: "/orders" matches "/orders/7", not
-  /// "/orders2". The longest matching prefix wins.
+  /// "/orders2"; "/orders/" matches only paths below. The longest matching
+  /// prefix wins.
   std::string path_prefix;
   /// Empty for every method.
   std::vector<std::string> methods;
+  /// Empty when `split` names the services.
   ServiceName service;
+  /// Divides the requests by weight. Empty when `service` takes all.
+  std::vector<WeightedService> split;
   RankName rank;
   /// Whether a request may run more than once without harm.
   bool idempotent = false;
   /// How long a caller waits at most; it may ask for less.
   std::chrono::milliseconds deadline{0};
+  /// The time within which an answer is of full use. 0 when not declared.
+  std::chrono::milliseconds target_latency{0};
+  /// Backend servers that may get one request, the first included. 0 leaves
+  /// it to the retry policy.
+  std::uint32_t max_attempts = 0;
 
   friend bool operator==(const RoutingRuleObject&,
                          const RoutingRuleObject&) = default;
@@ -90,15 +112,31 @@
                          const AlertRuleObject&) = default;
 };
 
+/// What callers may send, and how long they may take.
+struct CallerLimitsObject {
+  CallerLimitsName name;
+  std::uint32_t max_header_bytes = 0;
+  std::uint64_t max_body_bytes = 0;
+  /// Bounds the arrival of a request's head.
+  std::chrono::milliseconds header_timeout{0};
+  /// How long a connection may idle between requests.
+  std::chrono::milliseconds idle_timeout{0};
+
+  friend bool operator==(const CallerLimitsObject&,
+                         const CallerLimitsObject&) = default;
+};
+
 using ConfigObject = std::variant<ServiceObject,
                                   SelectorObject,
                                   RankObject,
                                   RoutingRuleObject,
-                                  AlertRuleObject>;
+                                  AlertRuleObject,
+                                  CallerLimitsObject>;
 
 /// The kind and name of a declared object; its place in the configuration.
 struct ObjectKey {
-  /// "service", "selector", "rank", "routing_rule" or "alert_rule".
+  /// "service", "selector", "rank", "routing_rule", "alert_rule" or
+  /// "caller_limits".
   std::string kind;
   std::string name;
 
--- a/packages/config/banyantrail/config/release.h
+++ b/packages/config/banyantrail/config/release.h
@@ -32,6 +32,8 @@
   std::vector<RankObject> ranks;
   std::vector<RoutingRuleObject> routing_rules;
   std::vector<AlertRuleObject> alert_rules;
+  /// At most one.
+  std::vector<CallerLimitsObject> caller_limits;
 
   friend bool operator==(const CompiledConfig&,
                          const CompiledConfig&) = default;
--- a/packages/config/banyantrail/config/text_rules.cc
+++ b/packages/config/banyantrail/config/text_rules.cc
@@ -71,6 +71,9 @@
   }
   while (!text.empty()) {
     text.remove_prefix(1);
+    if (text.empty()) {
+      break;  // A closing slash: only paths below match.
+    }
     const std::size_t end = std::min(text.find('/'), text.size());
     if (!IsPathSegment(text.substr(0, end))) {
       return false;
@@ -80,6 +83,13 @@
   return true;
 }
 
+bool IsHost(std::string_view text) {
+  return text.size() <= kMaxNameBytes && std::ranges::none_of(text, IsUpper) &&
+         std::ranges::all_of(text, [](char c) {
+           return IsAlphanumeric(c) || c == '.' || c == '-' || c == '_';
+         });
+}
+
 bool IsFreeText(std::string_view text) {
   return text.size() <= kMaxLongTextBytes;
 }
@@ -115,7 +125,8 @@
 const TextRule kPathPrefixRule{
     IsPathPrefix,
     "an absolute path of at most 1024 bytes such as /orders, without '%', "
-    "empty or dot segments, query or closing slash"};
+    "empty or dot segments, or query"};
+const TextRule kHostRule{IsHost, "a host name in lower case without a port"};
 const TextRule kExpressionRule{IsExpression, "1 to 16384 bytes"};
 const TextRule kFreeTextRule{IsFreeText, "at most 16384 bytes"};
 const TextRule kLineRule = kLabelValueRule;
--- a/packages/config/banyantrail/config/text_rules.h
+++ b/packages/config/banyantrail/config/text_rules.h
@@ -33,6 +33,7 @@
 extern const TextRule kMethodRule;
 /// Path prefixes of routing rules.
 extern const TextRule kPathPrefixRule;
+extern const TextRule kHostRule;
 /// Alert expressions: free text that is not empty.
 extern const TextRule kExpressionRule;
 /// Annotations and other free text, may be empty.
--- a/packages/core/banyantrail/core/ids.h
+++ b/packages/core/banyantrail/core/ids.h
@@ -42,6 +42,7 @@
 using RuleName = Id<struct RuleNameTag>;
 using SelectorName = Id<struct SelectorNameTag>;
 using RankName = Id<struct RankNameTag>;
+using CallerLimitsName = Id<struct CallerLimitsNameTag>;
 using ChangeId = Id<struct ChangeIdTag>;
 
 /// Position in the one linear history of accepted configurations. Dense, and
--- /dev/null
+++ b/packages/distribution/banyantrail/distribution/fleet_task.h
@@ -0,0 +1,212 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "banyantrail/core/backoff.h"
+#include "banyantrail/core/errors.h"
+#include "banyantrail/core/logging.h"
+#include "banyantrail/core/random.h"
+#include "banyantrail/distribution/fleet_store.h"
+
+namespace banyantrail {
+
+/// Settings of FleetTask.
+struct FleetTaskOptions {
+  /// The own node's entry.
+  NodeEntry own;
+  std::uint64_t seed = 0;
+  /// How long one wait for a configuration lasts at most.
+  milliseconds watch_wait{25'000};
+  /// Between two looks for the first configuration or for peers.
+  BackoffOptions search{.initial = milliseconds(150), .max = seconds(1)};
+  /// Between two calls of a store that does not answer. The upper bound leaves
+  /// time to read a change within the propagation bound after its return.
+  BackoffOptions outage{.initial = milliseconds(100), .max = milliseconds(700)};
+  /// How often the own entry is looked for while all is well.
+  Duration entry_check_interval = seconds(20);
+
+  std::function<void(std::shared_ptr<const Release>)> on_release;
+  std::function<void(Revision)> on_store_head;
+  std::function<void(std::vector<IpEndpoint>)> on_peers;
+  /// Whether the node has met its peers.
+  std::function<bool()> has_joined;
+  /// Counts an event for the metrics.
+  std::function<void(const std::string&)> count = [](const std::string&) {};
+};
+
+/// What a node does towards a store that holds whole configurations: it keeps
+/// its entry there, finds its peers once, and waits for configurations.
+///
+/// Runs on the store's executor and keeps itself alive until its coroutines
+/// have ended. `store` must outlive them.
+template <FleetStore Store>
+class FleetTask : public std::enable_shared_from_this<FleetTask<Store>> {
+ public:
+  FleetTask(asio::any_io_executor executor,
+            Store& store,
+            FleetTaskOptions options)
+      : m_executor(std::move(executor)),
+        m_store(store),
+        m_options(std::move(options)),
+        m_rng(m_options.seed),
+        m_pause(m_executor),
+        m_entry_pause(m_executor) {}
+
+  void Start() {
+    asio::co_spawn(
+        m_executor,
+        [self = this->shared_from_this()] { return self->WatchReleases(); },
+        asio::detached);
+    asio::co_spawn(
+        m_executor,
+        [self = this->shared_from_this()] { return self->KeepEntry(); },
+        asio::detached);
+  }
+
+  void Stop() {
+    m_stopped = true;
+    m_pause.cancel();
+    m_entry_pause.cancel();
+  }
+
+ private:
+  asio::awaitable<void> WatchReleases() {
+    Backoff search(m_options.search);
+    Backoff outage(m_options.outage);
+    while (!m_stopped) {
+      bool failed = false;
+      bool found = false;
+      try {
+        found = m_must_read ? co_await ReadWhole() : co_await WaitForNext();
+        NoteStore(true, "");
+        outage.Reset();
+      } catch (const Error& error) {
+        failed = true;
+        m_must_read = true;
+        NoteStore(false, error.what());
+      }
+      if (failed) {
+        co_await Pause(m_pause, outage.Next(m_rng));
+      } else if (!found) {
+        co_await Pause(m_pause, search.Next(m_rng));
+      }
+    }
+  }
+
+  /// Reads the whole configuration. Returns whether there is one.
+  asio::awaitable<bool> ReadWhole() {
+    std::optional<Release> release = co_await m_store.ReadRelease();
+    if (!release) {
+      m_options.on_store_head(0);
+      co_return false;
+    }
+    m_must_read = false;
+    m_revision = std::max(m_revision, release->revision);
+    Take(std::move(*release));
+    co_return true;
+  }
+
+  asio::awaitable<bool> WaitForNext() {
+    ReleaseWatch watch =
+        co_await m_store.AwaitRelease(m_revision, m_options.watch_wait);
+    if (watch.history_gone) {
+      m_options.count("store_history_gone");
+      co_return co_await ReadWhole();
+    }
+    m_revision = std::max(m_revision, watch.read_up_to);
+    if (watch.release) {
+      Take(std::move(*watch.release));
+    }
+    co_return true;
+  }
+
+  void Take(Release release) {
+    m_options.on_store_head(release.revision);
+    m_options.on_release(std::make_shared<const Release>(std::move(release)));
+  }
+
+  /// Notes whether the store answers; its return is the time to look whether
+  /// the own entry is still there.
+  void NoteStore(bool answers, const std::string& why) {
+    if (answers == m_store_answers) {
+      return;
+    }
+    m_store_answers = answers;
+    m_options.count(answers ? "store_regained" : "store_lost");
+    if (answers) {
+      kLog.Info("The store answers again.");
+      m_entry_pause.cancel();
+    } else {
+      kLog.Warn("The store does not answer: " + why + ".");
+    }
+  }
+
+  asio::awaitable<void> KeepEntry() {
+    Backoff retry(m_options.search);
+    bool written = false;
+    while (!m_stopped) {
+      try {
+        const bool is_there =
+            written && co_await m_store.HasNode(m_options.own.node);
+        if (!is_there) {
+          co_await m_store.WriteNode(m_options.own);
+          m_options.count("entry_written");
+          written = true;
+        }
+        if (!m_options.has_joined()) {
+          co_await FindPeers();
+        }
+      } catch (const Error& error) {
+        m_options.count("entry_failed");
+        kLog.Warn("The own entry in the store cannot be kept: " +
+                  std::string(error.what()) + ".");
+        written = false;
+      }
+      const bool is_settled = written && m_options.has_joined();
+      const Duration wait =
+          is_settled ? m_options.entry_check_interval : retry.Next(m_rng);
+      co_await Pause(m_entry_pause, wait);
+    }
+  }
+
+  asio::awaitable<void> FindPeers() {
+    const std::vector<NodeEntry> entries = co_await m_store.ListNodes();
+    std::vector<IpEndpoint> peers;
+    for (const NodeEntry& entry : entries) {
+      if (entry.node != m_options.own.node) {
+        peers.push_back(entry.peer_address);
+      }
+    }
+    m_options.on_peers(std::move(peers));
+  }
+
+  /// Waits for the time, or until somebody cancels the timer.
+  asio::awaitable<void> Pause(asio::steady_timer& timer, Duration duration) {
+    boost::system::error_code ignored;
+    timer.expires_after(duration);
+    co_await timer.async_wait(
+        asio::redirect_error(asio::use_awaitable, ignored));
+  }
+
+  inline static const PartLogger kLog{"fleet"};
+
+  asio::any_io_executor m_executor;
+  Store& m_store;
+  FleetTaskOptions m_options;
+  Rng m_rng;
+  asio::steady_timer m_pause;
+  asio::steady_timer m_entry_pause;
+  /// Where the watch goes on.
+  Revision m_revision = 0;
+  /// Nothing was read yet, or a watch broke off: it may have missed changes
+  /// that the next one does not report.
+  bool m_must_read = true;
+  bool m_store_answers = true;
+  bool m_stopped = false;
+};
+
+}  // namespace banyantrail
--- a/packages/platform/banyantrail/platform/relay_task.h
+++ b/packages/distribution/banyantrail/distribution/relay_task.h
@@ -17,15 +17,15 @@
 #include "banyantrail/core/clock.h"
 #include "banyantrail/core/errors.h"
 #include "banyantrail/core/logging.h"
+#include "banyantrail/distribution/relay_lease.h"
 #include "banyantrail/net/asio.h"
-#include "banyantrail/platform/platform_client.h"
-#include "banyantrail/platform/relay_lease.h"
+#include "banyantrail/store/store_client.h"
 
 namespace banyantrail {
 
 /// What the relay duty needs from the platform's client.
 template <typename T>
-concept PlatformStore = AsyncObjectStore<T> &&
+concept WatchableStore = AsyncObjectStore<T> &&
     requires(T& store, std::string prefix, std::uint64_t after) {
   { store.List(prefix) } -> std::same_as<asio::awaitable<ListResult>>;
   {
@@ -52,7 +52,7 @@
 /// Runs on the executor of the client; all members are called from there. It
 /// keeps itself alive until its coroutines have ended. `store` must outlive
 /// them.
-template <PlatformStore Store>
+template <WatchableStore Store>
 class RelayTask : public std::enable_shared_from_this<RelayTask<Store>> {
  public:
   struct Options {
@@ -308,7 +308,7 @@
 
 /// Addresses of the relays of all domains, by which a node without any peer
 /// learns of the fleet.
-template <PlatformStore Store>
+template <WatchableStore Store>
 asio::awaitable<std::vector<RelayLeaseValue>> LoadRelays(Store& store) {
   const ListResult listed = co_await store.List(std::string(kRelayKeyPrefix));
   std::vector<RelayLeaseValue> relays;
--- a/packages/net/banyantrail/net/asio.h
+++ b/packages/net/banyantrail/net/asio.h
@@ -15,6 +15,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <chrono>
 
 #include "banyantrail/core/ip_endpoint.h"
 
@@ -28,4 +29,10 @@
   return {asio::ip::make_address(endpoint.address), endpoint.port};
 }
 
+/// Makes a connection fail within seconds when its peer is gone, cut off, or
+/// has lost track of it: `unacknowledged` bounds how long sent bytes may stay
+/// without acknowledgement; keep-alive probes find out while nothing is sent.
+void BoundSilence(asio::ip::tcp::socket& socket,
+                  std::chrono::milliseconds unacknowledged);
+
 }  // namespace banyantrail
--- a/packages/net/banyantrail/net/http_client.cc
+++ b/packages/net/banyantrail/net/http_client.cc
@@ -55,6 +55,7 @@
                                       error.message()});
   }
   connection->stream.socket().set_option(asio::ip::tcp::no_delay(true), error);
+  BoundSilence(connection->stream.socket(), m_options.unacknowledged_timeout);
   co_return connection;
 }
 
--- a/packages/net/banyantrail/net/http_client.h
+++ b/packages/net/banyantrail/net/http_client.h
@@ -39,6 +39,8 @@
     std::uint64_t max_body_bytes = 16U << 20U;
     /// Idle connections above this age are closed, not reused.
     Duration max_idle_time = seconds(30);
+    /// See BoundSilence.
+    milliseconds unacknowledged_timeout{2000};
   };
 
   HttpClient(asio::any_io_executor executor, Options options);
--- a/packages/node/banyantrail/node/admin_api.cc
+++ b/packages/node/banyantrail/node/admin_api.cc
@@ -133,6 +133,23 @@
   return record;
 }
 
+/// A route towards one of its services.
+json RouteJson(const Route& route, const RoutedService& service) {
+  json servers = json::array();
+  for (const ServiceEndpoint& endpoint : service.endpoints) {
+    servers.push_back({{"id", endpoint.id.str()},
+                       {"node", endpoint.owner.str()},
+                       {"domain", endpoint.domain.str()}});
+  }
+  return {{"rule", route.rule.str()},
+          {"host", route.host},
+          {"path_prefix", route.path_prefix},
+          {"service", service.name.str()},
+          {"priority", route.priority},
+          {"published", !service.endpoints.empty()},
+          {"backend_servers", servers}};
+}
+
 HttpResponse PublishAnswer(const PublishOutcome& outcome) {
   const ChangeAnswer answer = AnswerOf(outcome);
   return Answer(http::int_to_status(answer.http_status), answer.body);
@@ -238,6 +255,11 @@
                      "see docs/PROTOCOLS.md");
 }
 
+bool AdminApi::IsReady() const {
+  return !m_options.is_draining() && m_options.data.snapshot() &&
+         m_options.control.distribution().serving != ServingState::kLearning;
+}
+
 HttpResponse AdminApi::Readiness() const {
   const DistributionStatus& distribution = m_options.control.distribution();
   json body = {{"revision", m_options.control.release()->revision},
@@ -293,19 +315,10 @@
   const auto& snapshot = m_options.data.snapshot();
   if (snapshot) {
     for (const Route& route : snapshot->routes()) {
-      const RoutedService& service = snapshot->services()[route.service];
-      json servers = json::array();
-      for (const ServiceEndpoint& endpoint : service.endpoints) {
-        servers.push_back({{"id", endpoint.id.str()},
-                           {"node", endpoint.owner.str()},
-                           {"domain", endpoint.domain.str()}});
+      for (const RouteTarget& target : route.targets) {
+        routes.push_back(
+            RouteJson(route, snapshot->services()[target.service]));
       }
-      routes.push_back({{"rule", route.rule.str()},
-                        {"path_prefix", route.path_prefix},
-                        {"service", service.name.str()},
-                        {"priority", route.priority},
-                        {"published", !service.endpoints.empty()},
-                        {"backend_servers", servers}});
     }
   }
   return Answer(
@@ -325,13 +338,13 @@
   if (!faults.empty()) {
     return FaultsAnswer("the announcement is not valid", faults);
   }
-  m_options.data.Announce(std::move(record));
+  m_options.data.Announce({.record = std::move(record)});
   return Answer(http::status::ok, {{"id", id}});
 }
 
 HttpResponse AdminApi::LeaveBackendServer(const Call& call) {
   const std::string id = call.path.substr(kBackendServersPath.size());
-  if (!m_options.data.Leave(BackendServerId(id))) {
+  if (!m_options.data.Leave({.id = BackendServerId(id)})) {
     return ErrorAnswer(http::status::not_found, "unknown backend server " + id,
                        "nothing is left to do");
   }
--- a/packages/node/banyantrail/node/admin_api.h
+++ b/packages/node/banyantrail/node/admin_api.h
@@ -11,7 +11,7 @@
 #include "banyantrail/node/data_plane.h"
 #include "banyantrail/node/metrics.h"
 #include "banyantrail/node/settings.h"
-#include "banyantrail/platform/platform_client.h"
+#include "banyantrail/store/store_client.h"
 
 namespace banyantrail {
 
@@ -24,7 +24,7 @@
     ControlPlane& control;
     DataPlane& data;
     Metrics& metrics;
-    PlatformClient& platform;
+    StoreClient& platform;
     /// Starts the planned stop of the node.
     std::function<void()> start_drain;
     std::function<bool()> is_draining;
@@ -34,6 +34,9 @@
 
   asio::awaitable<HttpResponse> Handle(HttpRequest request);
 
+  /// Whether the node takes requests of callers.
+  bool IsReady() const;
+
  private:
   /// A request split into its parts.
   struct Call {
--- a/packages/node/banyantrail/node/data_plane.cc
+++ b/packages/node/banyantrail/node/data_plane.cc
@@ -9,7 +9,12 @@
 
 constexpr milliseconds kHousekeepingInterval{250};
 
+/// A backend server that is silent for this many heartbeat intervals is down.
+/// Heartbeats may come an interval late.
+constexpr int kMissedHeartbeats = 3;
+
 OwnerStage::Options OwnerOptions(Metrics& metrics,
+                                 const NodeSettings& settings,
                                  LocalBackendServers& servers,
                                  std::function<void()> on_change,
                                  const DataPlane::Options& options) {
@@ -23,7 +28,9 @@
                             on_change();
                           }
                         },
-                    .on_crash = options.on_crash}};
+                    .on_crash = options.on_crash},
+          .dialect = options.dialect,
+          .admission = settings.admission};
 }
 
 /// Names the attempts of this life of the node.
@@ -34,7 +41,7 @@
 
 EntryStage::Options EntryOptions(Metrics& metrics,
                                  const NodeSettings& settings,
-                                 const OnceOnlyHooks& once_only) {
+                                 const DataPlane::Options& options) {
   return {
       .choice = {.domain = settings.domain, .region = settings.region},
       .limits = {.max_header_bytes = settings.limits.max_header_bytes},
@@ -53,7 +60,9 @@
                 metrics.ObserveLatency(
                     priority, std::chrono::duration<double>(latency).count());
               }},
-      .once_only = once_only,
+      .once_only = options.once_only,
+      .dialect = options.dialect,
+      .local_service = settings.local_service,
       .attempt_prefix = AttemptPrefix(settings),
       .seed = Hash64(settings.node.str())};
 }
@@ -66,18 +75,22 @@
                      Options options)
     : m_metrics(metrics),
       m_options(std::move(options)),
-      m_backend_servers(LocalBackendServers::Options{}),
+      m_backend_servers({.heartbeat_timeout =
+                             kMissedHeartbeats * settings.heartbeat_interval}),
       m_pool(io.get_executor(), {}),
       m_owner(io.get_executor(),
               m_pool,
+              m_running,
               OwnerOptions(
                   metrics,
+                  settings,
                   m_backend_servers,
                   [this] { OnBackendServersChanged(); },
                   m_options)),
       m_entry(io.get_executor(),
               m_pool,
-              EntryOptions(metrics, settings, m_options.once_only)),
+              m_running,
+              EntryOptions(metrics, settings, m_options)),
       m_housekeeping(io) {
   TcpListener::Options caller{
       .endpoint = settings.listen.caller,
@@ -115,14 +128,15 @@
   m_entry.SetSnapshot(m_snapshot);
 }
 
-void DataPlane::Announce(BackendServerRecord record) {
-  if (m_backend_servers.Announce(std::move(record), SystemClock().Now())) {
+void DataPlane::Announce(Announcement announcement) {
+  const TimePoint now = SystemClock().Now();
+  if (m_backend_servers.Announce(std::move(announcement), now)) {
     OnBackendServersChanged();
   }
 }
 
-bool DataPlane::Leave(const BackendServerId& id) {
-  const bool known = m_backend_servers.Leave(id);
+bool DataPlane::Leave(const Departure& departure) {
+  const bool known = m_backend_servers.Leave(departure, SystemClock().Now());
   if (known) {
     OnBackendServersChanged();
   }
--- a/packages/node/banyantrail/node/data_plane.h
+++ b/packages/node/banyantrail/node/data_plane.h
@@ -25,6 +25,7 @@
     std::function<void(const ServiceName&, std::vector<RequestFingerprint>)>
         on_crash;
     OnceOnlyHooks once_only;
+    EdgeDialect dialect;
   };
 
   DataPlane(asio::io_context& io,
@@ -40,9 +41,9 @@
   }
 
   /// An announcement or a heartbeat. Throws Error{kInvalidDeclaration}.
-  void Announce(BackendServerRecord record);
+  void Announce(Announcement announcement);
   /// Returns whether the backend server was known.
-  bool Leave(const BackendServerId& id);
+  bool Leave(const Departure& departure);
   std::vector<BackendServerRecord> backend_servers() const {
     return m_backend_servers.Records();
   }
@@ -67,6 +68,7 @@
   Options m_options;
   LocalBackendServers m_backend_servers;
   UpstreamPool m_pool;
+  RunningRequests m_running;
   OwnerStage m_owner;
   EntryStage m_entry;
   std::unique_ptr<TcpListener> m_caller_listener;
--- a/packages/node/banyantrail/node/distribution_peers.cc
+++ b/packages/node/banyantrail/node/distribution_peers.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <map>
 
-#include "banyantrail/platform/relay_lease.h"
+#include "banyantrail/distribution/relay_lease.h"
 
 namespace banyantrail {
 namespace {
--- a/packages/node/banyantrail/node/local_backend_servers.cc
+++ b/packages/node/banyantrail/node/local_backend_servers.cc
@@ -1,12 +1,48 @@
 #include "banyantrail/node/local_backend_servers.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "banyantrail/core/errors.h"
 
 namespace banyantrail {
 
-bool LocalBackendServers::Announce(BackendServerRecord record, TimePoint now) {
+/// Whether a later word of the backend server, or of its successor at the same
+/// address, is known.
+bool LocalBackendServers::IsOutdated(const Announcement& announcement) const {
+  const BackendServerRecord& record = announcement.record;
+  const auto departed = m_departed.find(record.id);
+  if (departed != m_departed.end() &&
+      announcement.born <= departed->second.born) {
+    return true;
+  }
+  return std::ranges::any_of(m_entries, [&](const auto& entry) {
+    const Entry& known = entry.second;
+    if (known.record.id == record.id) {
+      const bool is_earlier_word =
+          announcement.sequence != 0 && announcement.sequence <= known.sequence;
+      return announcement.born < known.born ||
+             (announcement.born == known.born && is_earlier_word);
+    }
+    return known.record.address == record.address &&
+           announcement.born < known.born;
+  });
+}
+
+/// Whoever had the address before is gone.
+void LocalBackendServers::ForgetEarlierAt(const Announcement& announcement) {
+  std::erase_if(m_entries, [&](const auto& entry) {
+    return entry.first != announcement.record.id && announcement.born > 0 &&
+           entry.second.record.address == announcement.record.address;
+  });
+}
+
+bool LocalBackendServers::Announce(Announcement announcement, TimePoint now) {
+  if (IsOutdated(announcement)) {
+    return false;
+  }
+  ForgetEarlierAt(announcement);
+  BackendServerRecord record = announcement.record;
   if (m_draining) {
     record.state = BackendServerState::kDraining;
   }
@@ -17,20 +53,46 @@
                  .remedy = "announce at most " +
                            std::to_string(m_options.max_servers)});
   }
-  const bool changed =
-      found == m_entries.end() || !(found->second.record == record);
+  const bool is_same_boot =
+      found != m_entries.end() && found->second.born == announcement.born;
+  const bool has_drained = is_same_boot && found->second.record.state ==
+                                               BackendServerState::kDraining;
+  if (has_drained && announcement.born > 0) {
+    // Whoever began to leave does not come back in the same boot.
+    record.state = BackendServerState::kDraining;
+  }
+  const bool changed = !is_same_boot || !(found->second.record == record);
   const BackendServerId id = record.id;
-  m_entries[id] = {.record = std::move(record), .last_heartbeat = now};
+  m_entries[id] = {.record = std::move(record),
+                   .born = announcement.born,
+                   .sequence = announcement.sequence,
+                   .last_heartbeat = now};
   return changed;
 }
 
-bool LocalBackendServers::Leave(const BackendServerId& id) {
-  return m_entries.erase(id) > 0;
+bool LocalBackendServers::Leave(const Departure& departure, TimePoint now) {
+  const auto found = m_entries.find(departure.id);
+  std::uint64_t born = departure.born;
+  if (found != m_entries.end()) {
+    if (born != 0 && born < found->second.born) {
+      return false;  // The last word of an earlier boot.
+    }
+    born = std::max(born, found->second.born);
+  }
+  if (born > 0) {
+    Departed& departed = m_departed[departure.id];
+    departed = {.born = std::max(departed.born, born), .since = now};
+  }
+  return m_entries.erase(departure.id) > 0;
 }
 
 bool LocalBackendServers::Expire(TimePoint now) {
   constexpr int kForgetFactor = 10;
   bool changed = false;
+  std::erase_if(m_departed, [&](const auto& departed) {
+    return now - departed.second.since >
+           kForgetFactor * m_options.heartbeat_timeout;
+  });
   for (auto entry = m_entries.begin(); entry != m_entries.end();) {
     const Duration silence = now - entry->second.last_heartbeat;
     if (silence > kForgetFactor * m_options.heartbeat_timeout) {
--- a/packages/node/banyantrail/node/local_backend_servers.h
+++ b/packages/node/banyantrail/node/local_backend_servers.h
@@ -10,8 +10,33 @@
 
 namespace banyantrail {
 
-/// The backend servers that announced themselves to this node. Pure: time comes
-/// in with each call.
+/// What a backend server says of itself.
+struct Announcement {
+  BackendServerRecord record;
+  /// Orders the boots of backend servers that follow each other under one id or
+  /// address: greater for a later start. 0 when it is not told.
+  std::uint64_t born = 0;
+  /// Counts the announcements of one boot. 0 when it is not told.
+  std::uint64_t sequence = 0;
+  /// How much longer it is slow after its start.
+  Duration cold_remaining{};
+
+  friend bool operator==(const Announcement&, const Announcement&) = default;
+};
+
+/// A backend server's last word.
+struct Departure {
+  BackendServerId id;
+  /// See Announcement.
+  std::uint64_t born = 0;
+
+  friend bool operator==(const Departure&, const Departure&) = default;
+};
+
+/// The backend servers that announced themselves to this node. Announcements
+/// may come late and crossed: what is older than the last word known of a
+/// backend server changes nothing, and one that left stays away until a later
+/// boot. Pure: time comes in with each call.
 class LocalBackendServers {
  public:
   struct Options {
@@ -25,10 +50,10 @@
   /// Takes an announcement or a heartbeat. Returns whether anything but the
   /// time of the heartbeat changed. Throws Error{kInvalidDeclaration} above
   /// the limit.
-  bool Announce(BackendServerRecord record, TimePoint now);
+  bool Announce(Announcement announcement, TimePoint now);
 
   /// It leaves for good. Returns whether it was known.
-  bool Leave(const BackendServerId& id);
+  bool Leave(const Departure& departure, TimePoint now);
 
   /// Marks those as down whose heartbeat stopped, and forgets them after ten
   /// times that time. Returns whether anything changed.
@@ -47,12 +72,24 @@
  private:
   struct Entry {
     BackendServerRecord record;
+    std::uint64_t born = 0;
+    std::uint64_t sequence = 0;
     TimePoint last_heartbeat;
   };
 
+  /// A boot that left.
+  struct Departed {
+    std::uint64_t born = 0;
+    TimePoint since;
+  };
+
+  bool IsOutdated(const Announcement& announcement) const;
+  void ForgetEarlierAt(const Announcement& announcement);
+
   Options m_options;
   bool m_draining = false;
   std::map<BackendServerId, Entry> m_entries;
+  std::map<BackendServerId, Departed> m_departed;
 };
 
 }  // namespace banyantrail
--- a/packages/node/banyantrail/node/main.cc
+++ b/packages/node/banyantrail/node/main.cc
@@ -4,11 +4,15 @@
 
 #include <iostream>
 #include <string>
+#include <utility>
 
 #include "banyantrail/core/errors.h"
 #include "banyantrail/core/logging.h"
 #include "banyantrail/node/node.h"
 #include "banyantrail/node/settings.h"
+#include "banyantrail/platform/deployment.h"
+#include "banyantrail/platform/environment.h"
+#include "banyantrail/platform/wire_values.h"
 
 namespace {
 
@@ -16,20 +20,31 @@
 constexpr int kExitFailure = 1;
 constexpr int kExitUsage = 2;
 
+/// Where the settings stand and who wrote them.
+struct CommandLine {
+  /// The project's own settings, or empty.
+  std::string settings;
+  /// Settings as the users' platform writes them, or empty.
+  std::string deployment;
+};
+
 /// Parses the command line. TCLAP itself exits for --help and --version.
-std::string SettingsPath(int argc, char** argv) {
+CommandLine ParseCommandLine(int argc, char** argv) {
   TCLAP::CmdLine command(
       "banyantraild routes callers' requests to backend servers under the "
       "configuration that operators declared.",
       ' ', BANYANTRAIL_VERSION);
-  TCLAP::ValueArg<std::string> settings("s", "settings",
-                                        "JSON file with the node's settings",
-                                        true, "", "file", command);
+  TCLAP::ValueArg<std::string> settings(
+      "s", "settings", "JSON file with the node's settings", true, "", "file");
+  TCLAP::ValueArg<std::string> deployment(
+      "d", "deployment", "JSON file with the settings of the users' platform",
+      true, "", "file");
+  command.xorAdd(settings, deployment);
   command.parse(argc, argv);
-  return settings.getValue();
+  return {.settings = settings.getValue(), .deployment = deployment.getValue()};
 }
 
-int RunNode(const std::string& path) {
+int RunOnOwnStore(const std::string& path) {
   const banyantrail::NodeSettings settings =
       banyantrail::LoadNodeSettings(path);
   banyantrail::ConfigureLogging(settings.log_level);
@@ -38,6 +53,26 @@
   return kExitOk;
 }
 
+int RunOnUsersPlatform(const std::string& path) {
+  const banyantrail::platform::Deployment deployment =
+      banyantrail::platform::LoadDeployment(path);
+  banyantrail::ConfigureLogging(deployment.node.log_level);
+  banyantrail::Node node(
+      deployment.node,
+      {.dialect = banyantrail::platform::UsersDialect(),
+       .make_environment = [&](banyantrail::NodeServices services) {
+         return banyantrail::platform::MakeEnvironment(std::move(services),
+                                                       deployment, path);
+       }});
+  node.Run();
+  return kExitOk;
+}
+
+int RunNode(const CommandLine& line) {
+  return line.deployment.empty() ? RunOnOwnStore(line.settings)
+                                 : RunOnUsersPlatform(line.deployment);
+}
+
 int ReportError(const banyantrail::Error& error) {
   std::cerr << "banyantraild: " << error.what() << std::endl;
   return error.kind() == banyantrail::ErrorKind::kInvalidSettings
@@ -49,7 +84,7 @@
 
 int main(int argc, char** argv) {
   try {
-    return RunNode(SettingsPath(argc, argv));
+    return RunNode(ParseCommandLine(argc, argv));
   } catch (const TCLAP::ExitException& exit) {
     return exit.getExitStatus() == 0 ? kExitOk : kExitUsage;
   } catch (const banyantrail::Error& error) {
--- a/packages/node/banyantrail/node/node.cc
+++ b/packages/node/banyantrail/node/node.cc
@@ -11,7 +11,7 @@
 #include "banyantrail/node/data_plane.h"
 #include "banyantrail/node/metrics.h"
 #include "banyantrail/node/platform_duty.h"
-#include "banyantrail/platform/platform_client.h"
+#include "banyantrail/store/store_client.h"
 #include "banyantrail/traffic/once_only_ledger.h"
 
 namespace banyantrail {
@@ -19,20 +19,16 @@
 
 const PartLogger kLog("node");
 
-/// Time for the fleet to learn of the drain and for requests chosen before it
-/// to arrive. A backend server that leaves gets no new work after 2 s.
-constexpr Duration kDrainNotice = seconds(2);
-
-/// Requests under way are given this long, long uploads included.
-constexpr Duration kDrainLimit = std::chrono::minutes(30);
-
 /// The goodbye is given this long to reach the peers.
-constexpr Duration kGoodbyeLimit = seconds(1);
+constexpr Duration kGoodbyeLimit = milliseconds(300);
+
+/// What the last steps of a planned stop may take, before the limit.
+constexpr Duration kStopMargin = kGoodbyeLimit + milliseconds(200);
 
 constexpr Duration kPollInterval = milliseconds(20);
 
 /// Without a platform in the settings there is nothing to claim orders in.
-OnceOnlyHooks OnceOnly(OnceOnlyLedger<PlatformClient>& ledger,
+OnceOnlyHooks OnceOnly(OnceOnlyLedger<StoreClient>& ledger,
                        const NodeSettings& settings) {
   if (!settings.once_only || settings.platform.empty()) {
     return {};
@@ -57,20 +53,24 @@
   Parts(asio::io_context& io, const NodeSettings& settings)
       : platform(io.get_executor(), {.servers = settings.platform}),
         ledger(platform),
-        signals(io, SIGTERM, SIGINT) {}
+        signals(io, SIGTERM, SIGINT),
+        reload_signal(io, SIGHUP) {}
 
   Metrics metrics;
-  PlatformClient platform;
-  OnceOnlyLedger<PlatformClient> ledger;
+  StoreClient platform;
+  OnceOnlyLedger<StoreClient> ledger;
   std::unique_ptr<ControlPlane> control;
   std::unique_ptr<DataPlane> data;
   std::unique_ptr<PlatformDuty> duty;
   std::unique_ptr<AdminApi> admin;
   std::unique_ptr<HttpServer> admin_server;
   asio::signal_set signals;
+  asio::signal_set reload_signal;
+  /// Last, so that it ends before what it uses.
+  NodeEnvironment environment;
 };
 
-Node::Node(const NodeSettings& settings)
+Node::Node(const NodeSettings& settings, NodeOptions options)
     : m_settings(settings), m_parts(std::make_unique<Parts>(m_io, settings)) {
   Parts& parts = *m_parts;
   parts.data = std::make_unique<DataPlane>(
@@ -87,7 +87,8 @@
                           " suspect requests in flight.");
                 parts.control->ReportCrash(service, std::move(suspects));
               },
-          .once_only = OnceOnly(parts.ledger, m_settings)});
+          .once_only = OnceOnly(parts.ledger, m_settings),
+          .dialect = options.dialect});
   parts.control = std::make_unique<ControlPlane>(
       m_io, parts.metrics, m_settings,
       ControlPlaneHooks{
@@ -128,7 +129,38 @@
                     [&parts](std::string_view reason) {
                       parts.metrics.CountRefusal("admin", reason);
                     }});
+  if (options.make_environment) {
+    parts.environment = options.make_environment(Services());
+  }
   asio::co_spawn(m_io, WaitForSignal(), asio::detached);
+  asio::co_spawn(m_io, WaitForReload(), asio::detached);
+}
+
+NodeServices Node::Services() {
+  Parts& parts = *m_parts;
+  return {
+      .io = m_io,
+      .settings = m_settings,
+      .metrics = parts.metrics,
+      .announce =
+          [&parts](Announcement announcement) {
+            parts.data->Announce(std::move(announcement));
+          },
+      .leave = [&parts](Departure departure) { parts.data->Leave(departure); },
+      .is_ready = [&parts] { return parts.admin->IsReady(); },
+      .on_release =
+          [&parts](std::shared_ptr<const Release> release) {
+            parts.control->OnReleaseRead(std::move(release));
+          },
+      .on_store_head =
+          [&parts](Revision revision) {
+            parts.control->OnPlatformHead(revision);
+          },
+      .set_seeds =
+          [&parts](std::vector<IpEndpoint> seeds) {
+            parts.control->SetSeeds(std::move(seeds));
+          },
+      .members = [&parts] { return parts.control->members(); }};
 }
 
 Node::~Node() = default;
@@ -149,6 +181,17 @@
   }
 }
 
+asio::awaitable<void> Node::WaitForReload() {
+  boost::system::error_code error;
+  while (!error) {
+    co_await m_parts->reload_signal.async_wait(
+        asio::redirect_error(asio::use_awaitable, error));
+    if (!error) {
+      m_parts->environment.reload();
+    }
+  }
+}
+
 void Node::StartDrain() {
   if (m_draining) {
     return;
@@ -161,13 +204,15 @@
 }
 
 asio::awaitable<void> Node::FinishAndStop() {
-  co_await Pause(kDrainNotice);
+  const TimePoint drain_end =
+      SystemClock().Now() + m_settings.stop.limit - kStopMargin;
+  co_await Pause(m_settings.stop.notice);
   m_parts->data->StopListening();
-  const TimePoint drain_end = SystemClock().Now() + kDrainLimit;
   while (m_parts->data->requests_in_progress() > 0 &&
          SystemClock().Now() < drain_end) {
     co_await Pause(kPollInterval);
   }
+  m_parts->environment.stop();
   co_await m_parts->duty->GiveBack();
   m_parts->control->Leave();
   const TimePoint goodbye_end = SystemClock().Now() + kGoodbyeLimit;
--- a/packages/node/banyantrail/node/node.h
+++ b/packages/node/banyantrail/node/node.h
@@ -3,6 +3,7 @@
 #include <memory>
 
 #include "banyantrail/net/asio.h"
+#include "banyantrail/node/node_services.h"
 #include "banyantrail/node/settings.h"
 
 namespace banyantrail {
@@ -13,7 +14,7 @@
  public:
   /// Binds all listeners. Throws Error{kInvalidSettings} when one cannot be
   /// had.
-  explicit Node(const NodeSettings& settings);
+  explicit Node(const NodeSettings& settings, NodeOptions options = {});
   Node(const Node&) = delete;
   Node& operator=(const Node&) = delete;
   ~Node();
@@ -26,8 +27,11 @@
  private:
   struct Parts;
 
+  NodeServices Services();
+
   void StartDrain();
   asio::awaitable<void> WaitForSignal();
+  asio::awaitable<void> WaitForReload();
   asio::awaitable<void> FinishAndStop();
   asio::awaitable<void> Pause(Duration duration);
 
--- a/packages/node/banyantrail/node/platform_duty.cc
+++ b/packages/node/banyantrail/node/platform_duty.cc
@@ -24,7 +24,7 @@
 
 PlatformDuty::PlatformDuty(asio::io_context& io,
                            const NodeSettings& settings,
-                           PlatformClient& platform,
+                           StoreClient& platform,
                            ControlPlane& control,
                            Metrics& metrics)
     : m_io(io),
@@ -193,7 +193,7 @@
 }
 
 void PlatformDuty::ExportMetrics() {
-  const PlatformCounters& platform = m_platform.counters();
+  const StoreCounters& platform = m_platform.counters();
   m_metrics.SetGauge("banyantrail_platform_reads",
                      static_cast<double>(platform.reads));
   m_metrics.SetGauge("banyantrail_platform_writes",
--- a/packages/node/banyantrail/node/platform_duty.h
+++ b/packages/node/banyantrail/node/platform_duty.h
@@ -2,13 +2,13 @@
 
 #include <memory>
 
+#include "banyantrail/distribution/relay_task.h"
 #include "banyantrail/distribution/status_summary.h"
 #include "banyantrail/net/asio.h"
 #include "banyantrail/node/control_plane.h"
 #include "banyantrail/node/metrics.h"
 #include "banyantrail/node/settings.h"
-#include "banyantrail/platform/platform_client.h"
-#include "banyantrail/platform/relay_task.h"
+#include "banyantrail/store/store_client.h"
 
 namespace banyantrail {
 
@@ -19,7 +19,7 @@
  public:
   PlatformDuty(asio::io_context& io,
                const NodeSettings& settings,
-               PlatformClient& platform,
+               StoreClient& platform,
                ControlPlane& control,
                Metrics& metrics);
   PlatformDuty(const PlatformDuty&) = delete;
@@ -31,7 +31,7 @@
   asio::awaitable<void> GiveBack();
 
  private:
-  using Task = RelayTask<PlatformClient>;
+  using Task = RelayTask<StoreClient>;
 
   void StartRelayTask();
   void TakeRelease(Release release);
@@ -45,7 +45,7 @@
 
   asio::io_context& m_io;
   const NodeSettings& m_settings;
-  PlatformClient& m_platform;
+  StoreClient& m_platform;
   ControlPlane& m_control;
   Metrics& m_metrics;
   StatusSummary m_summary;
--- a/packages/node/banyantrail/node/settings.h
+++ b/packages/node/banyantrail/node/settings.h
@@ -10,6 +10,7 @@
 #include "banyantrail/core/labels.h"
 #include "banyantrail/core/logging.h"
 #include "banyantrail/distribution/distribution_protocol.h"
+#include "banyantrail/traffic/admission.h"
 
 namespace banyantrail {
 
@@ -34,6 +35,30 @@
   friend bool operator==(const LimitSettings&, const LimitSettings&) = default;
 };
 
+/// The planned stop of a node.
+struct StopSettings {
+  /// Time for the fleet to learn of the drain and for requests chosen before it
+  /// to arrive. A backend server that leaves gets no new work after 2 s.
+  Duration notice = seconds(2);
+  /// The process ends at the latest after this time. Requests under way, long
+  /// uploads included, are cut then.
+  Duration limit = std::chrono::minutes(30);
+
+  friend bool operator==(const StopSettings&, const StopSettings&) = default;
+};
+
+/// Repeats that the fleet may send to one service.
+struct RetryBudgetSettings {
+  /// Repeats for each request within the window.
+  double ratio = 0.2;
+  /// Repeats on top, over the whole fleet.
+  double slack = 60;
+  Duration window = seconds(10);
+
+  friend bool operator==(const RetryBudgetSettings&,
+                         const RetryBudgetSettings&) = default;
+};
+
 /// Everything that a node learns from its settings file.
 struct NodeSettings {
   NodeId node;
@@ -50,6 +75,15 @@
   /// Orders that carry an idempotency key are claimed in the platform before
   /// they are forwarded.
   bool once_only = true;
+  /// The service of the backend server on this VM, by the operator's word.
+  /// Empty when the settings do not tell it.
+  ServiceName local_service;
+  StopSettings stop;
+  RetryBudgetSettings retry_budget;
+  /// How work waits at the backend servers of this node.
+  AdmissionOptions admission;
+  /// How often backend servers announce themselves.
+  Duration heartbeat_interval = seconds(1);
 
   friend bool operator==(const NodeSettings&, const NodeSettings&) = default;
 };
--- a/packages/proxy/banyantrail/proxy/admission_gate.cc
+++ b/packages/proxy/banyantrail/proxy/admission_gate.cc
@@ -36,11 +36,8 @@
 }
 
 asio::awaitable<std::optional<RefusalReason>> AdmissionGate::Enter(
-    RequestId request,
-    std::uint8_t rank_priority,
-    TimePoint deadline) {
-  const OfferResult result =
-      m_queue.Offer(request, rank_priority, deadline, SystemClock().Now());
+    WorkRequest work) {
+  const OfferResult result = m_queue.Offer(work, SystemClock().Now());
   if (std::holds_alternative<Admitted>(result)) {
     co_return std::nullopt;
   }
@@ -48,7 +45,7 @@
     co_return refused->reason;
   }
   const auto waiter = std::make_shared<Waiter>(m_executor);
-  m_waiters[request] = waiter;
+  m_waiters[work.request] = waiter;
   ScheduleExpiry();
   boost::system::error_code ignored;
   while (!waiter->is_decided) {
--- a/packages/proxy/banyantrail/proxy/admission_gate.h
+++ b/packages/proxy/banyantrail/proxy/admission_gate.h
@@ -19,8 +19,7 @@
   ~AdmissionGate();
 
   /// Waits until the request may be sent. Returns the reason if it may not.
-  asio::awaitable<std::optional<RefusalReason>>
-  Enter(RequestId request, std::uint8_t rank_priority, TimePoint deadline);
+  asio::awaitable<std::optional<RefusalReason>> Enter(WorkRequest work);
 
   /// An admitted request ended.
   void Leave(RequestId request, AttemptOutcome outcome);
--- a/packages/proxy/banyantrail/proxy/answer_head.cc
+++ b/packages/proxy/banyantrail/proxy/answer_head.cc
@@ -1,6 +1,7 @@
 #include "banyantrail/proxy/answer_head.h"
 
 #include <algorithm>
+#include <charconv>
 
 #include "banyantrail/proxy/header_rules.h"
 #include "banyantrail/wire/mesh_headers.h"
@@ -63,13 +64,67 @@
   return std::to_string(std::max<milliseconds::rep>(remaining.count(), 1));
 }
 
-SystemAnswer RefusalAnswer(RefusalReason reason) {
+SystemAnswer RefusalAnswer(RefusalReason reason, const EdgeDialect& dialect) {
   const SystemOutcome outcome =
       ProvesNotRun(reason) ? SystemOutcome::kNotRun : SystemOutcome::kUnknown;
-  return {.status = StatusFor(reason),
+  http::status status = StatusFor(reason);
+  const bool is_server_error =
+      http::to_status_class(status) == http::status_class::server_error;
+  if (dialect.refuses_with_503 && outcome == SystemOutcome::kNotRun &&
+      is_server_error) {
+    status = http::status::service_unavailable;
+  }
+  return {.status = status,
           .outcome = outcome,
           .reason = std::string(ToString(reason)),
           .remedy = std::string(RemedyFor(reason))};
 }
 
+AnswerClaim ClaimOf(const http::response_header<>& head,
+                    std::string_view request_id,
+                    const EdgeDialect& dialect) {
+  if (!dialect.request_id.empty()) {
+    const std::string_view echoed = FieldValue(head, dialect.request_id);
+    if (!echoed.empty() && echoed != request_id) {
+      return AnswerClaim::kForeign;
+    }
+  }
+  const std::string_view not_run = FieldValue(head, dialect.not_run);
+  const bool says_not_run =
+      !not_run.empty() &&
+      (dialect.not_run_value.empty() || not_run == dialect.not_run_value);
+  const bool is_misdirected =
+      head.result() == http::status::misdirected_request &&
+      !dialect.expected_server.empty();
+  if (is_misdirected || (says_not_run && http::to_status_class(head.result()) !=
+                                             http::status_class::successful)) {
+    return AnswerClaim::kNotRun;
+  }
+  const bool is_success =
+      http::to_status_class(head.result()) == http::status_class::successful;
+  const bool lacks_proof = !dialect.answer_stamp.empty() &&
+                           FieldValue(head, dialect.answer_stamp).empty();
+  const bool is_encoded = !dialect.answer_stamp.empty() &&
+                          head.count(http::field::content_encoding) > 0;
+  return is_success && (lacks_proof || is_encoded) ? AnswerClaim::kMalformed
+                                                   : AnswerClaim::kAnswer;
+}
+
+std::optional<Duration> KeepAliveTime(const http::response_header<>& head) {
+  constexpr std::string_view kTimeout = "timeout=";
+  const std::string_view value = FieldValue(head, "keep-alive");
+  const std::size_t start = value.find(kTimeout);
+  if (start == std::string_view::npos) {
+    return std::nullopt;
+  }
+  const std::string_view digits = value.substr(start + kTimeout.size());
+  unsigned count = 0;
+  const auto [end, error] =
+      std::from_chars(digits.data(), digits.data() + digits.size(), count);
+  if (error != std::errc()) {
+    return std::nullopt;
+  }
+  return seconds(count);
+}
+
 }  // namespace banyantrail
--- a/packages/proxy/banyantrail/proxy/answer_relay.cc
+++ b/packages/proxy/banyantrail/proxy/answer_relay.cc
@@ -1,32 +1,78 @@
 #include "banyantrail/proxy/answer_relay.h"
 
-#include <array>
+#include <algorithm>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
 #include <utility>
+#include <vector>
 
 namespace banyantrail {
 namespace {
 
-/// Bytes of an answer's body held in memory at a time.
-constexpr std::size_t kRelayBytes = 32U << 10U;
+/// Bytes of an answer's body held in memory at a time. An answer up to this
+/// size is read whole before any of it is passed on, so that one that breaks
+/// off can still be replaced.
+constexpr std::size_t kRelayBytes = 64U << 10U;
 
-/// Whether the message shows by itself where it ends. One that ends with the
-/// connection cannot be told from one that was cut.
-bool ShowsItsEnd(const Attempt::AnswerParser& parser) {
-  return parser.is_done() || parser.chunked() ||
-         parser.content_length().has_value();
+/// The part of an answer's body that was read and not passed on yet.
+struct BodyPiece {
+  std::vector<char> bytes;
+  std::size_t size = 0;
+};
+
+/// Fills the piece until it is full or the body has ended.
+asio::awaitable<boost::system::error_code> Fill(Attempt& attempt,
+                                                BodyPiece& piece) {
+  Attempt::AnswerParser& parser = *attempt.answer;
+  constexpr std::size_t kFirstBytes = 4096;
+  boost::system::error_code error;
+  piece.size = 0;
+  while (!parser.is_done() && piece.size < kRelayBytes) {
+    if (piece.bytes.size() == piece.size) {
+      piece.bytes.resize(std::clamp(2 * piece.size, kFirstBytes, kRelayBytes));
+    }
+    auto& body = parser.get().body();
+    body.data = piece.bytes.data() + piece.size;
+    body.size = piece.bytes.size() - piece.size;
+    co_await http::async_read_some(
+        attempt.upstream->stream, attempt.upstream->buffer, parser,
+        asio::redirect_error(asio::use_awaitable, error));
+    piece.size = piece.bytes.size() - body.size;
+    if (error && error != http::error::need_buffer) {
+      co_return error;
+    }
+    error = {};
+  }
+  co_return error;
+}
+
+/// Whether the answer has no body by its status or by the request's method.
+bool HasNoBody(const Attempt::AnswerParser& parser) {
+  const http::status status = parser.get().result();
+  return status == http::status::no_content ||
+         status == http::status::not_modified;
 }
 
+/// The framing towards the caller. An answer that ends with its connection is
+/// passed on in chunks, so that its end shows.
 void SetFraming(http::response<http::buffer_body>& message,
-                const Attempt::AnswerParser& parser) {
-  if (parser.chunked()) {
+                const Attempt::AnswerParser& parser,
+                const BodyPiece& first) {
+  const bool counts_as_empty = first.size == 0 && parser.is_done();
+  if (HasNoBody(parser)) {
+    return;
+  }
+  if (counts_as_empty && message.count(http::field::content_length) > 0) {
+    return;  // The answer to a HEAD request names the length of another body.
+  }
+  if (parser.is_done()) {
+    message.content_length(first.size);
+  } else if (const auto length = parser.content_length()) {
+    message.content_length(*length);
+  } else {
     message.chunked(true);
   }
-  message.body().data = nullptr;
-  message.body().size = 0;
-  message.body().more = !parser.is_done();
 }
 
 }  // namespace
@@ -37,43 +83,22 @@
                                           bool keep_alive,
                                           TimePoint deadline) {
   Attempt::AnswerParser& parser = *attempt.answer;
-  if (!ShowsItsEnd(parser)) {
+  const bool ends_with_connection = parser.need_eof();
+  BodyPiece piece;
+  boost::system::error_code error = co_await Fill(attempt, piece);
+  if (error) {
     co_return RelayOutcome::kNothingSent;
   }
   http::response<http::buffer_body> message(std::move(head));
   message.version(11);
   message.keep_alive(keep_alive);
-  SetFraming(message, parser);
+  SetFraming(message, parser, piece);
   http::response_serializer<http::buffer_body> serializer(message);
-
   downstream.stream.expires_at(deadline);
-  std::array<char, kRelayBytes> piece{};
-  boost::system::error_code error;
-  bool sent = false;
-  while (!serializer.is_done()) {
-    std::size_t size = 0;
-    if (!parser.is_done()) {
-      parser.get().body().data = piece.data();
-      parser.get().body().size = piece.size();
-      co_await http::async_read_some(
-          attempt.upstream->stream, attempt.upstream->buffer, parser,
-          asio::redirect_error(asio::use_awaitable, error));
-      if (error && error != http::error::need_buffer) {
-        if (!sent) {
-          co_return RelayOutcome::kNothingSent;
-        }
-        Close(downstream.stream);
-        downstream.must_close = true;
-        co_return RelayOutcome::kCut;
-      }
-      size = piece.size() - parser.get().body().size;
-    }
-    message.body().data = piece.data();
-    message.body().size = size;
+  while (true) {
+    message.body().data = piece.bytes.data();
+    message.body().size = piece.size;
     message.body().more = !parser.is_done();
-    if (size == 0 && message.body().more) {
-      continue;
-    }
     co_await http::async_write(
         downstream.stream, serializer,
         asio::redirect_error(asio::use_awaitable, error));
@@ -81,10 +106,18 @@
       downstream.must_close = true;
       co_return RelayOutcome::kCallerGone;
     }
-    error = {};
-    sent = true;
+    if (serializer.is_done()) {
+      break;
+    }
+    error = co_await Fill(attempt, piece);
+    if (error) {
+      Close(downstream.stream);
+      downstream.must_close = true;
+      co_return RelayOutcome::kCut;
+    }
   }
-  if (!parser.get().keep_alive()) {
+  attempt.upstream->carries_request = false;
+  if (ends_with_connection || !parser.get().keep_alive()) {
     attempt.upstream_spent = true;
   }
   co_return RelayOutcome::kWhole;
--- a/packages/proxy/banyantrail/proxy/attempt.cc
+++ b/packages/proxy/banyantrail/proxy/attempt.cc
@@ -1,11 +1,13 @@
 #include "banyantrail/proxy/attempt.h"
 
+#include <array>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
 #include <utility>
 
+#include "banyantrail/proxy/answer_head.h"
 #include "banyantrail/proxy/request_monitor.h"
 
 namespace banyantrail {
@@ -49,6 +51,61 @@
   co_return error;
 }
 
+/// Reads the rest of an answer and drops it.
+asio::awaitable<boost::system::error_code> SkipAnswer(Attempt& attempt) {
+  constexpr std::size_t kSkipBytes = 4096;
+  std::array<char, kSkipBytes> dropped{};
+  boost::system::error_code error;
+  Attempt::AnswerParser& parser = *attempt.answer;
+  if (parser.need_eof()) {
+    co_return http::make_error_code(http::error::bad_status);
+  }
+  while (!parser.is_done() && !error) {
+    parser.get().body().data = dropped.data();
+    parser.get().body().size = dropped.size();
+    co_await http::async_read_some(
+        attempt.upstream->stream, attempt.upstream->buffer, parser,
+        asio::redirect_error(asio::use_awaitable, error));
+    if (error == http::error::need_buffer) {
+      error = {};
+    }
+  }
+  co_return error;
+}
+
+/// What an answer is to the request that it was read for.
+struct AwaitedAnswer {
+  std::string_view request_id;
+  const EdgeDialect* dialect = nullptr;
+};
+
+/// Reads answers until one belongs to the request: a server may have sent a
+/// second one to an earlier request.
+asio::awaitable<boost::system::error_code>
+ReadOwnAnswerHead(Attempt& attempt, http::verb method, AwaitedAnswer awaited) {
+  while (true) {
+    boost::system::error_code error =
+        co_await ReadFinalAnswerHead(attempt, method);
+    if (error || awaited.dialect == nullptr) {
+      co_return error;
+    }
+    const http::response_header<>& head = attempt.answer->get();
+    const AnswerClaim claim =
+        ClaimOf(head, awaited.request_id, *awaited.dialect);
+    attempt.says_not_run = claim == AnswerClaim::kNotRun;
+    if (claim == AnswerClaim::kMalformed) {
+      co_return http::make_error_code(http::error::bad_value);
+    }
+    if (claim != AnswerClaim::kForeign) {
+      co_return error;
+    }
+    error = co_await SkipAnswer(attempt);
+    if (error) {
+      co_return error;
+    }
+  }
+}
+
 /// Writes the head and, unless the body streams, the body.
 asio::awaitable<boost::system::error_code> SendHeadAndSmallBody(
     Upstream& upstream,
@@ -112,6 +169,20 @@
   co_return false;
 }
 
+/// Why an answer that was awaited did not come.
+RefusalReason ReasonOf(const boost::system::error_code& error) {
+  if (error == beast::error::timeout) {
+    return RefusalReason::kAnswerTimeout;
+  }
+  const bool broke_off = error == http::error::end_of_stream ||
+                         error == http::error::partial_message;
+  const bool is_malformed =
+      error.category() ==
+      http::make_error_code(http::error::bad_method).category();
+  return is_malformed && !broke_off ? RefusalReason::kMalformedAnswer
+                                    : RefusalReason::kConnectionLost;
+}
+
 /// Fills in the result of a wait for the answer.
 void Conclude(Attempt& attempt,
               const RequestMonitor& monitor,
@@ -127,9 +198,7 @@
     attempt.reason = RefusalReason::kConnectFailed;
   } else {
     attempt.result = UpstreamResult::kUnknown;
-    attempt.reason = error == beast::error::timeout
-                         ? RefusalReason::kAnswerTimeout
-                         : RefusalReason::kConnectionLost;
+    attempt.reason = ReasonOf(error);
   }
 }
 
@@ -138,14 +207,15 @@
                                   Downstream& downstream,
                                   InboundRequest& request,
                                   http::request_header<> head,
-                                  bool head_sent) {
+                                  bool head_sent,
+                                  AwaitedAnswer awaited) {
   const http::verb method = request.head().method();
   RequestMonitor monitor(downstream, *attempt.upstream, request,
                          std::move(head), head_sent);
   const asio::any_io_executor executor = co_await asio::this_coro::executor;
   monitor.Start(executor);
   const boost::system::error_code error =
-      co_await ReadFinalAnswerHead(attempt, method);
+      co_await ReadOwnAnswerHead(attempt, method, awaited);
   co_await monitor.Stop();
   Conclude(attempt, monitor, error);
 }
@@ -199,6 +269,7 @@
     co_return attempt;
   }
   attempt.upstream->stream.expires_at(options.deadline);
+  attempt.upstream->carries_request = true;
 
   const http::request_header<> head =
       WithFraming(std::move(options.head), request, options.ask_before_body);
@@ -213,7 +284,12 @@
     co_await SendContinue(downstream, request);
     downstream.stream.expires_at(options.deadline);
   }
-  co_await AwaitAnswer(attempt, downstream, request, head, send_now);
+  AwaitedAnswer awaited{.dialect = options.dialect};
+  if (awaited.dialect != nullptr && !awaited.dialect->request_id.empty()) {
+    awaited.request_id =
+        FieldValue(request.head(), awaited.dialect->request_id);
+  }
+  co_await AwaitAnswer(attempt, downstream, request, head, send_now, awaited);
   co_return attempt;
 }
 
--- a/packages/proxy/banyantrail/proxy/attempt.h
+++ b/packages/proxy/banyantrail/proxy/attempt.h
@@ -8,6 +8,7 @@
 #include "banyantrail/proxy/inbound_request.h"
 #include "banyantrail/proxy/upstream_pool.h"
 #include "banyantrail/traffic/refusal_reason.h"
+#include "banyantrail/wire/edge_dialect.h"
 
 namespace banyantrail {
 
@@ -32,6 +33,8 @@
   RefusalReason reason = RefusalReason::kCancelled;
   UpstreamPtr upstream;
   std::unique_ptr<AnswerParser> answer;
+  /// The server says that it did not run the request.
+  bool says_not_run = false;
   /// The upstream connection cannot carry another request.
   bool upstream_spent = false;
 };
@@ -46,6 +49,9 @@
   bool ask_before_body = false;
   /// Never use a kept-alive connection.
   bool fresh_connection = false;
+  /// Names of the headers on the answer. Null between nodes, whose answers
+  /// need no check.
+  const EdgeDialect* dialect = nullptr;
 };
 
 /// Sends the request to the server and waits for the head of the answer.
--- a/packages/proxy/banyantrail/proxy/connection.cc
+++ b/packages/proxy/banyantrail/proxy/connection.cc
@@ -18,6 +18,16 @@
   m_state->stream = nullptr;
 }
 
+Upstream::~Upstream() {
+  if (!carries_request) {
+    return;
+  }
+  constexpr int kDropUnsent = 0;
+  boost::system::error_code ignored;
+  stream.socket().set_option(asio::socket_base::linger(true, kDropUnsent),
+                             ignored);
+}
+
 void Close(beast::tcp_stream& stream) {
   boost::system::error_code ignored;
   stream.socket().shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
--- a/packages/proxy/banyantrail/proxy/connection.h
+++ b/packages/proxy/banyantrail/proxy/connection.h
@@ -25,13 +25,22 @@
 /// backend server.
 struct Upstream {
   explicit Upstream(const asio::any_io_executor& executor) : stream(executor) {}
+  Upstream(const Upstream&) = delete;
+  Upstream& operator=(const Upstream&) = delete;
+  /// A connection that is given up while a request is on it is reset, so that
+  /// bytes which a broken link still holds never reach the server.
+  ~Upstream();
 
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
   IpEndpoint server;
   /// It carried a request before this one.
   bool reused = false;
+  /// A request was written and its answer was not read whole.
+  bool carries_request = false;
   TimePoint idle_since{};
+  /// Not used again after this time.
+  TimePoint usable_until = TimePoint::max();
   /// Identifies the connection in the pool's bookkeeping.
   std::uint64_t number = 0;
 };
--- a/packages/proxy/banyantrail/proxy/entry_stage.cc
+++ b/packages/proxy/banyantrail/proxy/entry_stage.cc
@@ -18,16 +18,6 @@
   return {head.method_string().data(), head.method_string().size()};
 }
 
-/// The rule's deadline, or the caller's if that is sooner.
-TimePoint DeadlineOf(const http::request_header<>& head, const Route& route) {
-  const TimePoint now = SystemClock().Now();
-  const auto asked = NumberField(head, kDeadlineHeader);
-  const Duration wait =
-      asked ? std::min<Duration>(milliseconds(*asked), route.deadline)
-            : route.deadline;
-  return now + wait;
-}
-
 RefusalReason ReasonOf(LookupFailure failure) {
   return failure == LookupFailure::kNoBackendServer
              ? RefusalReason::kNoBackendServer
@@ -94,6 +84,31 @@
   return EndpointOutcome::kCancelled;
 }
 
+/// Whether the owner node had no room in time.
+bool IsForLoad(RefusalReason reason) {
+  return reason == RefusalReason::kQueueFull ||
+         reason == RefusalReason::kDeadline;
+}
+
+/// The size of the body; of one that streams in chunks, the least it may have.
+std::uint64_t BodyBytes(const InboundRequest& request) {
+  const auto length = request.parser->content_length();
+  const std::uint64_t unknown = request.streams ? kMaxReplayBytes : 0;
+  return length ? *length : unknown;
+}
+
+/// Whether the request may have left the owner node.
+bool MayHaveReachedServer(const Attempt& attempt) {
+  if (attempt.result == UpstreamResult::kNotRun) {
+    return false;
+  }
+  if (IsBackendAnswer(attempt) || attempt.result != UpstreamResult::kAnswered) {
+    return true;
+  }
+  const RefusalReason reason = ReasonOf(attempt);
+  return reason == RefusalReason::kShedByBackendServer || !ProvesNotRun(reason);
+}
+
 EndpointResult ResultOf(const Attempt& attempt, Duration latency) {
   EndpointResult result{.outcome = OutcomeOf(attempt)};
   if (attempt.result == UpstreamResult::kAnswered) {
@@ -115,6 +130,10 @@
   const RoutedService* service = nullptr;
   TimePoint started;
   TimePoint deadline;
+  /// An answer by this time is of full use; empty when not declared.
+  std::optional<TimePoint> target;
+  /// A run at this node's backend server makes the call.
+  bool is_call = false;
   /// The order carries an idempotency key and must run at most once.
   bool is_keyed_order = false;
   std::optional<HeldClaim> claim;
@@ -122,13 +141,17 @@
   std::uint32_t recorded_status = 0;
   /// Endpoints already tried.
   std::vector<EndpointKey> tried;
+  /// Backend servers that the request may have reached.
+  std::uint32_t sends = 0;
 };
 
 EntryStage::EntryStage(asio::any_io_executor executor,
                        UpstreamPool& pool,
+                       const RunningRequests& running,
                        Options options)
     : m_executor(std::move(executor)),
       m_pool(pool),
+      m_running(running),
       m_options(std::move(options)),
       m_rng(m_options.seed),
       m_loads(m_options.loads) {}
@@ -136,6 +159,14 @@
 void EntryStage::SetSnapshot(std::shared_ptr<const RoutingSnapshot> snapshot) {
   m_snapshot = std::move(snapshot);
   m_loads.Retain(m_snapshot->services(), SystemClock().Now());
+  m_splitter.Retain(*m_snapshot);
+  const auto& limits = m_snapshot->caller_limits();
+  if (limits) {
+    m_options.limits = {.max_header_bytes = limits->max_header_bytes,
+                        .max_body_bytes = limits->max_body_bytes,
+                        .idle_timeout = limits->idle_timeout,
+                        .head_timeout = limits->header_timeout};
+  }
 }
 
 asio::awaitable<void> EntryStage::Serve(beast::tcp_stream stream) {
@@ -174,26 +205,60 @@
   Passage passage{.request = request,
                   .snapshot = m_snapshot,
                   .started = SystemClock().Now()};
-  if (!passage.snapshot) {
-    co_await Refuse(downstream, passage, RefusalReason::kNoConfiguration);
+  const std::optional<RefusalReason> refusal = Classify(passage);
+  if (refusal) {
+    co_await Refuse(downstream, passage, *refusal);
     co_return;
   }
-  const http::request_header<>& head = request.head();
-  const RouteLookup lookup =
-      passage.snapshot->FindRoute(MethodOf(head), PathOf(head));
-  if (lookup.failure != LookupFailure::kNone) {
-    co_await Refuse(downstream, passage, ReasonOf(lookup.failure));
-    co_return;
-  }
-  passage.route = lookup.route;
-  passage.service = lookup.service;
-  passage.deadline = DeadlineOf(head, *lookup.route);
   const bool may_run = co_await ClaimOrder(downstream, passage);
   if (may_run) {
     co_await Forward(downstream, passage);
   }
 }
 
+/// Finds the route, the service and the deadline of a request.
+std::optional<RefusalReason> EntryStage::Classify(Passage& passage) {
+  if (!passage.snapshot) {
+    return RefusalReason::kNoConfiguration;
+  }
+  const http::request_header<>& head = passage.request.head();
+  const RouteLookup lookup =
+      passage.snapshot->FindRoute({.method = MethodOf(head),
+                                   .path = PathOf(head),
+                                   .host = FieldValue(head, "host")});
+  passage.route = lookup.route;
+  if (lookup.failure != LookupFailure::kNone) {
+    return ReasonOf(lookup.failure);
+  }
+  const std::size_t service = m_splitter.Next(*lookup.route);
+  passage.service = &passage.snapshot->services()[service];
+  SetTimes(passage);
+  return std::nullopt;
+}
+
+/// The deadline is the rule's, or the caller's if that is sooner. The target
+/// counts from when the caller first sent the request.
+void EntryStage::SetTimes(Passage& passage) {
+  const EdgeDialect& dialect = m_options.dialect;
+  const http::request_header<>& head = passage.request.head();
+  const Route& route = *passage.route;
+  const auto asked = NumberField(head, dialect.deadline);
+  const Duration wait =
+      asked ? std::min<Duration>(milliseconds(*asked), route.deadline)
+            : route.deadline;
+  passage.deadline = passage.started + wait;
+  passage.is_call = !dialect.request_id.empty() &&
+                    m_running.IsCall(FieldValue(head, dialect.request_id));
+  if (route.target_latency > Duration::zero()) {
+    const Duration waited =
+        asked && !passage.is_call
+            ? m_full_deadlines.Waited(route.rule, milliseconds(*asked),
+                                      passage.started)
+            : Duration{};
+    passage.target = passage.started + route.target_latency - waited;
+  }
+}
+
 /// Claims an order that carries an idempotency key. Returns false when it was
 /// answered here, because it must not run now.
 asio::awaitable<bool> EntryStage::ClaimOrder(Downstream& downstream,
@@ -241,7 +306,7 @@
                          .head = ForwardedHead(passage.request),
                          .deadline = passage.deadline,
                          .ask_before_body = true};
-  StripInternalFields(options.head);
+  StripInternalFields(options.head, m_options.dialect);
   SetField(options.head, kDeadlineHeader, RemainingMs(passage.deadline));
   SetField(options.head, kDepthHeader,
            std::to_string(DepthOf(passage.request.head()) + 1));
@@ -250,6 +315,16 @@
   SetField(options.head, kIdempotentHeader,
            passage.route->idempotent ? "1" : "0");
   SetField(options.head, kServiceHeader, passage.service->name.str());
+  SetField(options.head, kRuleHeader, passage.route->rule.str());
+  if (passage.is_call) {
+    SetField(options.head, kCallHeader, "1");
+  }
+  if (passage.target) {
+    SetField(options.head, kTargetHeader, RemainingMs(*passage.target));
+  }
+  if (!m_options.local_service.empty()) {
+    SetField(options.head, kCallerServiceHeader, m_options.local_service.str());
+  }
   SetField(options.head, kBackendServerHeader, endpoint.id.str());
   return options;
 }
@@ -260,7 +335,9 @@
   while (true) {
     const ServiceEndpoint* endpoint =
         Choose(passage.service->endpoints, m_loads, m_options.choice,
-               SystemClock().Now(), m_rng, passage.tried);
+               SystemClock().Now(), m_rng,
+               {.body_bytes = BodyBytes(passage.request),
+                .excluded = passage.tried});
     if (endpoint == nullptr) {
       co_await Refuse(downstream, passage, RefusalReason::kNoBackendServer);
       co_return;
@@ -293,6 +370,7 @@
                                          std::move(options));
   const TimePoint now = SystemClock().Now();
   m_loads.OnResult(endpoint, ResultOf(attempt, now - started), now);
+  passage.sends += MayHaveReachedServer(attempt) ? 1 : 0;
   if (attempt.result == UpstreamResult::kUnknown) {
     m_pool.Distrust(endpoint.mesh_address);
   }
@@ -315,9 +393,17 @@
       .reason = reason,
       .idempotent = passage.route->idempotent,
       .body_replayable = !passage.request.body_taken,
-      .attempts = static_cast<std::uint32_t>(passage.tried.size()),
-      .depth = DepthOf(passage.request.head()),
+      .attempts = passage.sends,
+      .max_attempts = passage.route->max_attempts,
+      .depth = std::max<std::uint32_t>(DepthOf(passage.request.head()),
+                                       passage.is_call ? 1 : 0),
       .deadline = passage.deadline};
+  if (IsForLoad(reason) &&
+      BodyBytes(passage.request) > m_options.choice.max_spill_bytes) {
+    // It stays with the servers that its own domain has.
+    m_options.hooks.count_retry("too_large_to_move");
+    return false;
+  }
   const RetryDecision decision =
       PolicyFor(passage.service->name).Decide(failed, SystemClock().Now());
   m_options.hooks.count_retry(ToString(decision));
@@ -334,8 +420,9 @@
                                          Passage& passage,
                                          Attempt& attempt) {
   const bool made_by_system = !SystemOutcomeOf(attempt).empty();
-  if (made_by_system && passage.is_keyed_order) {
-    // The ledger has to know before the caller does.
+  if (made_by_system) {
+    // The entry node words the refusal: it knows the caller's dialect, and the
+    // ledger has to know before the caller does.
     co_await Refuse(downstream, passage, ReasonOf(attempt));
     co_return;
   }
@@ -370,7 +457,11 @@
                                          Passage& passage,
                                          RefusalReason reason) {
   m_options.hooks.count_refusal(ToString(reason));
-  SystemAnswer answer = RefusalAnswer(reason);
+  SystemAnswer answer = RefusalAnswer(reason, m_options.dialect);
+  answer.fractional_retry_after = m_options.dialect.fractional_retry_after;
+  if (answer.status == http::status::service_unavailable) {
+    answer.retry_after = ReturnDelay();
+  }
   if (passage.is_keyed_order) {
     const bool not_run = MaySayNotRun(reason, passage.claim.has_value());
     answer.outcome = not_run ? SystemOutcome::kNotRun : SystemOutcome::kUnknown;
@@ -392,6 +483,14 @@
   Finish(passage, status);
 }
 
+/// When a refused caller may come back, spread so that callers that were
+/// refused together do not return together.
+Duration EntryStage::ReturnDelay() {
+  constexpr milliseconds kLeast{100};
+  constexpr std::size_t kSpreadMs = 200;
+  return kLeast + milliseconds(UniformIndex(m_rng, kSpreadMs));
+}
+
 void EntryStage::Finish(const Passage& passage, unsigned status) {
   const unsigned priority =
       passage.route == nullptr ? 0 : passage.route->priority;
--- a/packages/proxy/banyantrail/proxy/entry_stage.h
+++ b/packages/proxy/banyantrail/proxy/entry_stage.h
@@ -12,10 +12,14 @@
 #include "banyantrail/proxy/inbound_request.h"
 #include "banyantrail/proxy/upstream_pool.h"
 #include "banyantrail/traffic/choose.h"
+#include "banyantrail/traffic/full_deadlines.h"
 #include "banyantrail/traffic/load_table.h"
 #include "banyantrail/traffic/once_only_ledger.h"
 #include "banyantrail/traffic/retry_policy.h"
 #include "banyantrail/traffic/routing_snapshot.h"
+#include "banyantrail/traffic/running_requests.h"
+#include "banyantrail/traffic/traffic_splitter.h"
+#include "banyantrail/wire/edge_dialect.h"
 
 namespace banyantrail {
 
@@ -51,13 +55,18 @@
     InboundLimits limits;
     EntryStageHooks hooks;
     OnceOnlyHooks once_only;
+    EdgeDialect dialect;
+    /// The service beside this node, named to backend servers as the caller.
+    ServiceName local_service;
     /// Makes the names of attempts unique over nodes and their lives.
     std::string attempt_prefix;
     std::uint64_t seed = 0;
   };
 
+  /// `running` holds what runs at the backend servers of this node.
   EntryStage(asio::any_io_executor executor,
              UpstreamPool& pool,
+             const RunningRequests& running,
              Options options);
 
   /// Serves one connection of a caller until it closes.
@@ -78,6 +87,7 @@
   struct Passage;
 
   asio::awaitable<void> Handle(Downstream& downstream, InboundRequest& request);
+  std::optional<RefusalReason> Classify(Passage& passage);
   asio::awaitable<bool> ClaimOrder(Downstream& downstream, Passage& passage);
   void RecordResult(Passage& passage, std::uint32_t status);
   asio::awaitable<void> Forward(Downstream& downstream, Passage& passage);
@@ -96,13 +106,18 @@
                                const ServiceEndpoint& endpoint);
   bool MayRetry(const Passage& passage, const Attempt& attempt);
   RetryPolicy& PolicyFor(const ServiceName& service);
+  Duration ReturnDelay();
+  void SetTimes(Passage& passage);
   void Finish(const Passage& passage, unsigned status);
 
   asio::any_io_executor m_executor;
   UpstreamPool& m_pool;
+  const RunningRequests& m_running;
   Options m_options;
   Rng m_rng;
   std::shared_ptr<const RoutingSnapshot> m_snapshot;
+  TrafficSplitter m_splitter;
+  FullDeadlines m_full_deadlines;
   LoadTable m_loads;
   std::map<ServiceName, RetryPolicy> m_retry_policies;
   std::uint64_t m_last_attempt = 0;
--- a/packages/proxy/banyantrail/proxy/header_rules.cc
+++ b/packages/proxy/banyantrail/proxy/header_rules.cc
@@ -106,10 +106,10 @@
   }
 }
 
-void StripInternalFields(http::fields& fields) {
+void StripInternalFields(http::fields& fields, const EdgeDialect& dialect) {
   EraseFieldsWithPrefix(fields, kInternalHeaderPrefix,
-                        [](std::string_view name) {
-                          return EqualsIgnoringCase(name, kDeadlineHeader) ||
+                        [&dialect](std::string_view name) {
+                          return EqualsIgnoringCase(name, dialect.deadline) ||
                                  EqualsIgnoringCase(name, kDepthHeader);
                         });
 }
--- a/packages/proxy/banyantrail/proxy/header_rules.h
+++ b/packages/proxy/banyantrail/proxy/header_rules.h
@@ -4,6 +4,7 @@
 #include <string_view>
 
 #include "banyantrail/net/http_types.h"
+#include "banyantrail/wire/edge_dialect.h"
 
 namespace banyantrail {
 
@@ -24,9 +25,9 @@
 /// the Connection field names.
 void StripHopByHopFields(http::fields& fields);
 
-/// Removes the headers that only nodes may set. The deadline and the depth of
-/// nested calls stay, since callers set them too.
-void StripInternalFields(http::fields& fields);
+/// Removes the headers that only nodes may set. The dialect's deadline and the
+/// depth of nested calls stay, since callers set them too.
+void StripInternalFields(http::fields& fields, const EdgeDialect& dialect);
 
 /// Removes every internal header from an answer that goes to a caller, but
 /// for the outcome and the reason of an answer that the system made.
--- a/packages/proxy/banyantrail/proxy/inbound_request.cc
+++ b/packages/proxy/banyantrail/proxy/inbound_request.cc
@@ -138,9 +138,14 @@
     co_return result;
   }
 
+  const auto length = request.parser->content_length();
+  if (length && *length > limits.max_body_bytes) {
+    result.outcome = ReadOutcome::kRefused;
+    result.refusal = {http::status::payload_too_large, "body_too_large"};
+    co_return result;
+  }
   request.expects_continue =
       beast::iequals(request.head()[http::field::expect], "100-continue");
-  const auto length = request.parser->content_length();
   const bool known_small = length && *length <= kMaxReplayBytes;
   request.streams = request.parser->chunked() || (length && !known_small);
   if (!request.streams && length.value_or(0) > 0) {
--- a/packages/proxy/banyantrail/proxy/inbound_request.h
+++ b/packages/proxy/banyantrail/proxy/inbound_request.h
@@ -36,6 +36,7 @@
 /// Limits for what is read from one connection.
 struct InboundLimits {
   std::uint32_t max_header_bytes = 16U << 10U;
+  std::uint64_t max_body_bytes = kNoBodyLimit;
   /// How long a connection may idle between requests.
   Duration idle_timeout = seconds(60);
   /// How long a head, or a body that is read whole, may take to arrive.
--- a/packages/proxy/banyantrail/proxy/owner_stage.cc
+++ b/packages/proxy/banyantrail/proxy/owner_stage.cc
@@ -27,18 +27,13 @@
   return std::to_string(demand) + "/" + std::to_string(load.limit);
 }
 
-/// Whether the backend server itself says that it did not run the request.
-bool IsShed(const Attempt& attempt) {
-  const auto& head = attempt.answer->get();
-  return head.result() == http::status::service_unavailable &&
-         FieldValue(head, kOutcomeHeader) == kOutcomeNotRun;
-}
-
 /// Keeps the owner's headers away from the backend server, but for those meant
 /// for it.
 void StripMeshFields(http::fields& head) {
-  for (const std::string_view name : {kPriorityHeader, kIdempotentHeader,
-                                      kServiceHeader, kBackendServerHeader}) {
+  for (const std::string_view name :
+       {kDeadlineHeader, kTargetHeader, kCallHeader, kRuleHeader,
+        kPriorityHeader, kIdempotentHeader, kServiceHeader,
+        kBackendServerHeader, kCallerServiceHeader}) {
     head.erase(beast::string_view(name.data(), name.size()));
   }
 }
@@ -64,9 +59,11 @@
 
 OwnerStage::OwnerStage(asio::any_io_executor executor,
                        UpstreamPool& pool,
+                       RunningRequests& running,
                        Options options)
     : m_executor(std::move(executor)),
       m_pool(pool),
+      m_running(running),
       m_options(std::move(options)),
       m_quarantine(m_options.quarantine) {}
 
@@ -232,30 +229,73 @@
   downstream.must_close = downstream.must_close || body_unread;
 }
 
+WorkRequest OwnerStage::WorkOf(const Passage& passage) {
+  const http::request_header<>& head = passage.request.head();
+  const std::uint32_t priority =
+      NumberField(head, kPriorityHeader).value_or(kLeastUrgentPriority);
+  const auto target = NumberField(head, kTargetHeader);
+  const std::string_view rule = FieldValue(head, kRuleHeader);
+  WorkRequest work{.request = passage.id,
+                   .rank_priority = static_cast<std::uint8_t>(priority),
+                   .deadline = passage.deadline,
+                   .is_call = FieldValue(head, kCallHeader) == "1",
+                   .kind = rule.empty() ? 0 : Hash64(rule)};
+  if (target) {
+    work.target = SystemClock().Now() + milliseconds(*target);
+  }
+  return work;
+}
+
 asio::awaitable<std::optional<RefusalReason>> OwnerStage::Admit(
     Downstream& downstream,
     Passage& passage) {
-  const std::uint32_t priority =
-      NumberField(passage.request.head(), kPriorityHeader)
-          .value_or(kLeastUrgentPriority);
   AdmissionGate& gate = *passage.backend->gate;
   HangUpWatch watch(downstream, [&gate, id = passage.id] { gate.Cancel(id); });
-  const std::optional<RefusalReason> refusal = co_await gate.Enter(
-      passage.id, static_cast<std::uint8_t>(priority), passage.deadline);
+  const std::optional<RefusalReason> refusal =
+      co_await gate.Enter(WorkOf(passage));
   co_await watch.Stop();
   passage.admitted_at = SystemClock().Now();
   co_return refusal;
 }
 
+std::string_view OwnerStage::RequestIdOf(const Passage& passage) const {
+  const std::string& name = m_options.dialect.request_id;
+  return name.empty() ? std::string_view()
+                      : FieldValue(passage.request.head(), name);
+}
+
+/// Words the head for the backend server: the deadline, who calls, and which
+/// backend server may run the request.
+void OwnerStage::SetServerFields(const Passage& passage,
+                                 http::fields& head) const {
+  const EdgeDialect& dialect = m_options.dialect;
+  if (!dialect.caller_service.empty()) {
+    const std::string caller(
+        FieldValue(passage.request.head(), kCallerServiceHeader));
+    SetField(head, dialect.caller_service, caller);
+  }
+  StripMeshFields(head);
+  if (!dialect.carries_depth) {
+    head.erase(beast::string_view(kDepthHeader.data(), kDepthHeader.size()));
+  }
+  SetField(head, dialect.deadline, RemainingMs(passage.deadline));
+  if (!dialect.expected_server.empty()) {
+    SetField(head, dialect.expected_server, passage.backend->record.id.str());
+  }
+}
+
 asio::awaitable<void> OwnerStage::Forward(Downstream& downstream,
                                           Passage& passage) {
   AttemptOptions options{.server = passage.backend->record.address,
                          .head = ForwardedHead(passage.request),
-                         .deadline = passage.deadline};
-  StripMeshFields(options.head);
-  SetField(options.head, kDeadlineHeader, RemainingMs(passage.deadline));
+                         .deadline = passage.deadline,
+                         .dialect = &m_options.dialect};
+  SetServerFields(passage, options.head);
+  const std::string request_id(RequestIdOf(passage));
+  m_running.Add(request_id);
   Attempt attempt = co_await MakeAttempt(m_pool, downstream, passage.request,
                                          std::move(options));
+  m_running.Remove(request_id);
   NoteConnect(passage.backend, attempt.reason != RefusalReason::kConnectFailed);
   switch (attempt.result) {
     case UpstreamResult::kAnswered:
@@ -284,12 +324,14 @@
 asio::awaitable<void> OwnerStage::Return(Downstream& downstream,
                                          Passage& passage,
                                          Attempt& attempt) {
-  if (IsShed(attempt)) {
+  if (attempt.says_not_run) {
     Leave(passage, AttemptEnd::kShed);
     co_await Refuse(downstream, passage.request, passage.backend,
                     RefusalReason::kShedByBackendServer);
     co_return;
   }
+  const std::optional<Duration> idle_limit =
+      KeepAliveTime(attempt.answer->get());
   http::response_header<> head = ReturnedHead(attempt);
   StripInternalAnswerFields(head, false);
   SetField(head, kLoadHeader, LoadValue(passage.backend->gate->load()));
@@ -303,7 +345,7 @@
         m_quarantine.OnAnswered(*passage.fingerprint);
       }
       if (!attempt.upstream_spent) {
-        m_pool.Keep(std::move(attempt.upstream));
+        m_pool.Keep(std::move(attempt.upstream), idle_limit);
       }
       break;
     case RelayOutcome::kNothingSent:
@@ -349,8 +391,7 @@
     if (found == m_backends.end()) {
       backend = std::make_shared<Backend>();
       backend->gate = std::make_unique<AdmissionGate>(
-          m_executor,
-          AdmissionOptions{.announced_slots = record.slots, .ranks = m_ranks});
+          m_executor, AdmissionOptionsFor(record));
     } else {
       backend = found->second;
       const bool was_serving =
@@ -370,6 +411,14 @@
   m_backends = std::move(next);
 }
 
+AdmissionOptions OwnerStage::AdmissionOptionsFor(
+    const BackendServerRecord& record) const {
+  AdmissionOptions options = m_options.admission;
+  options.announced_slots = record.slots;
+  options.ranks = m_ranks;
+  return options;
+}
+
 void OwnerStage::SetRanks(std::vector<RankShare> ranks) {
   m_ranks = std::move(ranks);
   for (const auto& [id, backend] : m_backends) {
--- a/packages/proxy/banyantrail/proxy/owner_stage.h
+++ b/packages/proxy/banyantrail/proxy/owner_stage.h
@@ -13,6 +13,8 @@
 #include "banyantrail/proxy/inbound_request.h"
 #include "banyantrail/proxy/upstream_pool.h"
 #include "banyantrail/traffic/quarantine.h"
+#include "banyantrail/traffic/running_requests.h"
+#include "banyantrail/wire/edge_dialect.h"
 #include "banyantrail/wire/member_record.h"
 
 namespace banyantrail {
@@ -37,10 +39,15 @@
     InboundLimits limits;
     OwnerStageHooks hooks;
     QuarantineOptions quarantine;
+    EdgeDialect dialect;
+    /// Slots and ranks are filled in for each backend server.
+    AdmissionOptions admission;
   };
 
+  /// Notes in `running` what runs at the backend servers of this node.
   OwnerStage(asio::any_io_executor executor,
              UpstreamPool& pool,
+             RunningRequests& running,
              Options options);
 
   /// Serves one connection of another node until it closes.
@@ -86,10 +93,14 @@
                                const InboundRequest& request,
                                const BackendPtr& backend,
                                RefusalReason reason);
+  static WorkRequest WorkOf(const Passage& passage);
+  std::string_view RequestIdOf(const Passage& passage) const;
+  AdmissionOptions AdmissionOptionsFor(const BackendServerRecord& record) const;
   asio::awaitable<std::optional<RefusalReason>> Admit(Downstream& downstream,
                                                       Passage& passage);
   asio::awaitable<std::optional<RefusalReason>> Isolate(Passage& passage);
   void EndIsolation(Passage& passage);
+  void SetServerFields(const Passage& passage, http::fields& head) const;
   asio::awaitable<void> Forward(Downstream& downstream, Passage& passage);
   asio::awaitable<void> LookForCrash(Passage& passage);
   asio::awaitable<void> Return(Downstream& downstream,
@@ -102,6 +113,7 @@
 
   asio::any_io_executor m_executor;
   UpstreamPool& m_pool;
+  RunningRequests& m_running;
   Options m_options;
   std::map<BackendServerId, BackendPtr> m_backends;
   std::vector<RankShare> m_ranks;
--- a/packages/proxy/banyantrail/proxy/system_answer.cc
+++ b/packages/proxy/banyantrail/proxy/system_answer.cc
@@ -1,6 +1,7 @@
 #include "banyantrail/proxy/system_answer.h"
 
 #include <boost/beast/http/write.hpp>
+#include <chrono>
 #include <nlohmann/json.hpp>
 
 #include "banyantrail/wire/mesh_headers.h"
@@ -19,6 +20,18 @@
                beast::string_view(value.data(), value.size()));
 }
 
+std::string RetryAfterText(const SystemAnswer& answer) {
+  constexpr std::int64_t kMsPerSecond = 1000;
+  const std::int64_t ms =
+      std::chrono::duration_cast<milliseconds>(answer.retry_after).count();
+  if (!answer.fractional_retry_after) {
+    return std::to_string((ms + kMsPerSecond - 1) / kMsPerSecond);
+  }
+  std::string fraction = std::to_string(ms % kMsPerSecond);
+  fraction.insert(0, 3 - fraction.size(), '0');
+  return std::to_string(ms / kMsPerSecond) + "." + fraction;
+}
+
 }  // namespace
 
 HttpResponse BuildSystemAnswer(const SystemAnswer& answer) {
@@ -31,9 +44,8 @@
   if (!answer.load.empty()) {
     SetField(response, kLoadHeader, answer.load);
   }
-  if (answer.retry_after_s > 0) {
-    response.set(http::field::retry_after,
-                 std::to_string(answer.retry_after_s));
+  if (answer.retry_after > Duration::zero()) {
+    response.set(http::field::retry_after, RetryAfterText(answer));
   }
   nlohmann::json body = {{"error", "the request was not served"},
                          {"reason", answer.reason},
--- a/packages/proxy/banyantrail/proxy/system_answer.h
+++ b/packages/proxy/banyantrail/proxy/system_answer.h
@@ -30,7 +30,9 @@
   /// there is none.
   unsigned recorded_status = 0;
   /// When another try makes sense; 0 for no advice.
-  unsigned retry_after_s = 0;
+  Duration retry_after{};
+  /// Write the advice in fractions of a second instead of whole ones.
+  bool fractional_retry_after = false;
 };
 
 /// Builds the HTTP message of a system answer.
--- a/packages/proxy/banyantrail/proxy/upstream_pool.cc
+++ b/packages/proxy/banyantrail/proxy/upstream_pool.cc
@@ -34,7 +34,9 @@
   while (!idle.empty()) {
     UpstreamPtr upstream = std::move(idle.back());
     idle.pop_back();
-    if (upstream->idle_since >= oldest && IsQuiet(*upstream)) {
+    const bool is_fresh = upstream->idle_since >= oldest &&
+                          upstream->usable_until > SystemClock().Now();
+    if (is_fresh && IsQuiet(*upstream)) {
       upstream->reused = true;
       return upstream;
     }
@@ -66,16 +68,25 @@
     co_return nullptr;
   }
   upstream->stream.socket().set_option(asio::ip::tcp::no_delay(true), error);
+  BoundSilence(upstream->stream.socket(), m_options.unacknowledged_timeout);
   upstream->stream.expires_never();
   upstream->server = std::move(server);
   co_return upstream;
 }
 
-void UpstreamPool::Keep(UpstreamPtr upstream) {
+void UpstreamPool::Keep(UpstreamPtr upstream,
+                        std::optional<Duration> idle_limit) {
+  // Leaves time for a request to arrive before the server closes.
+  constexpr Duration kIdleMargin = milliseconds(500);
+  upstream->carries_request = false;
   std::deque<UpstreamPtr>& idle = m_idle[upstream->server];
-  if (idle.size() >= m_options.max_idle_per_server) {
+  const bool has_extra_bytes = upstream->buffer.size() > 0;
+  if (idle.size() >= m_options.max_idle_per_server || has_extra_bytes) {
     return;
   }
+  upstream->usable_until = idle_limit
+                               ? SystemClock().Now() + *idle_limit - kIdleMargin
+                               : TimePoint::max();
   upstream->stream.expires_never();
   upstream->idle_since = SystemClock().Now();
   idle.push_back(std::move(upstream));
--- a/packages/proxy/banyantrail/proxy/upstream_pool.h
+++ b/packages/proxy/banyantrail/proxy/upstream_pool.h
@@ -22,6 +22,8 @@
     std::size_t max_idle_per_server = 32;
     Duration max_idle_time = seconds(2);
     Duration connect_timeout = milliseconds(500);
+    /// See BoundSilence.
+    milliseconds unacknowledged_timeout{1000};
   };
 
   UpstreamPool(asio::any_io_executor executor, Options options);
@@ -33,8 +35,9 @@
   /// A new connection, never a kept one.
   asio::awaitable<UpstreamPtr> Connect(IpEndpoint server, TimePoint deadline);
 
-  /// Gives back a connection on which a whole answer was read.
-  void Keep(UpstreamPtr upstream);
+  /// Gives back a connection on which a whole answer was read. `idle_limit` is
+  /// how long the server keeps it, if it said so.
+  void Keep(UpstreamPtr upstream, std::optional<Duration> idle_limit = {});
 
   /// Forgets all idle connections to the server.
   void Distrust(const IpEndpoint& server);
--- a/packages/platform/banyantrail/platform/platform_client.cc
+++ b/packages/store/banyantrail/store/store_client.cc
@@ -1,4 +1,4 @@
-#include "banyantrail/platform/platform_client.h"
+#include "banyantrail/store/store_client.h"
 
 #include <algorithm>
 #include <utility>
@@ -15,8 +15,6 @@
 constexpr std::size_t kMaxValueBytes = std::size_t{1} << 20U;
 constexpr std::size_t kMaxListedObjects = 100'000;
 constexpr unsigned kHttp11 = 11;
-constexpr std::string_view kUnavailableRemedy =
-    "check that the platform runs and can be reached";
 
 Error Malformed(std::string message) {
   return Error({.kind = ErrorKind::kMalformedMessage,
@@ -118,57 +116,15 @@
                   std::to_string(response.result_int()));
 }
 
-/// Turns an answer that is an error of the platform into one. 429 and 503 say
-/// that the platform did nothing; after any other server error a write may
-/// have taken effect.
-void CheckStatus(const HttpResponse& response, bool idempotent) {
-  const unsigned status = response.result_int();
-  if (response.result() == http::status::too_many_requests) {
-    throw Error({.kind = ErrorKind::kPlatformOverloaded,
-                 .message = "the platform is over its budget",
-                 .remedy = "try again later"});
-  }
-  constexpr unsigned kFirstServerError = 500;
-  if (status < kFirstServerError) {
-    return;
-  }
-  const bool nothing_done =
-      idempotent || response.result() == http::status::service_unavailable;
-  throw Error(
-      {.kind = nothing_done ? ErrorKind::kPlatformUnavailable
-                            : ErrorKind::kOutcomeUnknown,
-       .message = "the platform answered with status " + std::to_string(status),
-       .remedy = std::string(kUnavailableRemedy)});
-}
-
-bool IsWorthRetrying(ErrorKind kind) {
-  return kind == ErrorKind::kPlatformUnavailable ||
-         kind == ErrorKind::kPlatformOverloaded;
-}
-
 }  // namespace
 
-PlatformClient::PlatformClient(asio::any_io_executor executor, Options options)
-    : m_executor(std::move(executor)),
-      m_options(std::move(options)),
-      m_rate(m_options.rate, SystemClock().Now()),
-      m_rng(m_options.seed) {
-  for (const IpEndpoint& server : m_options.servers) {
-    // A connection that the platform may have closed for idleness costs a
-    // write its certainty, so idle ones are not kept for long.
-    constexpr Duration kMaxIdleTime = seconds(5);
-    m_clients.push_back(std::make_unique<HttpClient>(
-        m_executor,
-        HttpClient::Options{.server = server,
-                            .max_body_bytes = m_options.max_answer_bytes,
-                            .max_idle_time = kMaxIdleTime}));
-  }
-}
+StoreClient::StoreClient(asio::any_io_executor executor, Options options)
+    : m_options(options),
+      m_transport(std::move(executor), std::move(options)) {}
 
-asio::awaitable<std::optional<StoredObject>> PlatformClient::Get(
-    std::string key) {
+asio::awaitable<std::optional<StoredObject>> StoreClient::Get(std::string key) {
   CheckKey(key);
-  ++m_counters.reads;
+  ++m_transport.counters().reads;
   const HttpResponse response =
       co_await Read("/objects/" + key, m_options.attempt_timeout);
   if (response.result() == http::status::not_found) {
@@ -182,7 +138,7 @@
   co_return object;
 }
 
-asio::awaitable<PutResult> PlatformClient::Put(
+asio::awaitable<PutResult> StoreClient::Put(
     std::string key,
     json value,
     std::optional<std::uint64_t> expected_version) {
@@ -195,7 +151,7 @@
                  .message = "the value of " + key + " is above 1 MB",
                  .remedy = "split it over several objects"});
   }
-  ++m_counters.writes;
+  ++m_transport.counters().writes;
   const HttpResponse response = co_await Write(std::move(request));
   const bool written = response.result() == http::status::ok;
   if (!written && response.result() != http::status::precondition_failed) {
@@ -207,12 +163,12 @@
       .version = TakeVersion(body)};
 }
 
-asio::awaitable<DeleteStatus> PlatformClient::Delete(
+asio::awaitable<DeleteStatus> StoreClient::Delete(
     std::string key,
     std::optional<std::uint64_t> expected_version) {
   HttpRequest request =
       MakeObjectRequest(http::verb::delete_, key, expected_version);
-  ++m_counters.writes;
+  ++m_transport.counters().writes;
   const HttpResponse response = co_await Write(std::move(request));
   switch (response.result()) {
     case http::status::ok:
@@ -226,9 +182,9 @@
   }
 }
 
-asio::awaitable<ListResult> PlatformClient::List(std::string prefix) {
+asio::awaitable<ListResult> StoreClient::List(std::string prefix) {
   CheckKey(prefix);
-  ++m_counters.reads;
+  ++m_transport.counters().reads;
   const HttpResponse response =
       co_await Read("/list?prefix=" + prefix, m_options.attempt_timeout);
   if (response.result() != http::status::ok) {
@@ -240,11 +196,11 @@
   co_return result;
 }
 
-asio::awaitable<WatchResult> PlatformClient::Watch(std::string prefix,
-                                                   std::uint64_t after,
-                                                   milliseconds wait) {
+asio::awaitable<WatchResult> StoreClient::Watch(std::string prefix,
+                                                std::uint64_t after,
+                                                milliseconds wait) {
   CheckKey(prefix);
-  ++m_counters.watches;
+  ++m_transport.counters().watches;
   const std::string target = "/watch?prefix=" + prefix +
                              "&after=" + std::to_string(after) +
                              "&wait_ms=" + std::to_string(wait.count());
@@ -259,101 +215,17 @@
   co_return result;
 }
 
-asio::awaitable<HttpResponse> PlatformClient::Read(std::string target,
-                                                   Duration timeout) {
-  co_return co_await Call(MakeRequest(http::verb::get, target), timeout, true);
-}
-
-asio::awaitable<HttpResponse> PlatformClient::Write(HttpRequest request) {
-  co_return co_await Call(std::move(request), m_options.attempt_timeout, false);
-}
-
-asio::awaitable<HttpResponse> PlatformClient::Call(HttpRequest request,
-                                                   Duration timeout,
-                                                   bool idempotent) {
-  Backoff backoff(m_options.backoff);
-  std::optional<Error> failure;
-  for (std::uint32_t i = 0; i < m_options.max_attempts; ++i) {
-    if (i > 0) {
-      ++m_counters.retries;
-      co_await Sleep(backoff.Next(m_rng));
-    }
-    co_await WaitForRate();
-    try {
-      HttpResponse response = co_await Attempt(request, timeout, idempotent);
-      m_reachable = true;
-      co_return response;
-    } catch (const Error& error) {
-      failure = error;
-    }
-    m_next_client = (m_next_client + 1) % m_clients.size();
-    if (!IsWorthRetrying(failure->kind())) {
-      break;
-    }
-  }
-  m_reachable = failure->kind() == ErrorKind::kPlatformOverloaded;
-  Count(*failure);
-  throw *failure;
+asio::awaitable<HttpResponse> StoreClient::Read(std::string target,
+                                                Duration timeout) {
+  HttpRequest request = MakeRequest(http::verb::get, target);
+  co_return co_await m_transport.Call(std::move(request), timeout,
+                                      StoreTransport::Effect::kNone);
 }
 
-asio::awaitable<HttpResponse> PlatformClient::Attempt(HttpRequest request,
-                                                      Duration timeout,
-                                                      bool idempotent) {
-  HttpClient& client = *m_clients[m_next_client];
-  std::optional<Error> failure;
-  try {
-    HttpResponse response =
-        co_await client.Request(std::move(request), timeout);
-    CheckStatus(response, idempotent);
-    co_return response;
-  } catch (const HttpClientError& error) {
-    const bool unknown = error.request_sent() && !idempotent;
-    failure = Error({.kind = unknown ? ErrorKind::kOutcomeUnknown
-                                     : ErrorKind::kPlatformUnavailable,
-                     .message = error.message(),
-                     .remedy = std::string(kUnavailableRemedy)});
-  }
-  throw *failure;
-}
-
-asio::awaitable<void> PlatformClient::Sleep(Duration duration) {
-  asio::steady_timer timer(m_executor, duration);
-  co_await timer.async_wait(asio::use_awaitable);
-}
-
-asio::awaitable<void> PlatformClient::WaitForRate() {
-  const TimePoint now = SystemClock().Now();
-  const Duration expected = m_rate.ExpectedWait(now);
-  if (expected > Duration::zero()) {
-    ++m_counters.rate_limited;
-  }
-  if (expected > m_options.max_rate_wait) {
-    throw Error(
-        {.kind = ErrorKind::kPlatformOverloaded,
-         .message = "this node's rate limit for the platform is used up",
-         .remedy = "try again later"});
-  }
-  const Duration wait = m_rate.Reserve(now);
-  if (wait > Duration::zero()) {
-    co_await Sleep(wait);
-  }
-}
-
-void PlatformClient::Count(const Error& error) {
-  switch (error.kind()) {
-    case ErrorKind::kPlatformOverloaded:
-      ++m_counters.overloaded;
-      return;
-    case ErrorKind::kOutcomeUnknown:
-      ++m_counters.outcome_unknown;
-      return;
-    case ErrorKind::kMalformedMessage:
-      ++m_counters.malformed;
-      return;
-    default:
-      ++m_counters.unavailable;
-      return;
-  }
+asio::awaitable<HttpResponse> StoreClient::Write(HttpRequest request) {
+  co_return co_await m_transport.Call(std::move(request),
+                                      m_options.attempt_timeout,
+                                      StoreTransport::Effect::kChange);
 }
 
 }  // namespace banyantrail
--- a/packages/platform/banyantrail/platform/platform_client.h
+++ b/packages/store/banyantrail/store/store_client.h
@@ -1,19 +1,14 @@
 #pragma once
 
 #include <cstdint>
-#include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
 #include <vector>
 
 #include "banyantrail/config/object_store.h"
-#include "banyantrail/core/backoff.h"
 #include "banyantrail/core/clock.h"
-#include "banyantrail/core/ip_endpoint.h"
-#include "banyantrail/core/random.h"
-#include "banyantrail/net/http_client.h"
-#include "banyantrail/platform/token_bucket.h"
+#include "banyantrail/store/store_transport.h"
 
 namespace banyantrail {
 
@@ -44,24 +39,6 @@
 
 enum class DeleteStatus { kDeleted, kAbsent, kVersionMismatch };
 
-/// Counts since the start, for the metrics.
-struct PlatformCounters {
-  std::uint64_t reads = 0;
-  std::uint64_t writes = 0;
-  std::uint64_t watches = 0;
-  std::uint64_t retries = 0;
-  /// Calls that failed, by kind.
-  std::uint64_t unavailable = 0;
-  std::uint64_t overloaded = 0;
-  std::uint64_t outcome_unknown = 0;
-  std::uint64_t malformed = 0;
-  /// Calls that waited for, or were refused by, the node's own rate limit.
-  std::uint64_t rate_limited = 0;
-
-  friend bool operator==(const PlatformCounters&,
-                         const PlatformCounters&) = default;
-};
-
 /// Client of the platform's object API, docs/PROTOCOLS.md. Used from one
 /// io_context thread; must outlive its calls. Models AsyncObjectStore.
 ///
@@ -70,24 +47,11 @@
 /// had no effect. Errors: kPlatformUnavailable and kPlatformOverloaded when the
 /// request surely had no effect, kOutcomeUnknown when a write may have had one,
 /// kMalformedMessage when the answer, key or value has the wrong form.
-class PlatformClient {
+class StoreClient {
  public:
-  struct Options {
-    /// Tried in turn; at least one.
-    std::vector<IpEndpoint> servers;
-    /// Bounds one attempt; a watch adds the time that it waits.
-    Duration attempt_timeout = seconds(2);
-    std::uint32_t max_attempts = 3;
-    BackoffOptions backoff{.initial = milliseconds(50), .max = seconds(2)};
-    /// The node's own share of the platform's budget.
-    TokenBucket::Options rate{.rate_per_second = 50, .burst = 100};
-    /// A call that would wait longer for the rate limit is refused.
-    Duration max_rate_wait = seconds(1);
-    std::uint64_t max_answer_bytes = std::uint64_t{16} << 20U;
-    std::uint64_t seed = 0;
-  };
-
-  PlatformClient(asio::any_io_executor executor, Options options);
+  using Options = StoreTransport::Options;
+
+  StoreClient(asio::any_io_executor executor, Options options);
 
   /// The object, or nothing when it is absent.
   asio::awaitable<std::optional<StoredObject>> Get(std::string key);
@@ -109,32 +73,17 @@
                                      std::uint64_t after,
                                      milliseconds wait);
 
-  const PlatformCounters& counters() const { return m_counters; }
+  const StoreCounters& counters() const { return m_transport.counters(); }
 
   /// Whether the last call that ended got an answer.
-  bool reachable() const { return m_reachable; }
+  bool reachable() const { return m_transport.reachable(); }
 
  private:
   asio::awaitable<HttpResponse> Read(std::string target, Duration timeout);
   asio::awaitable<HttpResponse> Write(HttpRequest request);
-  asio::awaitable<HttpResponse> Call(HttpRequest request,
-                                     Duration timeout,
-                                     bool idempotent);
-  asio::awaitable<HttpResponse> Attempt(HttpRequest request,
-                                        Duration timeout,
-                                        bool idempotent);
-  asio::awaitable<void> Sleep(Duration duration);
-  asio::awaitable<void> WaitForRate();
-  void Count(const Error& error);
-
-  asio::any_io_executor m_executor;
+
   Options m_options;
-  std::vector<std::unique_ptr<HttpClient>> m_clients;
-  std::size_t m_next_client = 0;
-  TokenBucket m_rate;
-  Rng m_rng;
-  PlatformCounters m_counters;
-  bool m_reachable = false;
+  StoreTransport m_transport;
 };
 
 }  // namespace banyantrail
--- /dev/null
+++ b/packages/store/banyantrail/store/store_transport.cc
@@ -0,0 +1,154 @@
+#include "banyantrail/store/store_transport.h"
+
+#include <utility>
+
+#include "banyantrail/core/errors.h"
+
+namespace banyantrail {
+namespace {
+
+constexpr std::string_view kUnavailableRemedy =
+    "check that the platform runs and can be reached";
+
+/// Turns an answer that is an error of the platform into one. 429 and 503 say
+/// that the platform did nothing; after any other server error a write may
+/// have taken effect.
+void CheckStatus(const HttpResponse& response, StoreTransport::Effect effect) {
+  const unsigned status = response.result_int();
+  if (response.result() == http::status::too_many_requests) {
+    throw Error({.kind = ErrorKind::kPlatformOverloaded,
+                 .message = "the platform is over its budget",
+                 .remedy = "try again later"});
+  }
+  constexpr unsigned kFirstServerError = 500;
+  if (status < kFirstServerError) {
+    return;
+  }
+  const bool nothing_done =
+      effect == StoreTransport::Effect::kNone ||
+      response.result() == http::status::service_unavailable;
+  throw Error(
+      {.kind = nothing_done ? ErrorKind::kPlatformUnavailable
+                            : ErrorKind::kOutcomeUnknown,
+       .message = "the platform answered with status " + std::to_string(status),
+       .remedy = std::string(kUnavailableRemedy)});
+}
+
+bool IsWorthRetrying(ErrorKind kind) {
+  return kind == ErrorKind::kPlatformUnavailable ||
+         kind == ErrorKind::kPlatformOverloaded;
+}
+
+}  // namespace
+
+StoreTransport::StoreTransport(asio::any_io_executor executor, Options options)
+    : m_executor(std::move(executor)),
+      m_options(std::move(options)),
+      m_rate(m_options.rate, SystemClock().Now()),
+      m_rng(m_options.seed) {
+  for (const IpEndpoint& server : m_options.servers) {
+    // A connection that the platform may have closed for idleness costs a
+    // write its certainty, so idle ones are not kept for long.
+    constexpr Duration kMaxIdleTime = seconds(5);
+    m_clients.push_back(std::make_unique<HttpClient>(
+        m_executor,
+        HttpClient::Options{.server = server,
+                            .max_body_bytes = m_options.max_answer_bytes,
+                            .max_idle_time = kMaxIdleTime}));
+  }
+}
+
+asio::awaitable<HttpResponse> StoreTransport::Call(HttpRequest request,
+                                                   Duration timeout,
+                                                   Effect effect) {
+  if (m_clients.empty()) {
+    throw Error({.kind = ErrorKind::kPlatformUnavailable,
+                 .message = "no store is named in the settings",
+                 .remedy = "name an address of the store"});
+  }
+  Backoff backoff(m_options.backoff);
+  std::optional<Error> failure;
+  for (std::uint32_t i = 0; i < m_options.max_attempts; ++i) {
+    if (i > 0) {
+      ++m_counters.retries;
+      co_await Sleep(backoff.Next(m_rng));
+    }
+    co_await WaitForRate();
+    try {
+      HttpResponse response = co_await Attempt(request, timeout, effect);
+      m_reachable = true;
+      co_return response;
+    } catch (const Error& error) {
+      failure = error;
+    }
+    m_next_client = (m_next_client + 1) % m_clients.size();
+    if (!IsWorthRetrying(failure->kind())) {
+      break;
+    }
+  }
+  m_reachable = failure->kind() == ErrorKind::kPlatformOverloaded;
+  Count(*failure);
+  throw *failure;
+}
+
+asio::awaitable<HttpResponse> StoreTransport::Attempt(HttpRequest request,
+                                                      Duration timeout,
+                                                      Effect effect) {
+  HttpClient& client = *m_clients[m_next_client];
+  std::optional<Error> failure;
+  try {
+    HttpResponse response =
+        co_await client.Request(std::move(request), timeout);
+    CheckStatus(response, effect);
+    co_return response;
+  } catch (const HttpClientError& error) {
+    const bool unknown = error.request_sent() && effect == Effect::kChange;
+    failure = Error({.kind = unknown ? ErrorKind::kOutcomeUnknown
+                                     : ErrorKind::kPlatformUnavailable,
+                     .message = error.message(),
+                     .remedy = std::string(kUnavailableRemedy)});
+  }
+  throw *failure;
+}
+
+asio::awaitable<void> StoreTransport::Sleep(Duration duration) {
+  asio::steady_timer timer(m_executor, duration);
+  co_await timer.async_wait(asio::use_awaitable);
+}
+
+asio::awaitable<void> StoreTransport::WaitForRate() {
+  const TimePoint now = SystemClock().Now();
+  const Duration expected = m_rate.ExpectedWait(now);
+  if (expected > Duration::zero()) {
+    ++m_counters.rate_limited;
+  }
+  if (expected > m_options.max_rate_wait) {
+    throw Error(
+        {.kind = ErrorKind::kPlatformOverloaded,
+         .message = "this node's rate limit for the platform is used up",
+         .remedy = "try again later"});
+  }
+  const Duration wait = m_rate.Reserve(now);
+  if (wait > Duration::zero()) {
+    co_await Sleep(wait);
+  }
+}
+
+void StoreTransport::Count(const Error& error) {
+  switch (error.kind()) {
+    case ErrorKind::kPlatformOverloaded:
+      ++m_counters.overloaded;
+      return;
+    case ErrorKind::kOutcomeUnknown:
+      ++m_counters.outcome_unknown;
+      return;
+    case ErrorKind::kMalformedMessage:
+      ++m_counters.malformed;
+      return;
+    default:
+      ++m_counters.unavailable;
+      return;
+  }
+}
+
+}  // namespace banyantrail
--- a/packages/traffic/banyantrail/traffic/admission.cc
+++ b/packages/traffic/banyantrail/traffic/admission.cc
@@ -8,6 +8,8 @@
 namespace {
 
 using detail::AdmissionEntry;
+using detail::kCallBand;
+using detail::kFirstLateBand;
 using detail::QueueKey;
 using detail::RankState;
 
@@ -77,36 +79,102 @@
                                   std::uint8_t rank_priority,
                                   TimePoint deadline,
                                   TimePoint now) {
+  return Offer({.request = request,
+                .rank_priority = rank_priority,
+                .deadline = deadline},
+               now);
+}
+
+OfferResult AdmissionQueue::Offer(const WorkRequest& work, TimePoint now) {
   Advance(now);
   if (m_draining) {
     return Refused{.reason = RefusalReason::kDraining};
   }
-  if (deadline <= now) {
+  if (work.deadline <= now) {
     return Refused{.reason = RefusalReason::kDeadline};
   }
-  RankState& rank = m_ranks[rank_priority];
+  bool runs_now = false;
+  std::optional<RefusalReason> refusal = RefusalReason::kDeadline;
+  if (work.is_call) {
+    refusal = Enqueue(work, kCallBand, work.deadline, now, runs_now);
+  } else {
+    const TimePoint first =
+        std::min(work.target.value_or(work.deadline), work.deadline);
+    refusal = Enqueue(work, work.rank_priority, first, now, runs_now);
+    if (refusal && first < work.deadline) {
+      refusal = Enqueue(work, kFirstLateBand + work.rank_priority,
+                        work.deadline, now, runs_now);
+    }
+  }
+  if (refusal) {
+    return Refused{.reason = *refusal};
+  }
+  return runs_now ? OfferResult(Admitted{}) : OfferResult(Queued{});
+}
+
+std::optional<RefusalReason> AdmissionQueue::Enqueue(const WorkRequest& work,
+                                                     Band band,
+                                                     TimePoint deadline,
+                                                     TimePoint now,
+                                                     bool& runs_now) {
+  if (deadline <= now) {
+    return RefusalReason::kDeadline;
+  }
+  RankState& rank = m_ranks[band];
   const QueueKey key{
       .urgency = m_options.order_by_rank ? deadline : TimePoint{},
       .arrival = m_next_arrival++,
-      .request = request};
+      .request = work.request};
   const bool is_first = rank.queue.empty() || key < *rank.queue.begin();
   const bool may_run = IsEntitled(rank) || MayBorrow(rank, now);
-  const bool runs_now = FreeSlots() > 0 && is_first && may_run;
+  runs_now = FreeSlots() > 0 && is_first && may_run;
   if (!runs_now && rank.queue.size() >= QueueBound()) {
-    return Refused{.reason = RefusalReason::kQueueFull};
+    return RefusalReason::kQueueFull;
   }
-  if (!runs_now && WouldBeLate(rank_priority, rank, key, deadline, now)) {
-    return Refused{.reason = RefusalReason::kDeadline};
+  if (!runs_now && WouldBeLate(band, rank, key, deadline, work.kind, now)) {
+    return RefusalReason::kDeadline;
   }
-  m_entries[request] = {
-      .priority = rank_priority, .key = key, .deadline = deadline};
+  m_entries[work.request] = {.priority = band,
+                             .key = key,
+                             .deadline = deadline,
+                             .last_deadline = work.deadline,
+                             .kind = work.kind};
   if (runs_now) {
-    Admit(rank, request, now);
-    return Admitted{};
-  }
+    Admit(rank, work.request, now);
+  } else {
+    rank.queue.insert(key);
+    ++m_queued;
+  }
+  return std::nullopt;
+}
+
+/// Moves a queued request that misses its target behind all that can meet
+/// theirs. It has left its queue already.
+std::optional<RefusalReason> AdmissionQueue::Demote(RequestId request,
+                                                    TimePoint now) {
+  const AdmissionEntry entry = m_entries.at(request);
+  m_entries.erase(request);
+  const bool may_wait = entry.priority >= 0 &&
+                        entry.priority < kFirstLateBand &&
+                        entry.deadline < entry.last_deadline;
+  if (!may_wait) {
+    return RefusalReason::kDeadline;
+  }
+  const Band band = kFirstLateBand + entry.priority;
+  RankState& rank = m_ranks[band];
+  const QueueKey key{.urgency = entry.last_deadline,
+                     .arrival = entry.key.arrival,
+                     .request = request};
+  if (WouldBeLate(band, rank, key, entry.last_deadline, entry.kind, now)) {
+    return RefusalReason::kDeadline;
+  }
+  m_entries[request] = entry;
+  m_entries[request].priority = band;
+  m_entries[request].key = key;
+  m_entries[request].deadline = entry.last_deadline;
   rank.queue.insert(key);
   ++m_queued;
-  return Queued{};
+  return std::nullopt;
 }
 
 AdmissionChanges AdmissionQueue::Release(RequestId request,
@@ -117,14 +185,19 @@
   if (found == m_entries.end() || !found->second.in_flight) {
     return {};
   }
-  const std::uint8_t priority = found->second.priority;
+  const Band priority = found->second.priority;
+  const std::uint64_t kind = found->second.kind;
   const std::size_t in_flight = m_in_flight;
   RemoveInFlight(request);
   switch (outcome.end) {
     case AttemptEnd::kAnswered:
     case AttemptEnd::kTimedOut:
       m_ranks[priority].service_time.Record(outcome.latency, now);
-      m_limit.OnLatency(priority, outcome.latency, in_flight, now);
+      if (kind != 0) {
+        m_kind_times[kind].Record(outcome.latency, now);
+      }
+      m_limit.OnLatency(static_cast<std::uint8_t>(priority), outcome.latency,
+                        in_flight, now);
       break;
     case AttemptEnd::kShed:
       m_limit.OnShed(in_flight, now);
@@ -203,6 +276,7 @@
   for (auto& [priority, rank] : m_ranks) {
     rank.service_time = ServiceTimeEstimate();
   }
+  m_kind_times.clear();
 }
 
 void AdmissionQueue::SetAnnouncedSlots(std::uint32_t announced_slots) {
@@ -277,7 +351,9 @@
 }
 
 void AdmissionQueue::RefuseLate(TimePoint now, AdmissionChanges& changes) {
-  for (auto& [priority, rank] : m_ranks) {
+  // Demoted requests land in bands that come later in the map.
+  for (auto it = m_ranks.begin(); it != m_ranks.end(); ++it) {
+    RankState& rank = it->second;
     while (!rank.queue.empty()) {
       const RequestId first = rank.queue.begin()->request;
       if (now < LatestStart(rank, m_entries.at(first), now)) {
@@ -285,9 +361,10 @@
       }
       rank.queue.erase(rank.queue.begin());
       --m_queued;
-      m_entries.erase(first);
-      changes.refused.push_back(
-          {.request = first, .reason = RefusalReason::kDeadline});
+      const std::optional<RefusalReason> refusal = Demote(first, now);
+      if (refusal) {
+        changes.refused.push_back({.request = first, .reason = *refusal});
+      }
     }
   }
 }
@@ -344,8 +421,7 @@
   return picked;
 }
 
-double AdmissionQueue::FilledPart(std::uint8_t priority,
-                                  const RankState& rank) const {
+double AdmissionQueue::FilledPart(Band priority, const RankState& rank) const {
   // The most urgent rank has no claim to be repaid at the cost of others.
   const bool repaid = priority != m_ranks.begin()->first && HasPaid(rank);
   const auto held = static_cast<double>(rank.in_flight);
@@ -413,8 +489,7 @@
   return *HoldTime(rank, now) > m_options.max_lent_hold;
 }
 
-double AdmissionQueue::ReserveFor(std::uint8_t priority,
-                                  const RankState& rank) const {
+double AdmissionQueue::ReserveFor(Band priority, const RankState& rank) const {
   if (rank.demand < kLeastDemand) {
     return 0;
   }
@@ -429,7 +504,7 @@
   return rank.share * m_limit.value();
 }
 
-double AdmissionQueue::UsableSlots(std::uint8_t priority) const {
+double AdmissionQueue::UsableSlots(Band priority) const {
   double usable = m_limit.value();
   for (const auto& [other_priority, other] : m_ranks) {
     const auto wanted =
@@ -453,12 +528,33 @@
          std::max<std::size_t>(m_options.announced_slots, 1);
 }
 
-bool AdmissionQueue::WouldBeLate(std::uint8_t priority,
+std::optional<Duration> AdmissionQueue::MeanTime(const RankState& rank,
+                                                 std::uint64_t kind,
+                                                 TimePoint now) const {
+  const auto found = m_kind_times.find(kind);
+  if (found != m_kind_times.end() && found->second.Mean(now)) {
+    return found->second.Mean(now);
+  }
+  return rank.service_time.Mean(now);
+}
+
+Duration AdmissionQueue::LikelyTime(const RankState& rank,
+                                    std::uint64_t kind,
+                                    TimePoint now) const {
+  const auto found = m_kind_times.find(kind);
+  if (found != m_kind_times.end() && found->second.Likely(now)) {
+    return *found->second.Likely(now);
+  }
+  return rank.service_time.Likely(now).value_or(Duration{});
+}
+
+bool AdmissionQueue::WouldBeLate(Band priority,
                                  const RankState& rank,
                                  const QueueKey& key,
                                  TimePoint deadline,
+                                 std::uint64_t kind,
                                  TimePoint now) const {
-  const std::optional<Duration> mean = rank.service_time.Mean(now);
+  const std::optional<Duration> mean = MeanTime(rank, kind, now);
   if (!m_options.refuse_late || !mean.has_value()) {
     return false;
   }
@@ -466,9 +562,9 @@
       std::distance(rank.queue.begin(), rank.queue.lower_bound(key)));
   const double slots =
       std::max({UsableSlots(priority), Guarantee(rank), kLeastUsableSlots});
-  const Duration wait = FromSeconds((ahead + 1) * ToSeconds(*mean) / slots);
-  const Duration run = rank.service_time.Likely(now).value_or(Duration{});
-  return deadline < now + wait + run;
+  const Duration rank_mean = rank.service_time.Mean(now).value_or(*mean);
+  const Duration wait = FromSeconds((ahead + 1) * ToSeconds(rank_mean) / slots);
+  return deadline < now + wait + LikelyTime(rank, kind, now);
 }
 
 TimePoint AdmissionQueue::LatestStart(const RankState& rank,
@@ -477,7 +573,7 @@
   if (!m_options.refuse_late) {
     return entry.deadline;
   }
-  return entry.deadline - rank.service_time.Likely(now).value_or(Duration{});
+  return entry.deadline - LikelyTime(rank, entry.kind, now);
 }
 
 }  // namespace banyantrail
--- a/packages/traffic/banyantrail/traffic/admission.h
+++ b/packages/traffic/banyantrail/traffic/admission.h
@@ -48,6 +48,27 @@
   bool reserve_slots = true;
   /// Off: only the queue's length bounds the waiting time.
   bool refuse_late = true;
+
+  friend bool operator==(const AdmissionOptions&,
+                         const AdmissionOptions&) = default;
+};
+
+/// A request as it arrives at the queue.
+struct WorkRequest {
+  RequestId request = 0;
+  std::uint8_t rank_priority = 0;
+  /// The caller waits no longer.
+  TimePoint deadline;
+  /// An answer by this time is of full use; a later one of little. Empty when
+  /// not declared.
+  std::optional<TimePoint> target = std::nullopt;
+  /// It is made by a run that is already under way elsewhere, whose work is
+  /// lost if it is refused.
+  bool is_call = false;
+  /// Requests of one kind take about the same time.
+  std::uint64_t kind = 0;
+
+  friend bool operator==(const WorkRequest&, const WorkRequest&) = default;
 };
 
 /// The request may be sent to the backend server now.
@@ -130,11 +151,21 @@
   }
 };
 
+/// Where a request stands among others: calls before all ranks, then the ranks
+/// by priority, then requests that missed their target, by priority.
+using Band = int;
+inline constexpr Band kCallBand = -1;
+inline constexpr Band kFirstLateBand = 256;
+
 struct AdmissionEntry {
-  std::uint8_t priority = 0;
+  Band priority = 0;
   bool in_flight = false;
   QueueKey key;
+  /// Of the band: the target, or the deadline of one that missed it.
   TimePoint deadline;
+  /// The caller waits no longer.
+  TimePoint last_deadline;
+  std::uint64_t kind = 0;
   TimePoint admitted_at;
 };
 
@@ -169,8 +200,13 @@
  public:
   explicit AdmissionQueue(AdmissionOptions options);
 
-  /// A request arrives. Refused when its queue is full, when it cannot be
-  /// answered before `deadline`, or when the backend server drains.
+  /// A request arrives. With a target it is admitted in time for it, or after
+  /// all others that can still meet theirs; refused when even the deadline is
+  /// out of reach.
+  OfferResult Offer(const WorkRequest& work, TimePoint now);
+
+  /// A request without target arrives. Refused when its queue is full, when it
+  /// cannot be answered before `deadline`, or when the backend server drains.
   OfferResult Offer(RequestId request,
                     std::uint8_t rank_priority,
                     TimePoint deadline,
@@ -208,7 +244,22 @@
   AdmissionLoad load() const;
 
  private:
-  using RankMap = std::map<std::uint8_t, detail::RankState>;
+  using Band = detail::Band;
+  using RankMap = std::map<Band, detail::RankState>;
+
+  /// Whether the request was queued or admitted; else the reason.
+  std::optional<RefusalReason> Enqueue(const WorkRequest& work,
+                                       Band band,
+                                       TimePoint deadline,
+                                       TimePoint now,
+                                       bool& runs_now);
+  std::optional<RefusalReason> Demote(RequestId request, TimePoint now);
+  std::optional<Duration> MeanTime(const detail::RankState& rank,
+                                   std::uint64_t kind,
+                                   TimePoint now) const;
+  Duration LikelyTime(const detail::RankState& rank,
+                      std::uint64_t kind,
+                      TimePoint now) const;
 
   void Advance(TimePoint now);
   void AdvanceRank(detail::RankState& rank, double seconds, bool contended);
@@ -222,7 +273,7 @@
   /// Of the ranks below their guarantee, the one that has the least part of
   /// it; the most urgent of equals.
   RankMap::iterator PickEntitled();
-  double FilledPart(std::uint8_t priority, const detail::RankState& rank) const;
+  double FilledPart(Band priority, const detail::RankState& rank) const;
   RankMap::iterator PickOldest();
   bool IsEntitled(const detail::RankState& rank) const;
   /// Whether the rank's credit pays for a slot above the whole part of its
@@ -230,15 +281,16 @@
   bool HasPaid(const detail::RankState& rank) const;
   bool MayBorrow(const detail::RankState& rank, TimePoint now) const;
   bool HoldsSlotsForLong(const detail::RankState& rank, TimePoint now) const;
-  double ReserveFor(std::uint8_t priority, const detail::RankState& rank) const;
+  double ReserveFor(Band priority, const detail::RankState& rank) const;
   double Guarantee(const detail::RankState& rank) const;
-  double UsableSlots(std::uint8_t priority) const;
+  double UsableSlots(Band priority) const;
   std::size_t FreeSlots() const;
   std::size_t QueueBound() const;
-  bool WouldBeLate(std::uint8_t priority,
+  bool WouldBeLate(Band priority,
                    const detail::RankState& rank,
                    const detail::QueueKey& key,
                    TimePoint deadline,
+                   std::uint64_t kind,
                    TimePoint now) const;
   TimePoint LatestStart(const detail::RankState& rank,
                         const detail::AdmissionEntry& entry,
@@ -248,6 +300,8 @@
   ConcurrencyLimit m_limit;
   RankMap m_ranks;
   std::unordered_map<RequestId, detail::AdmissionEntry> m_entries;
+  /// How long requests of each kind hold a slot.
+  std::unordered_map<std::uint64_t, ServiceTimeEstimate> m_kind_times;
   std::size_t m_in_flight = 0;
   std::size_t m_queued = 0;
   std::uint64_t m_next_arrival = 0;
--- a/packages/traffic/banyantrail/traffic/choose.cc
+++ b/packages/traffic/banyantrail/traffic/choose.cc
@@ -92,7 +92,9 @@
                     const LoadTable& loads,
                     const ChoiceOptions& options,
                     TimePoint now,
-                    Rng& rng) {
+                    Rng& rng,
+                    const ChoiceRequest& request) {
+  const bool may_spill = request.body_bytes <= options.max_spill_bytes;
   Choice best;
   for (const Candidates& tier : tiers) {
     if (tier.empty()) {
@@ -102,7 +104,7 @@
     if (best.endpoint == nullptr || choice.utilisation < best.utilisation) {
       best = choice;
     }
-    if (best.utilisation <= options.spill_utilisation) {
+    if (!may_spill || best.utilisation <= options.spill_utilisation) {
       break;
     }
   }
@@ -116,12 +118,15 @@
                               const ChoiceOptions& options,
                               TimePoint now,
                               Rng& rng,
-                              const std::vector<EndpointKey>& excluded) {
+                              const ChoiceRequest& request) {
   const Candidates held_back = HeldBack(endpoints, loads, options, now);
   std::array<Candidates, kTierCount> usable;
   std::array<Candidates, kTierCount> outliers;
   for (const ServiceEndpoint& endpoint : endpoints) {
-    if (std::ranges::find(excluded, KeyOf(endpoint)) != excluded.end()) {
+    const bool is_excluded =
+        std::ranges::find(request.excluded, KeyOf(endpoint)) !=
+        request.excluded.end();
+    if (is_excluded) {
       continue;
     }
     const bool is_outlier =
@@ -129,11 +134,11 @@
     (is_outlier ? outliers : usable)[TierOf(endpoint, options)].push_back(
         &endpoint);
   }
-  const Choice choice = ChooseByTier(usable, loads, options, now, rng);
+  const Choice choice = ChooseByTier(usable, loads, options, now, rng, request);
   if (choice.endpoint != nullptr) {
     return choice.endpoint;
   }
-  return ChooseByTier(outliers, loads, options, now, rng).endpoint;
+  return ChooseByTier(outliers, loads, options, now, rng, request).endpoint;
 }
 
 }  // namespace banyantrail
--- a/packages/traffic/banyantrail/traffic/choose.h
+++ b/packages/traffic/banyantrail/traffic/choose.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <vector>
 
 #include "banyantrail/core/clock.h"
@@ -29,20 +30,30 @@
   /// Requests leave the own domain, and then the own region, when the better of
   /// two there would use more than this share of its capacity.
   double spill_utilisation = 0.8;
+  /// Requests with larger bodies leave the own domain only when none of its
+  /// endpoints is usable: moving them between domains costs more than a wait.
+  std::uint64_t max_spill_bytes = 16U << 10U;
   /// At most this share of a service's endpoints is held back as outliers.
   double max_ejected_share = 0.34;
   ChoiceMethod method = ChoiceMethod::kTwoChoices;
 };
 
+/// What matters of a request for the choice of its endpoint.
+struct ChoiceRequest {
+  /// Size of its body.
+  std::uint64_t body_bytes = 0;
+  /// Endpoints that a retry already tried.
+  std::vector<EndpointKey> excluded;
+};
+
 /// Chooses an endpoint for a request: the own failure domain first, then other
 /// domains of the own region, then other regions. Outliers are passed over, and
-/// those in `excluded` always, which are the ones a retry already tried.
-/// Returns null when every endpoint is excluded.
+/// the excluded ones always. Returns null when every endpoint is excluded.
 const ServiceEndpoint* Choose(const std::vector<ServiceEndpoint>& endpoints,
                               const LoadTable& loads,
                               const ChoiceOptions& options,
                               TimePoint now,
                               Rng& rng,
-                              const std::vector<EndpointKey>& excluded = {});
+                              const ChoiceRequest& request = {});
 
 }  // namespace banyantrail
--- a/packages/traffic/banyantrail/traffic/concurrency_limit.h
+++ b/packages/traffic/banyantrail/traffic/concurrency_limit.h
@@ -26,6 +26,9 @@
   double slow_start_bound = 4;
   /// Growth of latency over its baseline that counts as overload.
   double latency_tolerance = 1.5;
+
+  friend bool operator==(const ConcurrencyLimitOptions&,
+                         const ConcurrencyLimitOptions&) = default;
 };
 
 namespace detail {
--- a/packages/traffic/banyantrail/traffic/retry_policy.cc
+++ b/packages/traffic/banyantrail/traffic/retry_policy.cc
@@ -108,7 +108,9 @@
   if (!attempt.body_replayable) {
     return RetryDecision::kBodyConsumed;
   }
-  if (attempt.attempts >= m_options.max_attempts) {
+  const std::uint32_t max_attempts =
+      attempt.max_attempts > 0 ? attempt.max_attempts : m_options.max_attempts;
+  if (attempt.attempts >= max_attempts) {
     return RetryDecision::kAttemptsExhausted;
   }
   if (now + attempt.expected_duration >= attempt.deadline) {
--- a/packages/traffic/banyantrail/traffic/retry_policy.h
+++ b/packages/traffic/banyantrail/traffic/retry_policy.h
@@ -67,8 +67,10 @@
   bool idempotent = false;
   /// Whether the body can be sent again from its start.
   bool body_replayable = true;
-  /// Attempts made so far, this one included.
+  /// Backend servers that may have got the request, this one included.
   std::uint32_t attempts = 1;
+  /// As declared by the routing rule; 0 leaves it to the policy's options.
+  std::uint32_t max_attempts = 0;
   /// Nesting of the call, from the depth header; 0 from an outside caller.
   std::uint32_t depth = 0;
   /// The request came from another node, which decides on retries itself.
--- a/packages/traffic/banyantrail/traffic/routing_snapshot.h
+++ b/packages/traffic/banyantrail/traffic/routing_snapshot.h
@@ -2,8 +2,10 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 #include "banyantrail/config/release.h"
@@ -37,17 +39,32 @@
   friend bool operator==(const RoutedService&, const RoutedService&) = default;
 };
 
+/// A service of a route.
+struct RouteTarget {
+  /// Position in RoutingSnapshot::services.
+  std::size_t service = 0;
+  std::uint32_t weight = 1;
+
+  friend bool operator==(const RouteTarget&, const RouteTarget&) = default;
+};
+
 /// A routing rule that applies to this proxy, with its references resolved.
 struct Route {
   RuleName rule;
   std::string path_prefix;
   /// Empty for every method.
   std::vector<std::string> methods;
-  /// Position in RoutingSnapshot::services.
-  std::size_t service = 0;
+  /// In lower case; empty for every host.
+  std::string host;
+  /// Services that take the requests, in proportion to their weights.
+  std::vector<RouteTarget> targets;
   std::uint8_t priority = 0;
   bool idempotent = false;
   Duration deadline{};
+  /// 0 when not declared.
+  Duration target_latency{};
+  /// 0 when not declared.
+  std::uint32_t max_attempts = 0;
 
   friend bool operator==(const Route&, const Route&) = default;
 };
@@ -74,17 +91,25 @@
   kNone,
   /// No rule of this proxy matches.
   kNoRoute,
-  /// A rule matches, but no backend server of its service is there.
+  /// A rule matches, but no backend server of its services is there.
   kNoBackendServer,
 };
 
 struct RouteLookup {
-  /// Null unless `failure` is kNone.
+  /// Null when no rule matches.
   const Route* route = nullptr;
-  const RoutedService* service = nullptr;
   LookupFailure failure = LookupFailure::kNone;
 };
 
+/// The parts of a request that choose its route.
+struct RouteQuery {
+  std::string_view method;
+  /// Ends before any query.
+  std::string_view path;
+  /// As sent, a port included.
+  std::string_view host = {};
+};
+
 /// Everything that the request path needs, compiled from one revision and one
 /// view of the membership. Immutable: a request keeps the snapshot that it
 /// began with, and rules, services and backend servers change in one swap.
@@ -97,18 +122,26 @@
                   const std::vector<MemberRecord>& members);
 
   /// The rule with the longest prefix of whole path segments that takes the
-  /// method. `path` ends before any query.
-  RouteLookup FindRoute(std::string_view method, std::string_view path) const;
+  /// method; rules of the request's host go before those of every host.
+  RouteLookup FindRoute(const RouteQuery& query) const;
 
   Revision revision() const { return m_revision; }
   const std::vector<Route>& routes() const { return m_routes; }
   const std::vector<RoutedService>& services() const { return m_services; }
   const std::vector<RoutedRank>& ranks() const { return m_ranks; }
+  /// What callers may send; empty when not declared.
+  const std::optional<CallerLimitsObject>& caller_limits() const {
+    return m_caller_limits;
+  }
 
  private:
   void AddServices(const CompiledConfig& config);
   void AddEndpoints(const std::vector<MemberRecord>& members);
   void AddRoutes(const CompiledConfig& config, const ProxyIdentity& proxy);
+  std::vector<RouteTarget> TargetsOf(const RoutingRuleObject& rule) const;
+  const Route* FindRouteOfHost(const std::string& host,
+                               const RouteQuery& query) const;
+  bool HasBackendServer(const Route& route) const;
 
   Revision m_revision;
   std::vector<RoutedRank> m_ranks;
@@ -116,6 +149,9 @@
   std::map<ServiceName, std::size_t> m_service_positions;
   /// Longest prefix first.
   std::vector<Route> m_routes;
+  /// Positions in m_routes by host, in the same order.
+  std::unordered_map<std::string, std::vector<std::size_t>> m_routes_of_host;
+  std::optional<CallerLimitsObject> m_caller_limits;
 };
 
 }  // namespace banyantrail
--- a/packages/wire/banyantrail/wire/mesh_headers.h
+++ b/packages/wire/banyantrail/wire/mesh_headers.h
@@ -14,6 +14,21 @@
 /// differ.
 inline constexpr std::string_view kDeadlineHeader = "x-banyantrail-deadline-ms";
 
+/// Entry node to owner node: the service beside the entry node, where the
+/// request began.
+inline constexpr std::string_view kCallerServiceHeader =
+    "x-banyantrail-caller-service";
+
+/// Entry node to owner node: milliseconds within which an answer is of full
+/// use, 0 when that time has passed. Absent when not declared.
+inline constexpr std::string_view kTargetHeader = "x-banyantrail-target-ms";
+
+/// Entry node to owner node: "1" when a run that is under way makes the call.
+inline constexpr std::string_view kCallHeader = "x-banyantrail-call";
+
+/// Entry node to owner node: the routing rule.
+inline constexpr std::string_view kRuleHeader = "x-banyantrail-rule";
+
 /// Entry node to owner node: the declared rank's priority, 0 first.
 inline constexpr std::string_view kPriorityHeader = "x-banyantrail-priority";
 
--- a/tests/platform/relay_lease_test.cc
+++ b/tests/distribution/relay_lease_test.cc
@@ -1,4 +1,4 @@
-#include "banyantrail/platform/relay_lease.h"
+#include "banyantrail/distribution/relay_lease.h"
 
 #include <CppUTest/TestHarness.h>
 
--- /dev/null
+++ b/tests/platform/deployment_test.cc
@@ -0,0 +1,93 @@
+#include "banyantrail/platform/deployment.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "banyantrail/core/errors.h"
+#include "banyantrail/platform/wire_values.h"
+
+using banyantrail::milliseconds;
+using banyantrail::seconds;
+using banyantrail::ToString;
+using banyantrail::platform::Deployment;
+using banyantrail::platform::ParseDeployment;
+using banyantrail::platform::ParseTime;
+using nlohmann::json;
+
+namespace {
+
+const char* const kSettings = R"({
+  "node": "sidecar-tw-north-a-1", "role": "node", "zone": "tw-north-a",
+  "region": "tw-north", "ip": "10.1.0.41",
+  "listen": {"inbound": "10.1.0.41:8624", "outbound": "10.1.0.41:8629",
+             "ready": "10.1.0.41:8625", "control": "10.1.0.41:8620"},
+  "internal_ports": [7600, 7615], "seeds": [],
+  "limits": {"file_descriptors": 4100, "memory_mb": 260},
+  "heartbeat_interval": "1500ms",
+  "bounds": ["drain=2000ms", "grace=6s", "budget_ratio=0.25",
+             "budget_slack=64", "budget_window=10s", "odd"],
+  "service": "huvo11a",
+  "platform": {"address": "10.200.1.7:8627", "form": "objects"},
+  "a_field_of_tomorrow": {"x": 1}})";
+
+/// The error's one line for settings with one field replaced.
+std::string ErrorWith(const char* pointer, const json& value) {
+  json settings = json::parse(kSettings);
+  settings[json::json_pointer(pointer)] = value;
+  try {
+    ParseDeployment(settings.dump(), "local.json");
+  } catch (const banyantrail::Error& error) {
+    return error.what();
+  }
+  return "";
+}
+
+}  // namespace
+
+TEST_GROUP(Deployment){};
+
+TEST(Deployment, SettingsAreTranslated) {
+  const Deployment deployment = ParseDeployment(kSettings, "local.json");
+  STRCMP_EQUAL("tw-north-a", deployment.node.domain.str().c_str());
+  STRCMP_EQUAL("huvo11a", deployment.node.local_service.str().c_str());
+  STRCMP_EQUAL("10.1.0.41:8629",
+               ToString(deployment.node.listen.caller).c_str());
+  STRCMP_EQUAL("10.1.0.41:8624", ToString(deployment.node.listen.mesh).c_str());
+  STRCMP_EQUAL("10.1.0.41:7600", ToString(deployment.node.listen.peer).c_str());
+  STRCMP_EQUAL("10.1.0.41:7601",
+               ToString(deployment.node.listen.admin).c_str());
+  STRCMP_EQUAL("10.200.1.7:8627", ToString(deployment.store).c_str());
+  STRCMP_EQUAL("10.1.0.41:8620", ToString(deployment.announcements).c_str());
+  STRCMP_EQUAL("10.1.0.41:8625", ToString(deployment.readiness).c_str());
+  CHECK_FALSE(deployment.node.once_only);
+}
+
+TEST(Deployment, BoundsBecomeBehaviour) {
+  const Deployment deployment = ParseDeployment(kSettings, "local.json");
+  CHECK(deployment.node.stop.limit == seconds(6));
+  DOUBLES_EQUAL(0.25, deployment.node.retry_budget.ratio, 1e-9);
+  DOUBLES_EQUAL(64, deployment.node.retry_budget.slack, 1e-9);
+  CHECK(deployment.node.heartbeat_interval == milliseconds(1500));
+}
+
+TEST(Deployment, FaultNamesFileAndField) {
+  for (const char* pointer : {"/zone", "/service", "/listen/outbound",
+                              "/internal_ports", "/platform/address"}) {
+    const std::string error = ErrorWith(pointer, json());
+    CHECK_TEXT(error.find("local.json") != std::string::npos, error.c_str());
+    CHECK_TEXT(error.find('\n') == std::string::npos, error.c_str());
+  }
+  CHECK_THROWS(banyantrail::Error, ParseDeployment("{", "local.json"));
+  CHECK_THROWS(banyantrail::Error, ParseDeployment("", "local.json"));
+}
+
+TEST(Deployment, TimesCarryTheirUnit) {
+  CHECK(ParseTime("1500ms") == milliseconds(1500));
+  CHECK(ParseTime("2.5s") == milliseconds(2500));
+  for (const char* text :
+       {"", "5", "ms", "-1s", "5m", "1e999s", "nans", "5 s"}) {
+    CHECK_TEXT(!ParseTime(text), text);
+  }
+}
--- /dev/null
+++ b/tests/platform/fleet_task_test.cc
@@ -0,0 +1,162 @@
+#include "banyantrail/distribution/fleet_task.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "banyantrail/platform/object_store.h"
+#include "platform/object_store_stand_in.h"
+
+using banyantrail::BackoffOptions;
+using banyantrail::FleetTask;
+using banyantrail::FleetTaskOptions;
+using banyantrail::IpEndpoint;
+using banyantrail::milliseconds;
+using banyantrail::NodeId;
+using banyantrail::Release;
+using banyantrail::Revision;
+using banyantrail::seconds;
+using banyantrail::SystemClock;
+using banyantrail::TimePoint;
+using banyantrail::platform::ObjectStore;
+using banyantrail::test::ObjectStoreStandIn;
+using nlohmann::json;
+namespace asio = banyantrail::asio;
+
+namespace {
+
+constexpr BackoffOptions kFast{.initial = milliseconds(2),
+                               .max = milliseconds(10)};
+
+json Configuration(int timeout_ms) {
+  return {{"services", {{{"name", "orders"}}}},
+          {"limits",
+           {{"header_bytes", 16384},
+            {"body_bytes", 1048576},
+            {"header_timeout", std::to_string(timeout_ms) + "ms"},
+            {"idle_timeout", "15000ms"}}},
+          {"virtual_hosts", json::array()}};
+}
+
+}  // namespace
+
+TEST_GROUP(FleetTask) {
+  asio::io_context io;
+  ObjectStoreStandIn stand_in{io};
+  ObjectStore store{io.get_executor(),
+                    {.servers = {stand_in.address()},
+                     .attempt_timeout = milliseconds(500),
+                     .max_attempts = 1}};
+  std::shared_ptr<FleetTask<ObjectStore>> task;
+  std::vector<Revision> releases;
+  std::vector<IpEndpoint> peers;
+  std::vector<std::string> events;
+  bool joined = false;
+
+  void Start(milliseconds watch_wait = seconds(5)) {
+    FleetTaskOptions options{
+        .own = {.node = NodeId("n1"),
+                .peer_address = {.address = "10.0.0.1", .port = 7600}},
+        .watch_wait = watch_wait,
+        .search = kFast,
+        .outage = kFast,
+        .entry_check_interval = milliseconds(20),
+        .on_release =
+            [this](std::shared_ptr<const Release> release) {
+              releases.push_back(release->revision);
+            },
+        .on_store_head = [](Revision) {},
+        .on_peers = [this](std::vector<IpEndpoint> found) { peers = found; },
+        .has_joined = [this] { return joined; },
+        .count = [this](const std::string& event) { events.push_back(event); }};
+    task = std::make_shared<FleetTask<ObjectStore>>(io.get_executor(), store,
+                                                    std::move(options));
+    task->Start();
+  }
+
+  template <typename Condition>
+  bool RunUntil(Condition condition) {
+    const TimePoint end = SystemClock().Now() + seconds(10);
+    while (!condition() && SystemClock().Now() < end) {
+      io.run_for(milliseconds(2));
+      io.restart();
+    }
+    return condition();
+  }
+
+  bool HasRelease(Revision revision) {
+    return RunUntil(
+        [&] { return !releases.empty() && releases.back() == revision; });
+  }
+
+  void teardown() {
+    task->Stop();
+    stand_in.refuse_with = 503;
+    io.run_for(milliseconds(50));
+  }
+};
+
+TEST(FleetTask, FollowsTheConfigurationFromTheFirstOn) {
+  Start();
+  io.run_for(milliseconds(20));
+  CHECK(HasRelease(stand_in.Write("config", "main", Configuration(1))));
+  CHECK(HasRelease(stand_in.Write("config", "main", Configuration(2))));
+}
+
+// A store drops its history and cuts the watches that have missed changes. The
+// watch after it starts above them, so only a whole read shows them.
+TEST(FleetTask, ReadsWholeAfterAWatchBrokeOff) {
+  const Revision first = stand_in.Write("config", "main", Configuration(1));
+  Start(milliseconds(30));
+  CHECK(HasRelease(first));
+  const auto whole_reads = [&] {
+    return stand_in.calls["GET /-/objects/config/main"];
+  };
+  LONGS_EQUAL(1, whole_reads());
+  stand_in.refuse_with = 503;
+  CHECK(
+      RunUntil([&] { return std::ranges::count(events, "store_lost") == 1; }));
+  stand_in.refuse_with = 0;
+  CHECK(RunUntil([&] { return whole_reads() >= 2 && releases.size() >= 2; }));
+}
+
+TEST(FleetTask, ReadsWholeAfterTheHistoryIsGone) {
+  const Revision first = stand_in.Write("config", "main", Configuration(1));
+  Start(milliseconds(30));
+  CHECK(HasRelease(first));
+  stand_in.Write("elsewhere", "x", json::object());
+  const Revision second = stand_in.Write("config", "main", Configuration(2));
+  stand_in.Compact();
+  CHECK(HasRelease(second));
+}
+
+TEST(FleetTask, PutsItsEntryBackAfterTheStoreLostIt) {
+  Start(milliseconds(30));
+  joined = true;
+  const auto has_entry = [&] {
+    bool found = false;
+    asio::co_spawn(
+        io,
+        [&]() -> asio::awaitable<void> {
+          found = co_await store.HasNode(NodeId("n1"));
+        },
+        asio::detached);
+    io.run_for(milliseconds(10));
+    io.restart();
+    return found;
+  };
+  CHECK(RunUntil(has_entry));
+  stand_in.Remove("banyantrail-nodes", "n1");
+  CHECK(RunUntil(has_entry));
+}
+
+TEST(FleetTask, FindsPeersUntilItHasMetThem) {
+  stand_in.Write("banyantrail-nodes", "n2",
+                 {{"domain", "a"}, {"peer_address", "10.0.0.2:7600"}});
+  Start();
+  CHECK(RunUntil([&] { return peers.size() == 1; }));
+  STRCMP_EQUAL("10.0.0.2", peers[0].address.c_str());
+}
--- /dev/null
+++ b/tests/platform/object_store_stand_in.cc
@@ -0,0 +1,165 @@
+#include "platform/object_store_stand_in.h"
+
+#include <utility>
+
+#include "net/http_exchange.h"
+
+namespace banyantrail::test {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::string_view kObjects = "/-/objects/";
+
+HttpResponse Answer(unsigned status, const json& body) {
+  return JsonResponse(static_cast<http::status>(status), body.dump());
+}
+
+std::string QueryValue(const std::string& query, const std::string& name) {
+  const std::string key = name + "=";
+  const std::size_t start = query.find(key);
+  if (start == std::string::npos) {
+    return "";
+  }
+  const std::size_t value = start + key.size();
+  return query.substr(value, query.find('&', value) - value);
+}
+
+}  // namespace
+
+ObjectStoreStandIn::ObjectStoreStandIn(asio::io_context& io)
+    : m_io(io), m_address(FreeEndpoint(io)) {
+  m_server = std::make_unique<HttpServer>(
+      io, HttpServer::Options{.endpoint = m_address,
+                              .handler = [this](HttpRequest request) {
+                                return Handle(std::move(request));
+                              }});
+}
+
+std::uint64_t ObjectStoreStandIn::Write(const std::string& kind,
+                                        const std::string& name,
+                                        json specification) {
+  json object = {{"metadata", {{"name", name}, {"revision", ++m_revision}}},
+                 {"specification", std::move(specification)},
+                 {"status", nullptr}};
+  m_changes.push_back({.revision = m_revision, .kind = kind, .object = object});
+  m_objects[{kind, name}] = std::move(object);
+  return m_revision;
+}
+
+void ObjectStoreStandIn::Remove(const std::string& kind,
+                                const std::string& name) {
+  const auto found = m_objects.find({kind, name});
+  if (found == m_objects.end()) {
+    return;
+  }
+  m_changes.push_back({.revision = ++m_revision,
+                       .kind = kind,
+                       .object = found->second,
+                       .deleted = true});
+  m_objects.erase(found);
+}
+
+asio::awaitable<HttpResponse> ObjectStoreStandIn::Handle(HttpRequest request) {
+  const std::string target(request.target());
+  const std::size_t mark = target.find('?');
+  const std::string path = target.substr(0, mark);
+  const std::string query =
+      mark == std::string::npos ? "" : target.substr(mark + 1);
+  ++calls[std::string(request.method_string()) + " " + path];
+  if (refuse_with != 0) {
+    co_return Answer(refuse_with, json::object());
+  }
+  const std::string rest = path.substr(kObjects.size());
+  const std::size_t slash = rest.find('/');
+  const Key key{rest.substr(0, slash),
+                slash == std::string::npos ? "" : rest.substr(slash + 1)};
+  if (request.method() != http::verb::get) {
+    co_return ApplyChange(request, key);
+  }
+  const std::string watch = QueryValue(query, "watch");
+  if (!watch.empty()) {
+    co_return co_await Watch(
+        key.first, std::stoull(watch),
+        milliseconds(std::stoull(QueryValue(query, "wait_ms"))));
+  }
+  if (key.second.empty()) {
+    co_return List(key.first, QueryValue(query, "after"));
+  }
+  const auto found = m_objects.find(key);
+  co_return found == m_objects.end() ? Answer(404, json::object())
+                                     : Answer(200, found->second);
+}
+
+HttpResponse ObjectStoreStandIn::ApplyChange(const HttpRequest& request,
+                                             const Key& key) {
+  const json body = json::parse(request.body(), nullptr, false);
+  Key written = key;
+  if (request.method() == http::verb::post) {
+    written.second = body["metadata"]["name"].get<std::string>();
+    if (m_objects.contains(written)) {
+      return Answer(409, m_objects[written]);
+    }
+  } else if (!m_objects.contains(key)) {
+    return Answer(404, json::object());
+  }
+  if (request.method() == http::verb::delete_) {
+    Remove(written.first, written.second);
+  } else {
+    Write(written.first, written.second, body["specification"]);
+  }
+  if (lose_answers > 0) {
+    --lose_answers;
+    return Answer(500, json::object());
+  }
+  return Answer(200, json::object());
+}
+
+json ObjectStoreStandIn::EventsAfter(const std::string& kind,
+                                     std::uint64_t after) const {
+  json events = json::array();
+  for (const Change& change : m_changes) {
+    if (change.kind == kind && change.revision > after) {
+      events.push_back(
+          {{"object", change.object}, {"deleted", change.deleted}});
+    }
+  }
+  return events;
+}
+
+asio::awaitable<HttpResponse> ObjectStoreStandIn::Watch(std::string kind,
+                                                        std::uint64_t after,
+                                                        milliseconds wait) {
+  if (after < m_history_from) {
+    co_return Answer(410, json::object());
+  }
+  const TimePoint end = SystemClock().Now() + wait;
+  asio::steady_timer timer(m_io);
+  json events = EventsAfter(kind, after);
+  while (events.empty() && SystemClock().Now() < end) {
+    timer.expires_after(milliseconds(2));
+    co_await timer.async_wait(asio::use_awaitable);
+    events = EventsAfter(kind, after);
+  }
+  co_return Answer(200, {{"events", events}, {"as_of", m_revision}});
+}
+
+HttpResponse ObjectStoreStandIn::List(const std::string& kind,
+                                      const std::string& after) const {
+  json items = json::array();
+  bool has_more = false;
+  for (const auto& [key, object] : m_objects) {
+    if (key.first != kind || key.second <= after) {
+      continue;
+    }
+    if (items.size() == page) {
+      has_more = true;
+      break;
+    }
+    items.push_back(object);
+  }
+  return Answer(
+      200, {{"items", items}, {"has_more", has_more}, {"as_of", m_revision}});
+}
+
+}  // namespace banyantrail::test
--- /dev/null
+++ b/tests/platform/object_store_test.cc
@@ -0,0 +1,167 @@
+#include "banyantrail/platform/object_store.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <optional>
+#include <string>
+
+#include "banyantrail/core/errors.h"
+#include "platform/object_store_stand_in.h"
+
+using banyantrail::DomainId;
+using banyantrail::ErrorKind;
+using banyantrail::FleetStore;
+using banyantrail::milliseconds;
+using banyantrail::NodeEntry;
+using banyantrail::NodeId;
+using banyantrail::platform::ObjectStore;
+using banyantrail::test::ObjectStoreStandIn;
+using nlohmann::json;
+namespace asio = banyantrail::asio;
+
+static_assert(FleetStore<ObjectStore>);
+
+namespace {
+
+json Configuration(const char* service) {
+  return {{"services", {{{"name", service}}}},
+          {"limits",
+           {{"header_bytes", 16384},
+            {"body_bytes", 1048576},
+            {"header_timeout", "3000ms"},
+            {"idle_timeout", "15000ms"}}},
+          {"virtual_hosts", json::array()}};
+}
+
+NodeEntry Entry(const std::string& name) {
+  return {.node = NodeId(name),
+          .domain = DomainId("a"),
+          .peer_address = {.address = "10.0.0.1", .port = 7600}};
+}
+
+}  // namespace
+
+TEST_GROUP(ObjectStore) {
+  asio::io_context io;
+  ObjectStoreStandIn stand_in{io};
+  ObjectStore store{io.get_executor(),
+                    {.servers = {stand_in.address()}, .max_attempts = 1}};
+
+  /// Runs a call to its end. Returns the kind of its error, if any.
+  template <typename Call>
+  std::optional<ErrorKind> Run(Call call) {
+    std::optional<ErrorKind> failure;
+    bool done = false;
+    asio::co_spawn(io, call(), [&](std::exception_ptr error) {
+      done = true;
+      try {
+        if (error) {
+          std::rethrow_exception(error);
+        }
+      } catch (const banyantrail::Error& caught) {
+        failure = caught.kind();
+      }
+    });
+    while (!done) {
+      io.run_one_for(milliseconds(100));
+      io.restart();
+    }
+    return failure;
+  }
+
+  std::optional<banyantrail::Release> Read() {
+    std::optional<banyantrail::Release> release;
+    Run([&]() -> asio::awaitable<void> {
+      release = co_await store.ReadRelease();
+    });
+    return release;
+  }
+
+  banyantrail::ReleaseWatch Await(std::uint64_t after) {
+    banyantrail::ReleaseWatch watch;
+    Run([&]() -> asio::awaitable<void> {
+      watch = co_await store.AwaitRelease(after, milliseconds(50));
+    });
+    return watch;
+  }
+
+  std::vector<NodeEntry> Nodes() {
+    std::vector<NodeEntry> nodes;
+    Run([&]() -> asio::awaitable<void> { nodes = co_await store.ListNodes(); });
+    return nodes;
+  }
+};
+
+TEST(ObjectStore, ReadsTheConfigurationWithItsRevision) {
+  CHECK_FALSE(Read().has_value());
+  const std::uint64_t revision =
+      stand_in.Write("config", "main", Configuration("orders"));
+  LONGS_EQUAL(revision, Read()->revision);
+}
+
+TEST(ObjectStore, WatchReturnsTheNewestChange) {
+  const std::uint64_t first =
+      stand_in.Write("config", "main", Configuration("orders"));
+  stand_in.Write("config", "main", Configuration("lookups"));
+  const std::uint64_t last =
+      stand_in.Write("config", "main", Configuration("uploads"));
+  const auto watch = Await(first);
+  LONGS_EQUAL(last, watch.release->revision);
+  LONGS_EQUAL(last, watch.read_up_to);
+}
+
+TEST(ObjectStore, QuietWatchSaysWhereToGoOn) {
+  const std::uint64_t last =
+      stand_in.Write("config", "main", Configuration("orders"));
+  const auto watch = Await(last);
+  CHECK_FALSE(watch.release.has_value());
+  LONGS_EQUAL(last, watch.read_up_to);
+}
+
+TEST(ObjectStore, ConfigurationThatCannotBeReadIsPassedOver) {
+  const std::uint64_t first =
+      stand_in.Write("config", "main", Configuration("orders"));
+  const std::uint64_t good =
+      stand_in.Write("config", "main", Configuration("lookups"));
+  stand_in.Write("config", "main", {{"services", 7}});
+  stand_in.Write("config", "another", Configuration("uploads"));
+  LONGS_EQUAL(good, Await(first).release->revision);
+}
+
+TEST(ObjectStore, LostHistoryIsSaid) {
+  const std::uint64_t first =
+      stand_in.Write("config", "main", Configuration("orders"));
+  stand_in.Write("config", "main", Configuration("lookups"));
+  stand_in.Compact();
+  CHECK(Await(first).history_gone);
+}
+
+TEST(ObjectStore, RefusalsAndLossesAreToldApart) {
+  const auto write = [&]() -> asio::awaitable<void> {
+    co_await store.WriteNode(Entry("n1"));
+  };
+  stand_in.refuse_with = 503;
+  CHECK(Run(write) == ErrorKind::kPlatformUnavailable);
+  stand_in.refuse_with = 429;
+  CHECK(Run(write) == ErrorKind::kPlatformOverloaded);
+  stand_in.refuse_with = 0;
+  stand_in.lose_answers = 1;
+  CHECK(Run(write) == ErrorKind::kOutcomeUnknown);
+  // Written again after a lost answer, it stands once.
+  CHECK_FALSE(Run(write).has_value());
+  LONGS_EQUAL(1, Nodes().size());
+}
+
+TEST(ObjectStore, ListsNodesOverPagesAndWithoutForeignEntries) {
+  stand_in.page = 2;
+  for (const char* name : {"n1", "n2", "n3", "n5"}) {
+    Run([&]() -> asio::awaitable<void> {
+      co_await store.WriteNode(Entry(name));
+    });
+  }
+  stand_in.Write("banyantrail-nodes", "n4", {{"peer_address", 7}});
+  const std::vector<NodeEntry> nodes = Nodes();
+  LONGS_EQUAL(4, nodes.size());
+  CHECK(nodes.back() == Entry("n5"));
+}
