Compile each release once, bound retries by the fleet's slack, drop requests of callers that left

A configuration of 300 routes cost each node 10.5 ms of processor time: 0.7 to parse, 1.4 to translate, 4.2 to compile, compiled twice (scratch measurement). In a storm of changes that is a third of a 0.2 core. ReleaseCompiler compiles once and parses only what changed.

The retry buckets held 20 tokens for each node and service, more than the fleet's slack of 60 together; they now share it by the number of nodes.

--- a/packages/config/banyantrail/config/compile.cc
+++ b/packages/config/banyantrail/config/compile.cc
@@ -44,8 +44,16 @@
 
 void ReadObject(const std::string& key,
                 const std::string& text,
+                const CompileOptions& options,
                 CompiledConfig& config,
                 Faults& faults) {
+  if (options.parsed != nullptr) {
+    const auto known = options.parsed->entries.find(key);
+    if (known != options.parsed->entries.end() && known->second.text == text) {
+      AddObject(known->second.object, config);
+      return;
+    }
+  }
   JsonTextResult json = ParseJsonText(text, key);
   if (!json.faults.empty()) {
     Append(std::move(json.faults), faults);
@@ -63,6 +71,9 @@
                       .remedy = "store it under its own kind and name"});
     return;
   }
+  if (options.parsed != nullptr) {
+    options.parsed->entries[key] = {.text = text, .object = *parsed.object};
+  }
   AddObject(std::move(*parsed.object), config);
 }
 
@@ -291,7 +302,7 @@
   }
   CompiledConfig config{.revision = release.revision};
   for (const auto& [key, text] : release.objects) {
-    ReadObject(key, text, config, result.faults);
+    ReadObject(key, text, options, config, result.faults);
   }
   const Index index = IndexOf(config, options);
   CheckReferences(config, index, result.faults);
--- a/packages/config/banyantrail/config/compile.h
+++ b/packages/config/banyantrail/config/compile.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -26,11 +27,25 @@
   std::vector<Fault> faults;
 };
 
+/// Objects that were parsed from texts before, by key. Successive releases
+/// share most of their objects.
+struct ParsedObjects {
+  struct Entry {
+    std::string text;
+    ConfigObject object;
+  };
+
+  std::map<std::string, Entry> entries;
+};
+
 struct CompileOptions {
   /// Keys that count as declared although they are absent, because their own
   /// faults are reported elsewhere. Only for listing faults: the resulting
   /// configuration would lack them.
   std::set<std::string> assumed_keys;
+  /// Takes objects from here where the text is the same, and leaves here what
+  /// it parsed. May be null.
+  ParsedObjects* parsed = nullptr;
 };
 
 /// Checks a release as a whole: every text, every reference, ranks, and that
--- a/packages/node/banyantrail/node/control_plane.cc
+++ b/packages/node/banyantrail/node/control_plane.cc
@@ -5,7 +5,7 @@
 #include <caf/all.hpp>
 #include <utility>
 
-#include "banyantrail/config/compile.h"
+#include "banyantrail/config/release_compiler.h"
 #include "banyantrail/core/digest.h"
 #include "banyantrail/node/distribution_actor.h"
 #include "banyantrail/node/membership_actor.h"
@@ -46,10 +46,6 @@
   return config;
 }
 
-std::vector<Fault> CompileFaults(const Release& release) {
-  return CompileRelease(release).faults;
-}
-
 bool IsForDistribution(const PeerMessage& message) {
   return std::holds_alternative<ReleaseDeltaMessage>(message) ||
          std::holds_alternative<ReleaseAckMessage>(message) ||
@@ -111,11 +107,15 @@
       }};
   m_membership = m_system.spawn(MembershipActor, std::move(membership), start);
 
+  const auto compiler = std::make_shared<ReleaseCompiler>();
+  const auto faults_of = [compiler](const Release& release) {
+    return compiler->Compile(release)->faults;
+  };
   DistributionActorOptions distribution{
       .protocol = {.self = settings.node,
                    .labels = settings.labels,
                    .mode = settings.distribution_mode,
-                   .store = {.compile = CompileFaults},
+                   .store = {.compile = faults_of},
                    .seed = seed},
       .send = send,
       .apply =
@@ -135,6 +135,7 @@
       .labels = settings.labels,
       .region = settings.region,
       .domain = settings.domain,
+      .compiler = compiler,
       .publish = [this](std::shared_ptr<const RoutingSnapshot> snapshot) {
         asio::post(m_io, [this, snapshot] { OnSnapshot(snapshot); });
       }};
--- a/packages/node/banyantrail/node/data_plane.cc
+++ b/packages/node/banyantrail/node/data_plane.cc
@@ -39,11 +39,25 @@
   return settings.node.str() + "/" + std::to_string(started.count()) + "/";
 }
 
+/// The part of the fleet's retry budget that is used, for nodes do not see the
+/// same members at the same time.
+constexpr double kBudgetMargin = 0.8;
+
+RetryPolicyOptions RetriesOf(const RetryBudgetSettings& budget) {
+  constexpr double kNotRunPart = 0.55;
+  RetryPolicyOptions options;
+  options.not_run_ratio = kBudgetMargin * kNotRunPart * budget.ratio;
+  options.unknown_ratio = kBudgetMargin * (1 - kNotRunPart) * budget.ratio;
+  return options;
+}
+
 EntryStage::Options EntryOptions(Metrics& metrics,
                                  const NodeSettings& settings,
                                  const DataPlane::Options& options) {
   return {
       .choice = {.domain = settings.domain, .region = settings.region},
+      .retries = RetriesOf(settings.retry_budget),
+      .fleet_retry_slack = kBudgetMargin * settings.retry_budget.slack,
       .limits = {.max_header_bytes = settings.limits.max_header_bytes},
       .hooks = {
           .count_refusal =
--- a/packages/node/banyantrail/node/routing_actor.cc
+++ b/packages/node/banyantrail/node/routing_actor.cc
@@ -2,13 +2,11 @@
 
 #include <utility>
 
-#include "banyantrail/config/compile.h"
-
 namespace banyantrail {
 namespace {
 
 void PublishIfStale(RoutingActorState& state) {
-  if (!state.is_stale || !state.config || !state.view) {
+  if (!state.is_stale || !state.compiled || !state.view) {
     return;
   }
   state.is_stale = false;
@@ -16,7 +14,7 @@
                             .region = state.options.region,
                             .domain = state.options.domain};
   state.options.publish(std::make_shared<const RoutingSnapshot>(
-      *state.config, proxy, state.view->members));
+      *state.compiled->config, proxy, state.view->members));
 }
 
 }  // namespace
@@ -33,7 +31,7 @@
       },
       [&state](const ReleaseApplied& applied) {
         // The distribution applies only what compiles.
-        state.config = CompileRelease(*applied.release).config;
+        state.compiled = state.options.compiler->Compile(*applied.release);
         state.is_stale = true;
         PublishIfStale(state);
       },
--- a/packages/node/banyantrail/node/routing_actor.h
+++ b/packages/node/banyantrail/node/routing_actor.h
@@ -3,8 +3,8 @@
 #include <caf/all.hpp>
 #include <functional>
 #include <memory>
-#include <optional>
 
+#include "banyantrail/config/release_compiler.h"
 #include "banyantrail/node/control_messages.h"
 #include "banyantrail/traffic/routing_snapshot.h"
 
@@ -16,12 +16,14 @@
   Labels labels;
   RegionId region;
   DomainId domain;
+  std::shared_ptr<ReleaseCompiler> compiler;
   std::function<void(std::shared_ptr<const RoutingSnapshot>)> publish;
 };
 
 struct RoutingActorState {
   RoutingActorOptions options;
-  std::optional<CompiledConfig> config;
+  /// Of the applied release; null before the first.
+  std::shared_ptr<const CompileResult> compiled;
   std::shared_ptr<const MembershipView> view;
   bool is_stale = false;
 };
--- a/packages/node/banyantrail/node/settings.h
+++ b/packages/node/banyantrail/node/settings.h
@@ -50,9 +50,9 @@
 /// Repeats that the fleet may send to one service.
 struct RetryBudgetSettings {
   /// Repeats for each request within the window.
-  double ratio = 0.2;
-  /// Repeats on top, over the whole fleet.
-  double slack = 60;
+  double ratio = 0.225;
+  /// Repeats on top, over the whole fleet. 0 leaves the slack to each node.
+  double slack = 0;
   Duration window = seconds(10);
 
   friend bool operator==(const RetryBudgetSettings&,
--- a/packages/proxy/banyantrail/proxy/connection.cc
+++ b/packages/proxy/banyantrail/proxy/connection.cc
@@ -28,6 +28,18 @@
                              ignored);
 }
 
+bool HasHungUp(Downstream& downstream) {
+  asio::ip::tcp::socket& socket = downstream.stream.socket();
+  boost::system::error_code error;
+  if (!socket.non_blocking()) {
+    socket.non_blocking(true, error);
+  }
+  char byte = 0;
+  socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek,
+                 error);
+  return error && error != asio::error::would_block;
+}
+
 void Close(beast::tcp_stream& stream) {
   boost::system::error_code ignored;
   stream.socket().shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
--- a/packages/proxy/banyantrail/proxy/connection.h
+++ b/packages/proxy/banyantrail/proxy/connection.h
@@ -74,6 +74,11 @@
   asio::steady_timer m_timer;
 };
 
+/// Whether the other end has closed or broken the connection, as far as it is
+/// known without waiting. A node that was short of processor time reads
+/// requests whose senders are gone.
+bool HasHungUp(Downstream& downstream);
+
 /// Closes both directions at once, ignoring errors.
 void Close(beast::tcp_stream& stream);
 
--- a/packages/proxy/banyantrail/proxy/entry_stage.cc
+++ b/packages/proxy/banyantrail/proxy/entry_stage.cc
@@ -160,6 +160,7 @@
   m_snapshot = std::move(snapshot);
   m_loads.Retain(m_snapshot->services(), SystemClock().Now());
   m_splitter.Retain(*m_snapshot);
+  ShareRetryBudget();
   const auto& limits = m_snapshot->caller_limits();
   if (limits) {
     m_options.limits = {.max_header_bytes = limits->max_header_bytes,
@@ -210,6 +211,11 @@
     co_await Refuse(downstream, passage, *refusal);
     co_return;
   }
+  if (HasHungUp(downstream)) {
+    m_options.hooks.count_refusal(ToString(RefusalReason::kCancelled));
+    downstream.must_close = true;
+    co_return;
+  }
   const bool may_run = co_await ClaimOrder(downstream, passage);
   if (may_run) {
     co_await Forward(downstream, passage);
@@ -331,13 +337,14 @@
 
 asio::awaitable<void> EntryStage::Forward(Downstream& downstream,
                                           Passage& passage) {
-  PolicyFor(passage.service->name).OnFirstAttempt();
+  if (!passage.is_call) {
+    PolicyFor(passage.service->name).OnFirstAttempt();
+  }
   while (true) {
-    const ServiceEndpoint* endpoint =
-        Choose(passage.service->endpoints, m_loads, m_options.choice,
-               SystemClock().Now(), m_rng,
-               {.body_bytes = BodyBytes(passage.request),
-                .excluded = passage.tried});
+    const ServiceEndpoint* endpoint = Choose(
+        passage.service->endpoints, m_loads, m_options.choice,
+        SystemClock().Now(), m_rng,
+        {.body_bytes = BodyBytes(passage.request), .excluded = passage.tried});
     if (endpoint == nullptr) {
       co_await Refuse(downstream, passage, RefusalReason::kNoBackendServer);
       co_return;
@@ -412,6 +419,25 @@
   return IsRetry(decision) && choice_left;
 }
 
+/// Divides the fleet's slack among the nodes, of which each serves one backend
+/// server. Both kinds of retries draw on it.
+void EntryStage::ShareRetryBudget() {
+  constexpr double kBuckets = 2;
+  if (m_options.fleet_retry_slack <= 0) {
+    return;
+  }
+  std::size_t nodes = 0;
+  for (const RoutedService& service : m_snapshot->services()) {
+    nodes += service.endpoints.size();
+  }
+  m_options.retries.burst =
+      m_options.fleet_retry_slack /
+      (kBuckets * static_cast<double>(std::max<std::size_t>(nodes, 1)));
+  for (auto& [service, policy] : m_retry_policies) {
+    policy.SetBurst(m_options.retries.burst);
+  }
+}
+
 RetryPolicy& EntryStage::PolicyFor(const ServiceName& service) {
   return m_retry_policies.try_emplace(service, m_options.retries).first->second;
 }
--- a/packages/proxy/banyantrail/proxy/entry_stage.h
+++ b/packages/proxy/banyantrail/proxy/entry_stage.h
@@ -52,6 +52,9 @@
     ChoiceOptions choice;
     LoadTableOptions loads;
     RetryPolicyOptions retries;
+    /// Repeats that all nodes together may send to a service beside the ratios.
+    /// 0 leaves `retries.burst` as it is.
+    double fleet_retry_slack = 0;
     InboundLimits limits;
     EntryStageHooks hooks;
     OnceOnlyHooks once_only;
@@ -105,6 +108,7 @@
                                Passage& passage,
                                const ServiceEndpoint& endpoint);
   bool MayRetry(const Passage& passage, const Attempt& attempt);
+  void ShareRetryBudget();
   RetryPolicy& PolicyFor(const ServiceName& service);
   Duration ReturnDelay();
   void SetTimes(Passage& passage);
--- a/packages/proxy/banyantrail/proxy/owner_stage.cc
+++ b/packages/proxy/banyantrail/proxy/owner_stage.cc
@@ -104,6 +104,10 @@
     downstream.must_close = true;
   } else if (refusal) {
     co_await Refuse(downstream, request, passage.backend, *refusal);
+  } else if (HasHungUp(downstream)) {
+    passage.backend->gate->Cancel(passage.id);
+    EndIsolation(passage);
+    downstream.must_close = true;
   } else {
     co_await Forward(downstream, passage);
     EndIsolation(passage);
--- a/packages/traffic/banyantrail/traffic/retry_policy.cc
+++ b/packages/traffic/banyantrail/traffic/retry_policy.cc
@@ -73,6 +73,12 @@
       m_not_run_tokens(options.burst),
       m_unknown_tokens(options.burst) {}
 
+void RetryPolicy::SetBurst(double burst) {
+  m_options.burst = std::max(burst, 1.0);
+  m_not_run_tokens = std::min(m_not_run_tokens, m_options.burst);
+  m_unknown_tokens = std::min(m_unknown_tokens, m_options.burst);
+}
+
 void RetryPolicy::OnFirstAttempt() {
   m_not_run_tokens =
       std::min(m_not_run_tokens + m_options.not_run_ratio, m_options.burst);
--- a/packages/traffic/banyantrail/traffic/retry_policy.h
+++ b/packages/traffic/banyantrail/traffic/retry_policy.h
@@ -89,6 +89,10 @@
  public:
   explicit RetryPolicy(RetryPolicyOptions options = {});
 
+  /// Bounds what the buckets hold from now on. Below one token a retry has to
+  /// wait for first attempts to pay for it.
+  void SetBurst(double burst);
+
   /// Call once for each request that is sent for the first time.
   void OnFirstAttempt();
 
