Refuse floods where they arrive, and end planned stops without cutting late requests

Idle connections are closed in the middle of the grace time. - FreeEndpoint of the tests gave out ephemeral ports, which other sockets could take first (seen once: address already in use).

--- a/packages/node/banyantrail/node/data_plane.cc
+++ b/packages/node/banyantrail/node/data_plane.cc
@@ -165,6 +165,7 @@
 
 void DataPlane::StopListening() {
   m_caller_listener->Stop();
+  m_entry.CloseIdle();
   m_mesh_listener->Stop();
 }
 
--- a/packages/node/banyantrail/node/node.h
+++ b/packages/node/banyantrail/node/node.h
@@ -36,7 +36,8 @@
   asio::awaitable<void> Pause(Duration duration);
 
   NodeSettings m_settings;
-  asio::io_context m_io;
+  /// One thread runs it; others only post to it.
+  asio::io_context m_io{1};
   bool m_draining = false;
   std::unique_ptr<Parts> m_parts;
 };
--- a/packages/proxy/banyantrail/proxy/admission_gate.cc
+++ b/packages/proxy/banyantrail/proxy/admission_gate.cc
@@ -35,18 +35,18 @@
   }
 }
 
-asio::awaitable<std::optional<RefusalReason>> AdmissionGate::Enter(
-    WorkRequest work) {
+OfferResult AdmissionGate::Offer(const WorkRequest& work) {
   const OfferResult result = m_queue.Offer(work, SystemClock().Now());
-  if (std::holds_alternative<Admitted>(result)) {
-    co_return std::nullopt;
+  if (std::holds_alternative<Queued>(result)) {
+    m_waiters[work.request] = std::make_shared<Waiter>(m_executor);
+    ScheduleExpiry();
   }
-  if (const auto* refused = std::get_if<Refused>(&result)) {
-    co_return refused->reason;
-  }
-  const auto waiter = std::make_shared<Waiter>(m_executor);
-  m_waiters[work.request] = waiter;
-  ScheduleExpiry();
+  return result;
+}
+
+asio::awaitable<std::optional<RefusalReason>> AdmissionGate::Wait(
+    RequestId request) {
+  const std::shared_ptr<Waiter> waiter = m_waiters.at(request);
   boost::system::error_code ignored;
   while (!waiter->is_decided) {
     co_await waiter->decided.async_wait(
--- a/packages/proxy/banyantrail/proxy/admission_gate.h
+++ b/packages/proxy/banyantrail/proxy/admission_gate.h
@@ -18,8 +18,12 @@
   AdmissionGate& operator=(const AdmissionGate&) = delete;
   ~AdmissionGate();
 
-  /// Waits until the request may be sent. Returns the reason if it may not.
-  asio::awaitable<std::optional<RefusalReason>> Enter(WorkRequest work);
+  /// A request arrives. When it is queued, Wait for it next.
+  OfferResult Offer(const WorkRequest& work);
+
+  /// Waits until a queued request may be sent. Returns the reason if it may
+  /// not.
+  asio::awaitable<std::optional<RefusalReason>> Wait(RequestId request);
 
   /// An admitted request ended.
   void Leave(RequestId request, AttemptOutcome outcome);
--- a/packages/proxy/banyantrail/proxy/answer_relay.cc
+++ b/packages/proxy/banyantrail/proxy/answer_relay.cc
@@ -1,12 +1,16 @@
 #include "banyantrail/proxy/answer_relay.h"
 
 #include <algorithm>
+#include <array>
+#include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
 #include <utility>
 #include <vector>
 
+#include "banyantrail/proxy/message_text.h"
+
 namespace banyantrail {
 namespace {
 
@@ -75,6 +79,27 @@
   }
 }
 
+/// Sends an answer that is at hand in one piece. Returns whether it went out.
+asio::awaitable<bool> SendWhole(Downstream& downstream,
+                                const http::response_header<>& head,
+                                const BodyPiece& body) {
+  const std::string text = HeadText(head);
+  const std::array<asio::const_buffer, 2> pieces = {
+      asio::buffer(text), asio::buffer(body.bytes.data(), body.size)};
+  boost::system::error_code error;
+  co_await asio::async_write(downstream.stream, pieces,
+                             asio::redirect_error(asio::use_awaitable, error));
+  co_return !error;
+}
+
+/// The whole answer was read from the upstream connection.
+void EndAnswer(Attempt& attempt, bool ends_with_connection) {
+  attempt.upstream->carries_request = false;
+  if (ends_with_connection || !attempt.answer->get().keep_alive()) {
+    attempt.upstream_spent = true;
+  }
+}
+
 }  // namespace
 
 asio::awaitable<RelayOutcome> RelayAnswer(Attempt& attempt,
@@ -93,8 +118,17 @@
   message.version(11);
   message.keep_alive(keep_alive);
   SetFraming(message, parser, piece);
-  http::response_serializer<http::buffer_body> serializer(message);
   downstream.stream.expires_at(deadline);
+  if (parser.is_done()) {
+    const bool sent = co_await SendWhole(downstream, message, piece);
+    if (!sent) {
+      downstream.must_close = true;
+      co_return RelayOutcome::kCallerGone;
+    }
+    EndAnswer(attempt, ends_with_connection);
+    co_return RelayOutcome::kWhole;
+  }
+  http::response_serializer<http::buffer_body> serializer(message);
   while (true) {
     message.body().data = piece.bytes.data();
     message.body().size = piece.size;
@@ -116,10 +150,7 @@
       co_return RelayOutcome::kCut;
     }
   }
-  attempt.upstream->carries_request = false;
-  if (ends_with_connection || !parser.get().keep_alive()) {
-    attempt.upstream_spent = true;
-  }
+  EndAnswer(attempt, ends_with_connection);
   co_return RelayOutcome::kWhole;
 }
 
--- a/packages/proxy/banyantrail/proxy/attempt.cc
+++ b/packages/proxy/banyantrail/proxy/attempt.cc
@@ -1,6 +1,7 @@
 #include "banyantrail/proxy/attempt.h"
 
 #include <array>
+#include <boost/asio/write.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/serializer.hpp>
@@ -8,6 +9,7 @@
 #include <utility>
 
 #include "banyantrail/proxy/answer_head.h"
+#include "banyantrail/proxy/message_text.h"
 #include "banyantrail/proxy/request_monitor.h"
 
 namespace banyantrail {
@@ -120,13 +122,17 @@
         upstream.stream, serializer,
         asio::redirect_error(asio::use_awaitable, error));
   } else {
-    http::request<http::string_body> message(head, request.body);
+    http::request_header<> framed = head;
     if (!request.body.empty() ||
         request.head().count(http::field::content_length) > 0) {
-      message.content_length(request.body.size());
+      framed.set(http::field::content_length,
+                 std::to_string(request.body.size()));
     }
-    written = co_await http::async_write(
-        upstream.stream, message,
+    const std::string text = HeadText(framed);
+    const std::array<asio::const_buffer, 2> pieces = {
+        asio::buffer(text), asio::buffer(request.body)};
+    written = co_await asio::async_write(
+        upstream.stream, pieces,
         asio::redirect_error(asio::use_awaitable, error));
   }
   co_return error;
--- a/packages/proxy/banyantrail/proxy/entry_stage.cc
+++ b/packages/proxy/banyantrail/proxy/entry_stage.cc
@@ -159,6 +159,7 @@
 void EntryStage::SetSnapshot(std::shared_ptr<const RoutingSnapshot> snapshot) {
   m_snapshot = std::move(snapshot);
   m_loads.Retain(m_snapshot->services(), SystemClock().Now());
+  m_refusals.Tidy(SystemClock().Now());
   m_splitter.Retain(*m_snapshot);
   ShareRetryBudget();
   const auto& limits = m_snapshot->caller_limits();
@@ -173,7 +174,9 @@
 asio::awaitable<void> EntryStage::Serve(beast::tcp_stream stream) {
   Downstream downstream(std::move(stream));
   while (!downstream.must_close) {
+    m_waiting.insert(&downstream);
     ReadResult read = co_await ReadRequest(downstream, m_options.limits);
+    m_waiting.erase(&downstream);
     if (read.outcome == ReadOutcome::kClosed) {
       break;
     }
@@ -190,6 +193,13 @@
   Close(downstream.stream);
 }
 
+void EntryStage::CloseIdle() {
+  for (Downstream* downstream : m_waiting) {
+    downstream->must_close = true;
+    downstream->stream.cancel();
+  }
+}
+
 asio::awaitable<void> EntryStage::RefuseMalformed(Downstream& downstream,
                                                   HeadRefusal refusal) {
   m_options.hooks.count_refusal(refusal.reason);
@@ -341,12 +351,17 @@
     PolicyFor(passage.service->name).OnFirstAttempt();
   }
   while (true) {
-    const ServiceEndpoint* endpoint = Choose(
-        passage.service->endpoints, m_loads, m_options.choice,
-        SystemClock().Now(), m_rng,
-        {.body_bytes = BodyBytes(passage.request), .excluded = passage.tried});
+    const ServiceEndpoint* endpoint =
+        Choose(passage.service->endpoints, m_loads, m_options.choice,
+               SystemClock().Now(), m_rng,
+               {.body_bytes = BodyBytes(passage.request),
+                .excluded = Excluded(passage)});
     if (endpoint == nullptr) {
-      co_await Refuse(downstream, passage, RefusalReason::kNoBackendServer);
+      // Some server may be there, but none with room in time.
+      const bool is_full = !passage.service->endpoints.empty();
+      co_await Refuse(downstream, passage,
+                      is_full ? RefusalReason::kQueueFull
+                              : RefusalReason::kNoBackendServer);
       co_return;
     }
     Attempt attempt = co_await Try(downstream, passage, *endpoint);
@@ -366,6 +381,44 @@
   }
 }
 
+/// Endpoints that were tried, and those known to have no room in time. Calls of
+/// runs under way are always carried there: their owner node puts them first.
+std::vector<EndpointKey> EntryStage::Excluded(const Passage& passage) const {
+  std::vector<EndpointKey> excluded = passage.tried;
+  const bool is_large =
+      BodyBytes(passage.request) > m_options.choice.max_spill_bytes;
+  if (passage.is_call || is_large) {
+    return excluded;
+  }
+  const TimePoint now = SystemClock().Now();
+  const RoomRequest room{.priority = passage.route->priority,
+                         .slack = passage.deadline - now};
+  for (const ServiceEndpoint& endpoint : passage.service->endpoints) {
+    EndpointKey key = KeyOf(endpoint);
+    if (m_refusals.WouldRefuse(key, room, now)) {
+      excluded.push_back(std::move(key));
+    }
+  }
+  return excluded;
+}
+
+void EntryStage::NoteRoom(const Passage& passage,
+                          const ServiceEndpoint& endpoint,
+                          const Attempt& attempt) {
+  if (passage.is_call || attempt.result != UpstreamResult::kAnswered) {
+    return;
+  }
+  if (IsBackendAnswer(attempt)) {
+    m_refusals.OnTaken(KeyOf(endpoint));
+  } else if (IsForLoad(ReasonOf(attempt))) {
+    const TimePoint now = SystemClock().Now();
+    m_refusals.OnRefused(
+        KeyOf(endpoint),
+        {.priority = passage.route->priority, .slack = passage.deadline - now},
+        now);
+  }
+}
+
 asio::awaitable<Attempt> EntryStage::Try(Downstream& downstream,
                                          Passage& passage,
                                          const ServiceEndpoint& endpoint) {
@@ -378,6 +431,7 @@
   const TimePoint now = SystemClock().Now();
   m_loads.OnResult(endpoint, ResultOf(attempt, now - started), now);
   passage.sends += MayHaveReachedServer(attempt) ? 1 : 0;
+  NoteRoom(passage, endpoint, attempt);
   if (attempt.result == UpstreamResult::kUnknown) {
     m_pool.Distrust(endpoint.mesh_address);
   }
--- a/packages/proxy/banyantrail/proxy/entry_stage.h
+++ b/packages/proxy/banyantrail/proxy/entry_stage.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string_view>
 
 #include "banyantrail/core/random.h"
@@ -15,6 +16,7 @@
 #include "banyantrail/traffic/full_deadlines.h"
 #include "banyantrail/traffic/load_table.h"
 #include "banyantrail/traffic/once_only_ledger.h"
+#include "banyantrail/traffic/refusal_memory.h"
 #include "banyantrail/traffic/retry_policy.h"
 #include "banyantrail/traffic/routing_snapshot.h"
 #include "banyantrail/traffic/running_requests.h"
@@ -83,6 +85,10 @@
   /// other nodes while this one drains.
   void StartDrain() { m_draining = true; }
 
+  /// Closes the connections on which no request is under way. A caller that
+  /// has just sent one knows that it was not read.
+  void CloseIdle();
+
   std::size_t requests_in_progress() const { return m_in_progress; }
 
  private:
@@ -109,6 +115,10 @@
                                const ServiceEndpoint& endpoint);
   bool MayRetry(const Passage& passage, const Attempt& attempt);
   void ShareRetryBudget();
+  std::vector<EndpointKey> Excluded(const Passage& passage) const;
+  void NoteRoom(const Passage& passage,
+                const ServiceEndpoint& endpoint,
+                const Attempt& attempt);
   RetryPolicy& PolicyFor(const ServiceName& service);
   Duration ReturnDelay();
   void SetTimes(Passage& passage);
@@ -123,10 +133,13 @@
   TrafficSplitter m_splitter;
   FullDeadlines m_full_deadlines;
   LoadTable m_loads;
+  RefusalMemory m_refusals{RefusalMemory::Options{}};
   std::map<ServiceName, RetryPolicy> m_retry_policies;
   std::uint64_t m_last_attempt = 0;
   bool m_draining = false;
   std::size_t m_in_progress = 0;
+  /// Connections whose next request has not arrived whole.
+  std::set<Downstream*> m_waiting;
 };
 
 }  // namespace banyantrail
--- a/packages/proxy/banyantrail/proxy/inbound_request.cc
+++ b/packages/proxy/banyantrail/proxy/inbound_request.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
+#include <optional>
 #include <utility>
 
 namespace banyantrail {
@@ -24,8 +25,8 @@
 }
 
 ReadResult Failed(const boost::system::error_code& error,
-                  const CancelTimer& timer) {
-  if (timer.has_fired()) {
+                  const std::optional<CancelTimer>& timer) {
+  if (timer && timer->has_fired()) {
     return {.outcome = ReadOutcome::kRefused,
             .refusal = {http::status::request_timeout, "slow_sender"}};
   }
@@ -56,6 +57,10 @@
   return {static_cast<const char*>(data.data()), data.size()};
 }
 
+bool HoldsHead(const beast::flat_buffer& buffer) {
+  return BufferedText(buffer).find("\r\n\r\n") != std::string_view::npos;
+}
+
 /// Reads until the head is complete and keeps a copy of its bytes, which the
 /// parser consumes.
 asio::awaitable<boost::system::error_code> ReadHead(
@@ -66,8 +71,7 @@
   constexpr std::string_view kEndOfHead = "\r\n\r\n";
   constexpr std::size_t kReadBytes = 4096;
   boost::system::error_code error;
-  while (BufferedText(downstream.buffer).find(kEndOfHead) ==
-         std::string_view::npos) {
+  while (!HoldsHead(downstream.buffer)) {
     if (downstream.buffer.size() > max_header_bytes) {
       co_return http::make_error_code(http::error::header_limit);
     }
@@ -123,7 +127,11 @@
   request.parser->body_limit(kNoBodyLimit);
 
   downstream.stream.expires_never();
-  const CancelTimer timer(downstream.stream, limits.head_timeout);
+  // Most requests are there at once and need no timer.
+  std::optional<CancelTimer> timer;
+  if (!HoldsHead(downstream.buffer)) {
+    timer.emplace(downstream.stream, limits.head_timeout);
+  }
   std::string raw_head;
   boost::system::error_code error = co_await ReadHead(
       downstream, *request.parser, limits.max_header_bytes, raw_head);
@@ -150,6 +158,9 @@
   request.streams = request.parser->chunked() || (length && !known_small);
   if (!request.streams && length.value_or(0) > 0) {
     co_await SendContinue(downstream, request);
+    if (!timer && downstream.buffer.size() < *length) {
+      timer.emplace(downstream.stream, limits.head_timeout);
+    }
     error = co_await ReadWholeBody(downstream, request);
     if (error) {
       co_return Failed(error, timer);
--- /dev/null
+++ b/packages/proxy/banyantrail/proxy/message_text.cc
@@ -0,0 +1,50 @@
+#include "banyantrail/proxy/message_text.h"
+
+#include "banyantrail/net/asio.h"
+
+namespace banyantrail {
+namespace {
+
+constexpr std::size_t kUsualHeadBytes = 512;
+constexpr const char* kLineEnd = "\r\n";
+
+void Append(std::string& text, beast::string_view part) {
+  text.append(part.data(), part.size());
+}
+
+void AppendFields(std::string& text, const http::fields& fields) {
+  for (const auto& field : fields) {
+    Append(text, field.name_string());
+    text += ": ";
+    Append(text, field.value());
+    text += kLineEnd;
+  }
+  text += kLineEnd;
+}
+
+}  // namespace
+
+std::string HeadText(const http::request_header<>& head) {
+  std::string text;
+  text.reserve(kUsualHeadBytes);
+  Append(text, head.method_string());
+  text += ' ';
+  Append(text, head.target());
+  text += " HTTP/1.1\r\n";
+  AppendFields(text, head);
+  return text;
+}
+
+std::string HeadText(const http::response_header<>& head) {
+  std::string text;
+  text.reserve(kUsualHeadBytes);
+  text += "HTTP/1.1 ";
+  text += std::to_string(head.result_int());
+  text += ' ';
+  Append(text, head.reason());
+  text += kLineEnd;
+  AppendFields(text, head);
+  return text;
+}
+
+}  // namespace banyantrail
--- a/packages/proxy/banyantrail/proxy/owner_stage.cc
+++ b/packages/proxy/banyantrail/proxy/owner_stage.cc
@@ -254,10 +254,16 @@
     Downstream& downstream,
     Passage& passage) {
   AdmissionGate& gate = *passage.backend->gate;
-  HangUpWatch watch(downstream, [&gate, id = passage.id] { gate.Cancel(id); });
-  const std::optional<RefusalReason> refusal =
-      co_await gate.Enter(WorkOf(passage));
-  co_await watch.Stop();
+  const OfferResult result = gate.Offer(WorkOf(passage));
+  std::optional<RefusalReason> refusal;
+  if (const auto* refused = std::get_if<Refused>(&result)) {
+    refusal = refused->reason;
+  } else if (std::holds_alternative<Queued>(result)) {
+    HangUpWatch watch(downstream,
+                      [&gate, id = passage.id] { gate.Cancel(id); });
+    refusal = co_await gate.Wait(passage.id);
+    co_await watch.Stop();
+  }
   passage.admitted_at = SystemClock().Now();
   co_return refusal;
 }
--- a/packages/proxy/banyantrail/proxy/request_monitor.cc
+++ b/packages/proxy/banyantrail/proxy/request_monitor.cc
@@ -112,6 +112,25 @@
   state.caller_gone = error || available_error || available == 0;
 }
 
+/// As WatchForHangUp, for a request whose body is sent already.
+template <typename State>
+void WatchWithoutCoroutine(std::shared_ptr<State> state) {
+  asio::ip::tcp::socket& socket = state->downstream.stream.socket();
+  socket.async_wait(asio::ip::tcp::socket::wait_read,
+                    [state](const boost::system::error_code& error) {
+                      if (state->stopping) {
+                        return;
+                      }
+                      boost::system::error_code ignored;
+                      const std::size_t available =
+                          state->downstream.stream.socket().available(ignored);
+                      state->caller_gone = error || ignored || available == 0;
+                      if (state->caller_gone) {
+                        state->upstream.stream.cancel();
+                      }
+                    });
+}
+
 }  // namespace
 
 RequestMonitor::RequestMonitor(Downstream& downstream,
@@ -129,6 +148,10 @@
   m_state->finished.expires_at(TimePoint::max());
   m_state->running = true;
   m_state->body_sent = !m_state->request.streams;
+  if (m_state->body_sent) {
+    WatchWithoutCoroutine(m_state);
+    return;
+  }
   auto run = [](std::shared_ptr<State> state) -> asio::awaitable<void> {
     if (state->request.streams && !state->stopping) {
       co_await PumpBody(*state);
@@ -147,6 +170,12 @@
 
 asio::awaitable<void> RequestMonitor::Stop() {
   m_state->stopping = true;
+  if (!m_state->request.streams) {
+    // Its handler touches nothing any more once it sees `stopping`.
+    boost::system::error_code ignored;
+    m_state->downstream.stream.socket().cancel(ignored);
+    co_return;
+  }
   if (m_state->running) {
     if (!m_state->body_sent) {
       // Part of the body stays unread: the connection is of no more use.
--- a/tests/net/http_exchange.h
+++ b/tests/net/http_exchange.h
@@ -2,6 +2,7 @@
 
 #include <boost/asio/write.hpp>
 #include <optional>
+#include <random>
 #include <string>
 
 #include "banyantrail/net/http_client.h"
@@ -15,11 +16,23 @@
   co_return JsonResponse(http::status::ok, request.body());
 }
 
-/// A port that the system has just given out and taken back.
+/// A free port below those that the system gives to outgoing connections: one
+/// of those may be taken again before the test listens on it.
 inline IpEndpoint FreeEndpoint(asio::io_context& io) {
-  asio::ip::tcp::acceptor probe(
-      io, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
-  return {"127.0.0.1", probe.local_endpoint().port()};
+  constexpr std::uint16_t kFirstPort = 10'000;
+  constexpr std::uint16_t kPorts = 20'000;
+  static std::random_device seed;
+  while (true) {
+    const auto port =
+        static_cast<std::uint16_t>(kFirstPort + seed() % kPorts);
+    asio::ip::tcp::acceptor probe(io);
+    boost::system::error_code error;
+    probe.open(asio::ip::tcp::v4());
+    probe.bind({asio::ip::make_address("127.0.0.1"), port}, error);
+    if (!error) {
+      return {"127.0.0.1", port};
+    }
+  }
 }
 
 struct Exchange {
--- a/tests/proxy/request_path.h
+++ b/tests/proxy/request_path.h
@@ -81,6 +81,11 @@
         config, ProxyIdentity{}, std::vector<MemberRecord>{member}));
   }
 
+  void StopServing() {
+    m_entry.StartDrain();
+    m_entry.CloseIdle();
+  }
+
   void StopBackend() { m_listeners.pop_back(); }
 
   /// Sends one request on a connection of its own and reads the answer.
@@ -100,9 +105,8 @@
   }
 
   template <typename Condition>
-  bool RunUntil(Condition condition) {
-    constexpr seconds kLimit{10};
-    const TimePoint deadline = SystemClock().Now() + kLimit;
+  bool RunUntil(Condition condition, Duration limit = seconds(10)) {
+    const TimePoint deadline = SystemClock().Now() + limit;
     while (!condition() && SystemClock().Now() < deadline) {
       io.run_for(milliseconds(5));
       io.restart();
--- a/tests/proxy/request_path_test.cc
+++ b/tests/proxy/request_path_test.cc
@@ -48,7 +48,7 @@
                                               .caller_service = "From-Service",
                                               .not_run = "Not-Run",
                                               .not_run_value = "",
-    .carries_depth = false,
+                                              .carries_depth = false,
                                               .fractional_retry_after = true,
                                               .refuses_with_503 = true};
 
@@ -335,3 +335,21 @@
       "\r\n\r\n");
   LONGS_EQUAL(431, view.status);
 }
+
+// A caller that keeps its connection sends on it long after the drain began.
+// It has to learn that before its request is read, or the stop cuts the answer.
+TEST(RequestPath, IdleConnectionsAreClosedBeforeTheStop) {
+  RequestPath path(EchoScript);
+  asio::ip::tcp::socket caller(path.io);
+  caller.connect(banyantrail::ToTcpEndpoint(path.caller_address()));
+  path.RunUntil([] { return false; }, milliseconds(50));
+  path.StopServing();
+  bool closed = false;
+  char byte = 0;
+  caller.async_read_some(
+      asio::buffer(&byte, 1),
+      [&closed](const boost::system::error_code& error, std::size_t) {
+        closed = error == asio::error::eof;
+      });
+  CHECK(path.RunUntil([&] { return closed; }));
+}
