Log decisions as JSON lines on standard output, bounded and without waiting

One line for each refusal and repeat of a request, with its id, rule, service, reason, configuration revision and time left; for each change of a member, of a backend server and of the configuration.

--- a/packages/core/banyantrail/core/logging.cc
+++ b/packages/core/banyantrail/core/logging.cc
@@ -1,15 +1,20 @@
 #include "banyantrail/core/logging.h"
 
-#include <log4cxx/basicconfigurator.h>
-#include <log4cxx/consoleappender.h>
+#include <limits.h>
+#include <log4cxx/appenderskeleton.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/logmanager.h>
-#include <log4cxx/patternlayout.h>
+#include <log4cxx/spi/loggingevent.h>
+#include <poll.h>
+#include <unistd.h>
 
+#include <chrono>
 #include <memory>
+#include <nlohmann/json.hpp>
 #include <utility>
 
 #include "banyantrail/core/errors.h"
+#include "banyantrail/core/wall_time.h"
 
 namespace banyantrail {
 namespace {
@@ -28,13 +33,71 @@
   return log4cxx::Level::getInfo();
 }
 
+/// Writes each event as one JSON object a line to standard output, unless that
+/// would have to wait for the reader.
+class JsonLineAppender : public log4cxx::AppenderSkeleton {
+ public:
+  void close() override {}
+  bool requiresLayout() const override { return false; }
+
+ protected:
+  void append(const log4cxx::spi::LoggingEventPtr& event,
+              log4cxx::helpers::Pool& /*pool*/) override {
+    const std::string line = LineOf(*event) + "\n";
+    if (m_lost > 0) {
+      const nlohmann::json lost = {{"event", "log_lines_lost"},
+                                   {"count", m_lost}};
+      if (!Write(lost.dump() + "\n")) {
+        ++m_lost;
+        return;
+      }
+      m_lost = 0;
+    }
+    m_lost += Write(line) ? 0 : 1;
+  }
+
+ private:
+  static std::string LineOf(const log4cxx::spi::LoggingEvent& event) {
+    std::string level;
+    event.getLevel()->toString(level);
+    nlohmann::json line = {
+        {"time", FormatWallTime(std::chrono::system_clock::now())},
+        {"level", level},
+        {"part", event.getLoggerName()}};
+    const std::string& message = event.getMessage();
+    const nlohmann::json fields =
+        message.starts_with('{')
+            ? nlohmann::json::parse(message, nullptr, false)
+            : nlohmann::json();
+    if (fields.is_object()) {
+      line.update(fields);
+    } else {
+      line["message"] = message;
+    }
+    return line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  }
+
+  /// A pipe that polls as writable takes PIPE_BUF bytes without waiting; what
+  /// is longer is cut.
+  static bool Write(std::string line) {
+    if (line.size() > PIPE_BUF) {
+      line.resize(PIPE_BUF - 1);
+      line += '\n';
+    }
+    pollfd out{.fd = STDOUT_FILENO, .events = POLLOUT, .revents = 0};
+    if (poll(&out, 1, 0) != 1 || (out.revents & POLLOUT) == 0) {
+      return false;
+    }
+    return write(STDOUT_FILENO, line.data(), line.size()) > 0;
+  }
+
+  std::uint64_t m_lost = 0;
+};
+
 }  // namespace
 
 void ConfigureLogging(LogLevel level) {
-  const auto layout = std::make_shared<log4cxx::PatternLayout>(
-      LOG4CXX_STR("%d{ISO8601} %-5p [%c] %m%n"));
-  const auto appender = std::make_shared<log4cxx::ConsoleAppender>(
-      layout, log4cxx::ConsoleAppender::getSystemErr());
+  const auto appender = std::make_shared<JsonLineAppender>();
   const log4cxx::LoggerPtr root = log4cxx::Logger::getRootLogger();
   root->removeAllAppenders();
   root->addAppender(appender);
@@ -78,4 +141,8 @@
   LOG4CXX_ERROR(log4cxx::Logger::getLogger(m_part), sentence);
 }
 
+void PartLogger::Event(const nlohmann::json& fields) const {
+  LOG4CXX_INFO(log4cxx::Logger::getLogger(m_part), fields.dump());
+}
+
 }  // namespace banyantrail
--- a/packages/core/banyantrail/core/logging.h
+++ b/packages/core/banyantrail/core/logging.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <nlohmann/json_fwd.hpp>
 #include <string>
 #include <string_view>
 
@@ -8,8 +9,9 @@
 /// Log levels as they stand in the settings.
 enum class LogLevel { kDebug, kInfo, kWarn, kError };
 
-/// Sends all log lines at or above `level` to standard error. Call it once, at
-/// the start of main.
+/// Writes all log lines at or above `level` to standard output, one JSON object
+/// a line. A reader that does not keep up loses lines; the next one that goes
+/// out says how many. Call it once, at the start of main.
 void ConfigureLogging(LogLevel level);
 
 /// Parses "debug", "info", "warn" or "error". Throws Error{kInvalidSettings}.
@@ -27,6 +29,9 @@
   void Warn(const std::string& sentence) const;
   void Error(const std::string& sentence) const;
 
+  /// Writes a line with fields of its own, for programs to read.
+  void Event(const nlohmann::json& fields) const;
+
  private:
   std::string m_part;
 };
--- a/packages/node/banyantrail/node/control_plane.cc
+++ b/packages/node/banyantrail/node/control_plane.cc
@@ -3,10 +3,12 @@
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <caf/all.hpp>
+#include <nlohmann/json.hpp>
 #include <utility>
 
 #include "banyantrail/config/release_compiler.h"
 #include "banyantrail/core/digest.h"
+#include "banyantrail/core/logging.h"
 #include "banyantrail/node/distribution_actor.h"
 #include "banyantrail/node/membership_actor.h"
 #include "banyantrail/node/routing_actor.h"
@@ -14,6 +16,8 @@
 namespace banyantrail {
 namespace {
 
+const PartLogger kLog("control");
+
 /// How often the actors look at the time.
 constexpr milliseconds kTickInterval{50};
 
@@ -173,7 +177,28 @@
   caf::anon_send(m_distribution_actor, PeerUnreachable{node});
 }
 
+/// Writes a line for each member whose state changed.
+void ControlPlane::LogMemberChanges(const MembershipView& view) const {
+  for (const MemberRecord& record : view.members) {
+    const auto known =
+        std::ranges::find(m_members->members, record.node, &MemberRecord::node);
+    const bool is_same = known != m_members->members.end() &&
+                         known->state == record.state &&
+                         known->draining == record.draining &&
+                         known->incarnation == record.incarnation;
+    if (!is_same) {
+      kLog.Event({{"event", "member"},
+                  {"node", record.node.str()},
+                  {"state", static_cast<int>(record.state)},
+                  {"draining", record.draining},
+                  {"incarnation", record.incarnation},
+                  {"sequence", record.sequence}});
+    }
+  }
+}
+
 void ControlPlane::OnMembers(std::shared_ptr<const MembershipView> view) {
+  LogMemberChanges(*view);
   m_members = std::move(view);
   for (const MemberRecord& record : m_members->members) {
     m_transport.SetAddress(record.node, record.peer_address);
@@ -185,6 +210,10 @@
 
 void ControlPlane::OnRelease(std::shared_ptr<const Release> release) {
   m_release = std::move(release);
+  kLog.Event({{"event", "configuration_applied"},
+              {"revision", m_release->revision},
+              {"digest", m_release->digest},
+              {"objects", m_release->objects.size()}});
   caf::anon_send(m_membership, ReleaseApplied{m_release});
   caf::anon_send(m_routing, ReleaseApplied{m_release});
 }
--- a/packages/node/banyantrail/node/control_plane.h
+++ b/packages/node/banyantrail/node/control_plane.h
@@ -72,6 +72,7 @@
   void SpawnActors(const NodeSettings& settings);
   void OnPeerMessage(const NodeId& from, PeerMessage message);
   void OnUnreachable(const NodeId& node);
+  void LogMemberChanges(const MembershipView& view) const;
   void OnMembers(std::shared_ptr<const MembershipView> view);
   void OnRelease(std::shared_ptr<const Release> release);
   void OnSnapshot(std::shared_ptr<const RoutingSnapshot> snapshot);
--- a/packages/node/banyantrail/node/data_plane.cc
+++ b/packages/node/banyantrail/node/data_plane.cc
@@ -2,11 +2,17 @@
 
 #include <utility>
 
+#include <nlohmann/json.hpp>
+
 #include "banyantrail/core/digest.h"
+#include "banyantrail/core/line_budget.h"
+#include "banyantrail/core/logging.h"
 
 namespace banyantrail {
 namespace {
 
+const PartLogger kLog("request");
+
 constexpr milliseconds kHousekeepingInterval{250};
 
 /// A backend server that is silent for this many heartbeat intervals is down.
@@ -51,6 +57,32 @@
   return options;
 }
 
+/// Writes decisions to the log, a bounded number of each kind.
+std::function<void(const RequestDecision&)> DecisionWriter() {
+  const auto budget = std::make_shared<LineBudget>(LineBudget::Options{});
+  return [budget](const RequestDecision& decision) {
+    const std::string kind =
+        std::string(decision.kind) + "/" + std::string(decision.reason);
+    const auto left_out = budget->Take(kind, SystemClock().Now());
+    if (!left_out) {
+      return;
+    }
+    kLog.Event(
+        {{"event", decision.kind},
+         {"request", decision.request},
+         {"rule", decision.rule},
+         {"service", decision.service},
+         {"reason", decision.reason},
+         {"status", decision.status},
+         {"tried", decision.tried},
+         {"sends", decision.sends},
+         {"revision", decision.revision},
+         {"left_ms",
+          std::chrono::duration_cast<milliseconds>(decision.left).count()},
+         {"left_out", *left_out}});
+  };
+}
+
 EntryStage::Options EntryOptions(Metrics& metrics,
                                  const NodeSettings& settings,
                                  const DataPlane::Options& options) {
@@ -73,7 +105,8 @@
                 metrics.CountAnswer(priority, status);
                 metrics.ObserveLatency(
                     priority, std::chrono::duration<double>(latency).count());
-              }},
+              },
+          .on_decision = DecisionWriter()},
       .once_only = options.once_only,
       .dialect = options.dialect,
       .local_service = settings.local_service,
@@ -175,6 +208,13 @@
 
 void DataPlane::OnBackendServersChanged() {
   std::vector<BackendServerRecord> records = m_backend_servers.Records();
+  for (const BackendServerRecord& record : records) {
+    kLog.Event({{"event", "backend_server"},
+                {"id", record.id.str()},
+                {"service", record.service.str()},
+                {"state", static_cast<int>(record.state)},
+                {"slots", record.slots}});
+  }
   m_owner.SetBackendServers(records);
   m_options.on_backend_servers(std::move(records));
 }
--- a/packages/proxy/banyantrail/proxy/entry_stage.cc
+++ b/packages/proxy/banyantrail/proxy/entry_stage.cc
@@ -402,6 +402,32 @@
   return excluded;
 }
 
+void EntryStage::ReportDecision(const Passage& passage,
+                                std::string_view kind,
+                                std::string_view reason,
+                                unsigned status) {
+  const std::string& id = m_options.dialect.request_id;
+  RequestDecision decision{.kind = kind,
+                           .reason = reason,
+                           .status = status,
+                           .tried = passage.tried.size(),
+                           .sends = passage.sends};
+  if (!id.empty()) {
+    decision.request = FieldValue(passage.request.head(), id);
+  }
+  if (passage.snapshot) {
+    decision.revision = passage.snapshot->revision();
+  }
+  if (passage.route != nullptr) {
+    decision.rule = passage.route->rule.str();
+    decision.left = passage.deadline - SystemClock().Now();
+  }
+  if (passage.service != nullptr) {
+    decision.service = passage.service->name.str();
+  }
+  m_options.hooks.on_decision(decision);
+}
+
 void EntryStage::NoteRoom(const Passage& passage,
                           const ServiceEndpoint& endpoint,
                           const Attempt& attempt) {
@@ -470,7 +496,11 @@
   m_options.hooks.count_retry(ToString(decision));
   const bool choice_left =
       passage.tried.size() < passage.service->endpoints.size();
-  return IsRetry(decision) && choice_left;
+  const bool goes_on = IsRetry(decision) && choice_left;
+  if (goes_on) {
+    ReportDecision(passage, "sent_again", ToString(reason), 0);
+  }
+  return goes_on;
 }
 
 /// Divides the fleet's slack among the nodes, of which each serves one backend
@@ -554,6 +584,7 @@
     }
   }
   const unsigned status = static_cast<unsigned>(answer.status);
+  ReportDecision(passage, "refused", ToString(reason), status);
   const bool body_unread =
       passage.request.streams && !passage.request.parser->is_done();
   const bool keep_alive =
--- a/packages/proxy/banyantrail/proxy/entry_stage.h
+++ b/packages/proxy/banyantrail/proxy/entry_stage.h
@@ -25,6 +25,25 @@
 
 namespace banyantrail {
 
+/// A decision on a request, with what it rests on, for the log.
+struct RequestDecision {
+  /// "refused" or "sent_again".
+  std::string_view kind;
+  std::string_view request;
+  /// Empty when no rule matched.
+  std::string_view rule;
+  std::string_view service;
+  std::string_view reason;
+  /// Status that the caller gets; 0 when the request goes on.
+  unsigned status = 0;
+  /// Owner nodes that were asked, and sends that may have reached a server.
+  std::size_t tried = 0;
+  std::uint32_t sends = 0;
+  /// Of the configuration that routed it; 0 for none.
+  Revision revision = 0;
+  Duration left{};
+};
+
 /// What the entry stage tells the rest of the node.
 struct EntryStageHooks {
   std::function<void(std::string_view reason)> count_refusal;
@@ -32,6 +51,8 @@
   /// An answer went back to a caller: rank priority, status, time since the
   /// head arrived.
   std::function<void(unsigned, unsigned, Duration)> on_answer;
+  std::function<void(const RequestDecision&)> on_decision =
+      [](const RequestDecision&) {};
 };
 
 /// The once-only ledger as the entry stage uses it; see OnceOnlyLedger. Empty
@@ -116,6 +137,10 @@
   bool MayRetry(const Passage& passage, const Attempt& attempt);
   void ShareRetryBudget();
   std::vector<EndpointKey> Excluded(const Passage& passage) const;
+  void ReportDecision(const Passage& passage,
+                      std::string_view kind,
+                      std::string_view reason,
+                      unsigned status);
   void NoteRoom(const Passage& passage,
                 const ServiceEndpoint& endpoint,
                 const Attempt& attempt);
--- a/scripts/run_clang_tidy.py
+++ b/scripts/run_clang_tidy.py
@@ -19,7 +19,8 @@
     os.environ.get("BANYANTRAIL_TIDY_CACHE",
                    pathlib.Path.home() / ".cache" / "banyantrail-tidy"))
 INCLUDE = re.compile(r'^\s*#include\s+"([^"]+)"', re.MULTILINE)
-SEARCH_DIRS = [*sorted((ROOT / "packages").glob("*")), ROOT / "tests"]
+SEARCH_DIRS = [*sorted((ROOT / "packages").glob("*")), ROOT / "platform",
+               ROOT / "tests"]
 
 
 def project_includes(path):
