--- a/packages/proxy/banyantrail/proxy/entry_stage.cc
+++ b/packages/proxy/banyantrail/proxy/entry_stage.cc
@@ -143,6 +143,8 @@
   std::vector<EndpointKey> tried;
   /// Backend servers that the request may have reached.
   std::uint32_t sends = 0;
+  /// Reason of an attempt that may have run.
+  std::optional<RefusalReason> may_have_run;
 };
 
 EntryStage::EntryStage(asio::any_io_executor executor,
@@ -457,6 +459,9 @@
   const TimePoint now = SystemClock().Now();
   m_loads.OnResult(endpoint, ResultOf(attempt, now - started), now);
   passage.sends += MayHaveReachedServer(attempt) ? 1 : 0;
+  if (!IsBackendAnswer(attempt) && !ProvesNotRun(ReasonOf(attempt))) {
+    passage.may_have_run = ReasonOf(attempt);
+  }
   NoteRoom(passage, endpoint, attempt);
   if (attempt.result == UpstreamResult::kUnknown) {
     m_pool.Distrust(endpoint.mesh_address);
@@ -565,7 +570,8 @@
 
 asio::awaitable<void> EntryStage::Refuse(Downstream& downstream,
                                          Passage& passage,
-                                         RefusalReason reason) {
+                                         RefusalReason last_reason) {
+  const RefusalReason reason = ReasonForAll(passage.may_have_run, last_reason);
   m_options.hooks.count_refusal(ToString(reason));
   SystemAnswer answer = RefusalAnswer(reason, m_options.dialect);
   answer.fractional_retry_after = m_options.dialect.fractional_retry_after;
--- a/packages/traffic/banyantrail/traffic/refusal_reason.cc
+++ b/packages/traffic/banyantrail/traffic/refusal_reason.cc
@@ -70,6 +70,11 @@
   return FactsOf(reason).proves_not_run;
 }
 
+RefusalReason ReasonForAll(std::optional<RefusalReason> may_have_run,
+                           RefusalReason last) {
+  return may_have_run && ProvesNotRun(last) ? *may_have_run : last;
+}
+
 std::string_view RemedyFor(RefusalReason reason) {
   return FactsOf(reason).remedy;
 }
--- a/packages/traffic/banyantrail/traffic/refusal_reason.h
+++ b/packages/traffic/banyantrail/traffic/refusal_reason.h
@@ -59,6 +59,12 @@
 /// and for a backend server's own statement that it shed the request.
 bool ProvesNotRun(RefusalReason reason);
 
+/// The reason to give for a request after several attempts: the last one,
+/// unless an earlier attempt may have run and the last alone would deny it.
+/// `may_have_run` is the reason of such an attempt, if there was one.
+RefusalReason ReasonForAll(std::optional<RefusalReason> may_have_run,
+                           RefusalReason last);
+
 /// One sentence for the caller: what it can do about the refusal.
 std::string_view RemedyFor(RefusalReason reason);
 
--- a/tests/platform/fleet_task_test.cc
+++ b/tests/platform/fleet_task_test.cc
@@ -56,7 +56,7 @@
   std::vector<std::string> events;
   bool joined = false;
 
-  void Start(milliseconds watch_wait = seconds(5)) {
+  void Start(milliseconds watch_wait = FleetTaskOptions{}.watch_wait) {
     FleetTaskOptions options{
         .own = {.node = NodeId("n1"),
                 .peer_address = {.address = "10.0.0.1", .port = 7600}},
@@ -160,3 +160,21 @@
   CHECK(RunUntil([&] { return peers.size() == 1; }));
   STRCMP_EQUAL("10.0.0.2", peers[0].address.c_str());
 }
+
+// pista-clara, trouble-3: the store falls silent and never answers the waits
+// from before. After its return a node has the time in which the users take it
+// to be in touch again.
+TEST(FleetTask, WaitThatIsNeverAnsweredDoesNotOutliveTheStoresReturn) {
+  constexpr seconds kInTouchAfter{3};
+  const Revision first = stand_in.Write("config", "main", Configuration(1));
+  Start();
+  CHECK(HasRelease(first));
+  io.run_for(milliseconds(50));
+  stand_in.silent = true;
+  io.run_for(milliseconds(50));
+  stand_in.silent = false;
+  const Revision second = stand_in.Write("config", "main", Configuration(2));
+  const TimePoint returned = SystemClock().Now();
+  CHECK(HasRelease(second));
+  CHECK(SystemClock().Now() - returned < kInTouchAfter);
+}
--- a/tests/platform/object_store_stand_in.cc
+++ b/tests/platform/object_store_stand_in.cc
@@ -67,6 +67,9 @@
   const std::string query =
       mark == std::string::npos ? "" : target.substr(mark + 1);
   ++calls[std::string(request.method_string()) + " " + path];
+  if (silent) {
+    co_await NeverAnswer();
+  }
   if (refuse_with != 0) {
     co_return Answer(refuse_with, json::object());
   }
@@ -91,6 +94,11 @@
                                      : Answer(200, found->second);
 }
 
+asio::awaitable<void> ObjectStoreStandIn::NeverAnswer() {
+  asio::steady_timer timer(m_io, TimePoint::max());
+  co_await timer.async_wait(asio::use_awaitable);
+}
+
 HttpResponse ObjectStoreStandIn::ApplyChange(const HttpRequest& request,
                                              const Key& key) {
   const json body = json::parse(request.body(), nullptr, false);
@@ -137,6 +145,9 @@
   asio::steady_timer timer(m_io);
   json events = EventsAfter(kind, after);
   while (events.empty() && SystemClock().Now() < end) {
+    if (silent) {
+      co_await NeverAnswer();
+    }
     timer.expires_after(milliseconds(2));
     co_await timer.async_wait(asio::use_awaitable);
     events = EventsAfter(kind, after);
--- a/tests/platform/object_store_stand_in.h
+++ b/tests/platform/object_store_stand_in.h
@@ -29,6 +29,8 @@
 
   /// All calls are answered with this status instead, unless it is 0.
   unsigned refuse_with = 0;
+  /// Calls that arrive or wait meanwhile are never answered.
+  bool silent = false;
   /// So many further changes take effect and are answered with 500.
   int lose_answers = 0;
   /// Objects of one page of a list.
@@ -45,6 +47,7 @@
   };
   using Key = std::pair<std::string, std::string>;
 
+  asio::awaitable<void> NeverAnswer();
   asio::awaitable<HttpResponse> Handle(HttpRequest request);
   HttpResponse ApplyChange(const HttpRequest& request, const Key& key);
   asio::awaitable<HttpResponse> Watch(std::string kind,
