--- a/packages/distribution/banyantrail/distribution/fleet_task.h
+++ b/packages/distribution/banyantrail/distribution/fleet_task.h
@@ -19,9 +19,9 @@
   /// The own node's entry.
   NodeEntry own;
   std::uint64_t seed = 0;
-  /// How long one wait for a configuration lasts at most. A store that came back
-  /// from an outage may never answer the waits from before it, so this bounds
-  /// how long a node misses changes after its return.
+  /// How long one wait for a configuration lasts at most. A store that came
+  /// back from an outage may never answer the waits from before it, so this
+  /// bounds how long a node misses changes after its return.
   milliseconds watch_wait{2000};
   /// Between two looks for the first configuration or for peers.
   BackoffOptions search{.initial = milliseconds(150), .max = seconds(1)};
--- a/tests/net/http_exchange.h
+++ b/tests/net/http_exchange.h
@@ -23,8 +23,7 @@
   constexpr std::uint16_t kPorts = 20'000;
   static std::random_device seed;
   while (true) {
-    const auto port =
-        static_cast<std::uint16_t>(kFirstPort + seed() % kPorts);
+    const auto port = static_cast<std::uint16_t>(kFirstPort + seed() % kPorts);
     asio::ip::tcp::acceptor probe(io);
     boost::system::error_code error;
     probe.open(asio::ip::tcp::v4());
--- a/tests/traffic/choose_test.cc
+++ b/tests/traffic/choose_test.cc
@@ -201,7 +201,8 @@
 }
 
 TEST(Choose, LargeBodiesLeaveADomainWithoutAServer) {
-  const std::vector<banyantrail::EndpointKey> own{KeyOf(endpoints[0]), KeyOf(endpoints[1])};
+  const std::vector<banyantrail::EndpointKey> own{KeyOf(endpoints[0]),
+                                                  KeyOf(endpoints[1])};
   const ServiceEndpoint* large =
       Choose(endpoints, loads, options, kStart, rng,
              {.body_bytes = 280'000, .excluded = own});
