--- a/tests/platform/fleet_task_test.cc
+++ b/tests/platform/fleet_task_test.cc
@@ -92,7 +92,7 @@
         [&] { return !releases.empty() && releases.back() == revision; });
   }
 
-  void teardown() {
+  void teardown() override {
     task->Stop();
     stand_in.refuse_with = 503;
     io.run_for(milliseconds(50));
--- a/tests/platform/object_store_test.cc
+++ b/tests/platform/object_store_test.cc
@@ -63,7 +63,8 @@
         failure = caught.kind();
       }
     });
-    while (!done) {
+    const auto is_done = [&done] { return done; };
+    while (!is_done()) {
       io.run_one_for(milliseconds(100));
       io.restart();
     }
