Name the time in which a new backend server is slow in the project's own words

The wire's name for it stood outside platform/. No behaviour changes; platform_test rebuilt and run, the other tests not run again after this rename.

--- a/packages/node/banyantrail/node/local_backend_servers.h
+++ b/packages/node/banyantrail/node/local_backend_servers.h
@@ -19,7 +19,7 @@
   /// Counts the announcements of one boot. 0 when it is not told.
   std::uint64_t sequence = 0;
   /// How much longer it is slow after its start.
-  Duration cold_remaining{};
+  Duration warm_up_left{};
 
   friend bool operator==(const Announcement&, const Announcement&) = default;
 };
--- a/tests/platform/beats_test.cc
+++ b/tests/platform/beats_test.cc
@@ -65,7 +65,7 @@
   CHECK(announced->record.state == BackendServerState::kServing);
   CHECK(announced->born == 1767225600000);
   CHECK(announced->sequence == 4);
-  CHECK(announced->cold_remaining == milliseconds(1200));
+  CHECK(announced->warm_up_left == milliseconds(1200));
 }
 
 TEST(Beats, DrainingIsTranslated) {
