Let large bodies wait for a narrow link at the owner node

Cause: on the grown deployment a VM's link carries 7 Mbit a second and six servers take 106 uploads a second of 60 KB, 1.2 times what their links carry.

Ruled out: processor time (0.039 of 0.1 cores a node on average) and slots (13 a server, 5 in use by work times rate).

Change: the owner node knows the width of its link from the settings. A refusal leaves the connection between the nodes open. The entry node names the hash of a body that is not read before admission, so that the quarantine still recognises it, and notices callers that leave while it waits.

--- a/packages/node/banyantrail/node/data_plane.cc
+++ b/packages/node/banyantrail/node/data_plane.cc
@@ -19,6 +19,8 @@
 /// Heartbeats may come an interval late.
 constexpr int kMissedHeartbeats = 3;
 
+constexpr std::uint64_t kBytesPerMbit = 125'000;
+
 OwnerStage::Options OwnerOptions(Metrics& metrics,
                                  const NodeSettings& settings,
                                  LocalBackendServers& servers,
@@ -36,7 +38,8 @@
                         },
                     .on_crash = options.on_crash},
           .dialect = options.dialect,
-          .admission = settings.admission};
+          .admission = settings.admission,
+          .link_bytes_per_s = settings.limits.link_mbit_per_s * kBytesPerMbit};
 }
 
 /// Names the attempts of this life of the node.
--- a/packages/node/banyantrail/node/settings.h
+++ b/packages/node/banyantrail/node/settings.h
@@ -31,6 +31,8 @@
   std::uint32_t max_caller_connections = 1024;
   std::uint32_t max_mesh_connections = 4096;
   std::uint32_t max_admin_connections = 256;
+  /// Width of the VM's link; 0 when unknown.
+  std::uint32_t link_mbit_per_s = 0;
 
   friend bool operator==(const LimitSettings&, const LimitSettings&) = default;
 };
--- a/packages/proxy/banyantrail/proxy/attempt.cc
+++ b/packages/proxy/banyantrail/proxy/attempt.cc
@@ -9,8 +9,10 @@
 #include <utility>
 
 #include "banyantrail/proxy/answer_head.h"
+#include "banyantrail/proxy/hang_up_watch.h"
 #include "banyantrail/proxy/message_text.h"
 #include "banyantrail/proxy/request_monitor.h"
+#include "banyantrail/traffic/body_transfers.h"
 
 namespace banyantrail {
 namespace {
@@ -108,27 +110,29 @@
   }
 }
 
-/// Writes the head and, unless the body streams, the body.
+/// Whether the body is held back until the server has admitted the request.
+bool AsksFirst(const InboundRequest& request, const AttemptOptions& options) {
+  const bool is_large =
+      request.streams || request.body.size() >= kLargeBodyBytes;
+  return options.ask_before_body && is_large;
+}
+
+/// Writes the head and, unless it is held back, the body.
 asio::awaitable<boost::system::error_code> SendHeadAndSmallBody(
     Upstream& upstream,
     const InboundRequest& request,
     const http::request_header<>& head,
+    bool body_held_back,
     std::size_t& written) {
   boost::system::error_code error;
-  if (request.streams) {
+  if (body_held_back) {
     http::request<http::empty_body> message(head);
     http::request_serializer<http::empty_body> serializer(message);
     written = co_await http::async_write_header(
         upstream.stream, serializer,
         asio::redirect_error(asio::use_awaitable, error));
   } else {
-    http::request_header<> framed = head;
-    if (!request.body.empty() ||
-        request.head().count(http::field::content_length) > 0) {
-      framed.set(http::field::content_length,
-                 std::to_string(request.body.size()));
-    }
-    const std::string text = HeadText(framed);
+    const std::string text = HeadText(head);
     const std::array<asio::const_buffer, 2> pieces = {
         asio::buffer(text), asio::buffer(request.body)};
     written = co_await asio::async_write(
@@ -140,18 +144,23 @@
 
 http::request_header<> WithFraming(http::request_header<> head,
                                    const InboundRequest& request,
-                                   bool ask_before_body) {
-  if (request.streams) {
-    http::request<http::empty_body> message(std::move(head));
-    if (request.parser->chunked()) {
-      message.chunked(true);
-    } else {
-      message.content_length(request.parser->content_length().value());
-    }
-    head = std::move(message.base());
-    if (ask_before_body) {
-      head.set(http::field::expect, "100-continue");
+                                   bool asks_first) {
+  http::request<http::empty_body> message(std::move(head));
+  if (!request.streams) {
+    const bool names_length =
+        !request.body.empty() ||
+        request.head().count(http::field::content_length) > 0;
+    if (names_length) {
+      message.content_length(request.body.size());
     }
+  } else if (request.parser->chunked()) {
+    message.chunked(true);
+  } else {
+    message.content_length(request.parser->content_length().value());
+  }
+  head = std::move(message.base());
+  if (asks_first) {
+    head.set(http::field::expect, "100-continue");
   }
   return head;
 }
@@ -159,9 +168,22 @@
 /// Waits until the server has said that it wants the body. Returns true if
 /// the body is to be sent; otherwise `attempt` is complete. The server sends
 /// nothing on before the body begins, so silence proves "not run".
-asio::awaitable<bool> WaitForPermission(Attempt& attempt, http::verb method) {
+asio::awaitable<bool> WaitForPermission(Attempt& attempt,
+                                        Downstream& downstream,
+                                        http::verb method) {
+  bool caller_gone = false;
+  HangUpWatch watch(downstream, [&attempt, &caller_gone] {
+    caller_gone = true;
+    attempt.upstream->stream.cancel();
+  });
   const boost::system::error_code error =
       co_await ReadAnswerHead(attempt, method);
+  co_await watch.Stop();
+  if (caller_gone) {
+    attempt.result = UpstreamResult::kCallerGone;
+    attempt.reason = RefusalReason::kCancelled;
+    co_return false;
+  }
   if (error) {
     attempt.result = UpstreamResult::kNotRun;
     attempt.reason = RefusalReason::kConnectFailed;
@@ -171,7 +193,6 @@
     co_return true;
   }
   attempt.result = UpstreamResult::kAnswered;
-  attempt.upstream_spent = true;
   co_return false;
 }
 
@@ -214,10 +235,13 @@
                                   InboundRequest& request,
                                   http::request_header<> head,
                                   bool head_sent,
-                                  AwaitedAnswer awaited) {
+                                  AwaitedAnswer awaited,
+                                  std::function<void()> on_body_taken) {
   const http::verb method = request.head().method();
   RequestMonitor monitor(downstream, *attempt.upstream, request,
-                         std::move(head), head_sent);
+                         {.head = std::move(head),
+                          .head_sent = head_sent,
+                          .on_body_taken = std::move(on_body_taken)});
   const asio::any_io_executor executor = co_await asio::this_coro::executor;
   monitor.Start(executor);
   const boost::system::error_code error =
@@ -226,24 +250,43 @@
   Conclude(attempt, monitor, error);
 }
 
+/// Sends the body that is at hand, after the server has admitted the request.
+/// Returns false when `attempt` is complete already.
+asio::awaitable<bool> SendAdmittedBody(Attempt& attempt,
+                                       const InboundRequest& request) {
+  boost::system::error_code error;
+  co_await asio::async_write(attempt.upstream->stream,
+                             asio::buffer(request.body),
+                             asio::redirect_error(asio::use_awaitable, error));
+  if (error) {
+    attempt.result = UpstreamResult::kUnknown;
+    attempt.reason = RefusalReason::kConnectionLost;
+  }
+  co_return !error;
+}
+
 /// Sends the head now, with the body if that is at hand. Returns false when
 /// `attempt` is complete already.
 asio::awaitable<bool> SendNow(Attempt& attempt,
+                              Downstream& downstream,
                               const InboundRequest& request,
                               const AttemptOptions& options,
                               const http::request_header<>& head) {
   std::size_t written = 0;
-  const boost::system::error_code error =
-      co_await SendHeadAndSmallBody(*attempt.upstream, request, head, written);
+  const bool body_held_back = AsksFirst(request, options);
+  const boost::system::error_code error = co_await SendHeadAndSmallBody(
+      *attempt.upstream, request, head, body_held_back, written);
   if (!error) {
-    if (!request.streams) {
+    if (!body_held_back) {
       co_return true;
     }
-    const bool permitted =
-        co_await WaitForPermission(attempt, request.head().method());
-    co_return permitted;
+    bool goes_on = co_await WaitForPermission(attempt, downstream,
+                                              request.head().method());
+    if (goes_on && !request.streams) {
+      goes_on = co_await SendAdmittedBody(attempt, request);
+    }
+    co_return goes_on;
   }
-  const bool body_held_back = request.streams && options.ask_before_body;
   const bool proven = written == 0 || body_held_back;
   attempt.result = proven ? UpstreamResult::kNotRun : UpstreamResult::kUnknown;
   attempt.reason =
@@ -264,6 +307,18 @@
 
 }  // namespace
 
+asio::awaitable<void> FinishRefusal(UpstreamPool& pool, Attempt& attempt) {
+  const bool keeps_open =
+      !attempt.upstream_spent && attempt.answer->get().keep_alive();
+  if (!keeps_open) {
+    co_return;
+  }
+  const boost::system::error_code error = co_await SkipAnswer(attempt);
+  if (!error) {
+    pool.Keep(std::move(attempt.upstream));
+  }
+}
+
 asio::awaitable<Attempt> MakeAttempt(UpstreamPool& pool,
                                      Downstream& downstream,
                                      InboundRequest& request,
@@ -277,11 +332,12 @@
   attempt.upstream->stream.expires_at(options.deadline);
   attempt.upstream->carries_request = true;
 
-  const http::request_header<> head =
-      WithFraming(std::move(options.head), request, options.ask_before_body);
+  const http::request_header<> head = WithFraming(
+      std::move(options.head), request, AsksFirst(request, options));
   const bool send_now = !request.streams || options.ask_before_body;
   if (send_now) {
-    const bool goes_on = co_await SendNow(attempt, request, options, head);
+    const bool goes_on =
+        co_await SendNow(attempt, downstream, request, options, head);
     if (!goes_on) {
       co_return attempt;
     }
@@ -295,7 +351,8 @@
     awaited.request_id =
         FieldValue(request.head(), awaited.dialect->request_id);
   }
-  co_await AwaitAnswer(attempt, downstream, request, head, send_now, awaited);
+  co_await AwaitAnswer(attempt, downstream, request, head, send_now, awaited,
+                       options.on_body_taken);
   co_return attempt;
 }
 
--- a/packages/proxy/banyantrail/proxy/attempt.h
+++ b/packages/proxy/banyantrail/proxy/attempt.h
@@ -2,6 +2,7 @@
 
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
+#include <functional>
 #include <memory>
 
 #include "banyantrail/proxy/connection.h"
@@ -44,11 +45,13 @@
   /// Outgoing head without framing fields.
   http::request_header<> head;
   TimePoint deadline;
-  /// Ask the server to admit the request before a streamed body is sent, so
-  /// that a refusal leaves the body untouched.
+  /// Ask the server to admit the request before a streamed or large body is
+  /// sent, so that a refusal leaves the body untouched.
   bool ask_before_body = false;
   /// Never use a kept-alive connection.
   bool fresh_connection = false;
+  /// Called once when the whole body of a streamed request has arrived.
+  std::function<void()> on_body_taken = [] {};
   /// Names of the headers on the answer. Null between nodes, whose answers
   /// need no check.
   const EdgeDialect* dialect = nullptr;
@@ -60,4 +63,8 @@
                                      InboundRequest& request,
                                      AttemptOptions options);
 
+/// Reads the rest of another node's refusal, so that its connection serves the
+/// next request. The head of the answer stays; the connection is gone.
+asio::awaitable<void> FinishRefusal(UpstreamPool& pool, Attempt& attempt);
+
 }  // namespace banyantrail
--- a/packages/proxy/banyantrail/proxy/entry_stage.cc
+++ b/packages/proxy/banyantrail/proxy/entry_stage.cc
@@ -4,6 +4,8 @@
 #include <utility>
 #include <vector>
 
+#include "banyantrail/core/digest.h"
+#include "banyantrail/traffic/body_transfers.h"
 #include "banyantrail/wire/mesh_headers.h"
 
 namespace banyantrail {
@@ -43,6 +45,12 @@
   return NumberField(head, kDepthHeader).value_or(0);
 }
 
+/// Whether the owner node made the answer, not its backend server.
+bool IsSystemAnswer(const Attempt& attempt) {
+  return attempt.result == UpstreamResult::kAnswered &&
+         !SystemOutcomeOf(attempt).empty();
+}
+
 bool IsBackendAnswer(const Attempt& attempt) {
   return attempt.result == UpstreamResult::kAnswered &&
          SystemOutcomeOf(attempt).empty();
@@ -337,6 +345,10 @@
   if (passage.is_call) {
     SetField(options.head, kCallHeader, "1");
   }
+  if (passage.request.body.size() >= kLargeBodyBytes) {
+    SetField(options.head, kBodyHashHeader,
+             std::to_string(Hash64(passage.request.body)));
+  }
   if (passage.target) {
     SetField(options.head, kTargetHeader, RemainingMs(*passage.target));
   }
@@ -371,6 +383,9 @@
       downstream.must_close = true;
       co_return;
     }
+    if (IsSystemAnswer(attempt)) {
+      co_await FinishRefusal(m_pool, attempt);
+    }
     if (MayRetry(passage, attempt)) {
       continue;
     }
--- a/packages/proxy/banyantrail/proxy/inbound_request.cc
+++ b/packages/proxy/banyantrail/proxy/inbound_request.cc
@@ -155,7 +155,10 @@
   request.expects_continue =
       beast::iequals(request.head()[http::field::expect], "100-continue");
   const bool known_small = length && *length <= kMaxReplayBytes;
-  request.streams = request.parser->chunked() || (length && !known_small);
+  const bool waits_for_admission =
+      limits.admits_before_body && request.expects_continue;
+  request.streams = request.parser->chunked() || (length && !known_small) ||
+                    (length && waits_for_admission);
   if (!request.streams && length.value_or(0) > 0) {
     co_await SendContinue(downstream, request);
     if (!timer && downstream.buffer.size() < *length) {
--- a/packages/proxy/banyantrail/proxy/inbound_request.h
+++ b/packages/proxy/banyantrail/proxy/inbound_request.h
@@ -23,7 +23,8 @@
   std::unique_ptr<Parser> parser;
   /// The whole body, unless it streams.
   std::string body;
-  /// The body is larger than kMaxReplayBytes or of unknown length.
+  /// The body is larger than kMaxReplayBytes, of unknown length, or not read
+  /// before the request is admitted.
   bool streams = false;
   /// Some of a streamed body was already taken from the connection.
   bool body_taken = false;
@@ -41,6 +42,9 @@
   Duration idle_timeout = seconds(60);
   /// How long a head, or a body that is read whole, may take to arrive.
   Duration head_timeout = seconds(10);
+  /// A body whose sender asks first is not read before the request is
+  /// admitted, however small it is.
+  bool admits_before_body = false;
 };
 
 /// How reading a request ended.
--- a/packages/proxy/banyantrail/proxy/owner_stage.cc
+++ b/packages/proxy/banyantrail/proxy/owner_stage.cc
@@ -4,6 +4,7 @@
 
 #include "banyantrail/core/digest.h"
 #include "banyantrail/proxy/hang_up_watch.h"
+#include "banyantrail/traffic/body_transfers.h"
 #include "banyantrail/wire/mesh_headers.h"
 
 namespace banyantrail {
@@ -33,20 +34,29 @@
   for (const std::string_view name :
        {kDeadlineHeader, kTargetHeader, kCallHeader, kRuleHeader,
         kPriorityHeader, kIdempotentHeader, kServiceHeader,
-        kBackendServerHeader, kCallerServiceHeader}) {
+        kBackendServerHeader, kCallerServiceHeader, kBodyHashHeader}) {
     head.erase(beast::string_view(name.data(), name.size()));
   }
 }
 
+/// Whether the connection comes from a process on this VM.
+bool IsFromOwnHost(const Downstream& downstream) {
+  boost::system::error_code error;
+  const asio::ip::tcp::socket& socket = downstream.stream.socket();
+  const auto remote = socket.remote_endpoint(error);
+  const auto local = socket.local_endpoint(error);
+  return !error && remote.address() == local.address();
+}
+
 /// Recognises the request when it is sent again: by its idempotency key, else
 /// by its body if that is at hand.
 std::optional<RequestFingerprint> FingerprintFor(const InboundRequest& request,
                                                  const ServiceName& service) {
   const http::request_header<>& head = request.head();
   const std::string_view key = FieldValue(head, kIdempotencyKeyHeader);
-  const std::string digest = request.body.empty()
-                                 ? std::string()
-                                 : std::to_string(Hash64(request.body));
+  const std::string digest =
+      request.body.empty() ? std::string(FieldValue(head, kBodyHashHeader))
+                           : std::to_string(Hash64(request.body));
   return FingerprintOf(
       {.service = service,
        .method = {head.method_string().data(), head.method_string().size()},
@@ -65,7 +75,13 @@
       m_pool(pool),
       m_running(running),
       m_options(std::move(options)),
-      m_quarantine(m_options.quarantine) {}
+      m_quarantine(m_options.quarantine) {
+  m_options.limits.admits_before_body = true;
+  const auto transfers = BodyTransferOptions(m_options.link_bytes_per_s);
+  if (transfers) {
+    m_transfers = std::make_unique<AdmissionGate>(m_executor, *transfers);
+  }
+}
 
 asio::awaitable<void> OwnerStage::Serve(beast::tcp_stream stream) {
   Downstream downstream(std::move(stream));
@@ -94,6 +110,9 @@
                   .id = ++m_last_request,
                   .deadline = DeadlineOf(request.head())};
   std::optional<RefusalReason> refusal = RefusalFor(passage.backend);
+  if (!refusal) {
+    refusal = co_await AwaitTransfer(downstream, passage);
+  }
   if (!refusal) {
     refusal = co_await Admit(downstream, passage);
   }
@@ -112,6 +131,33 @@
     co_await Forward(downstream, passage);
     EndIsolation(passage);
   }
+  EndTransfer(passage);
+}
+
+/// Waits until the body of the request may cross the VM's link. A sender on
+/// this VM uses no link.
+asio::awaitable<std::optional<RefusalReason>> OwnerStage::AwaitTransfer(
+    Downstream& downstream,
+    Passage& passage) {
+  const bool is_large = passage.request.streams;
+  if (!m_transfers || !is_large || IsFromOwnHost(downstream)) {
+    co_return std::nullopt;
+  }
+  const std::optional<RefusalReason> refusal =
+      co_await EnterGate(downstream, *m_transfers, WorkOf(passage));
+  if (!refusal) {
+    passage.transfer_began = SystemClock().Now();
+  }
+  co_return refusal;
+}
+
+void OwnerStage::EndTransfer(Passage& passage) {
+  if (!passage.transfer_began) {
+    return;
+  }
+  const Duration duration = SystemClock().Now() - *passage.transfer_began;
+  passage.transfer_began.reset();
+  m_transfers->Leave(passage.id, {.latency = duration});
 }
 
 /// Keeps requests that were in flight at a crash from running beside each
@@ -224,7 +270,7 @@
                                          RefusalReason reason) {
   m_options.hooks.count_refusal(reason);
   // A body that streams stays unread, unless the sender waits for permission.
-  const bool body_unread = request.streams;
+  const bool body_unread = request.streams && !request.expects_continue;
   SystemAnswer answer = RefusalAnswer(reason);
   if (backend) {
     answer.load = LoadValue(backend->gate->load());
@@ -253,18 +299,27 @@
 asio::awaitable<std::optional<RefusalReason>> OwnerStage::Admit(
     Downstream& downstream,
     Passage& passage) {
-  AdmissionGate& gate = *passage.backend->gate;
-  const OfferResult result = gate.Offer(WorkOf(passage));
+  const std::optional<RefusalReason> refusal =
+      co_await EnterGate(downstream, *passage.backend->gate, WorkOf(passage));
+  passage.admitted_at = SystemClock().Now();
+  co_return refusal;
+}
+
+/// Waits until the gate lets the request pass, or the sender hangs up.
+asio::awaitable<std::optional<RefusalReason>> OwnerStage::EnterGate(
+    Downstream& downstream,
+    AdmissionGate& gate,
+    WorkRequest work) {
+  const OfferResult result = gate.Offer(work);
   std::optional<RefusalReason> refusal;
   if (const auto* refused = std::get_if<Refused>(&result)) {
     refusal = refused->reason;
   } else if (std::holds_alternative<Queued>(result)) {
     HangUpWatch watch(downstream,
-                      [&gate, id = passage.id] { gate.Cancel(id); });
-    refusal = co_await gate.Wait(passage.id);
+                      [&gate, id = work.request] { gate.Cancel(id); });
+    refusal = co_await gate.Wait(work.request);
     co_await watch.Stop();
   }
-  passage.admitted_at = SystemClock().Now();
   co_return refusal;
 }
 
@@ -296,10 +351,12 @@
 
 asio::awaitable<void> OwnerStage::Forward(Downstream& downstream,
                                           Passage& passage) {
-  AttemptOptions options{.server = passage.backend->record.address,
-                         .head = ForwardedHead(passage.request),
-                         .deadline = passage.deadline,
-                         .dialect = &m_options.dialect};
+  AttemptOptions options{
+      .server = passage.backend->record.address,
+      .head = ForwardedHead(passage.request),
+      .deadline = passage.deadline,
+      .on_body_taken = [this, &passage] { EndTransfer(passage); },
+      .dialect = &m_options.dialect};
   SetServerFields(passage, options.head);
   const std::string request_id(RequestIdOf(passage));
   m_running.Add(request_id);
--- a/packages/proxy/banyantrail/proxy/owner_stage.h
+++ b/packages/proxy/banyantrail/proxy/owner_stage.h
@@ -42,6 +42,8 @@
     EdgeDialect dialect;
     /// Slots and ranks are filled in for each backend server.
     AdmissionOptions admission;
+    /// Width of the VM's link in bytes a second; 0 when unknown.
+    std::uint64_t link_bytes_per_s = 0;
   };
 
   /// Notes in `running` what runs at the backend servers of this node.
@@ -85,6 +87,8 @@
     bool is_suspect = false;
     TimePoint deadline;
     TimePoint admitted_at{};
+    /// When its body got its turn on the link; empty while it holds none.
+    std::optional<TimePoint> transfer_began;
     bool keep_alive = true;
   };
 
@@ -96,6 +100,12 @@
   static WorkRequest WorkOf(const Passage& passage);
   std::string_view RequestIdOf(const Passage& passage) const;
   AdmissionOptions AdmissionOptionsFor(const BackendServerRecord& record) const;
+  asio::awaitable<std::optional<RefusalReason>> AwaitTransfer(
+      Downstream& downstream,
+      Passage& passage);
+  void EndTransfer(Passage& passage);
+  asio::awaitable<std::optional<RefusalReason>>
+  EnterGate(Downstream& downstream, AdmissionGate& gate, WorkRequest work);
   asio::awaitable<std::optional<RefusalReason>> Admit(Downstream& downstream,
                                                       Passage& passage);
   asio::awaitable<std::optional<RefusalReason>> Isolate(Passage& passage);
@@ -117,6 +127,8 @@
   Options m_options;
   std::map<BackendServerId, BackendPtr> m_backends;
   std::vector<RankShare> m_ranks;
+  /// Where large bodies wait for the VM's link; null when it is wide enough.
+  std::unique_ptr<AdmissionGate> m_transfers;
   Quarantine m_quarantine;
   RequestId m_last_request = 0;
   std::size_t m_in_progress = 0;
--- a/packages/proxy/banyantrail/proxy/request_monitor.cc
+++ b/packages/proxy/banyantrail/proxy/request_monitor.cc
@@ -18,19 +18,20 @@
   State(Downstream& down,
         Upstream& up,
         InboundRequest& inbound,
-        http::request_header<> outgoing_head,
-        bool head_already_sent)
+        Options options)
       : downstream(down),
         upstream(up),
         request(inbound),
-        head(std::move(outgoing_head)),
+        head(std::move(options.head)),
+        on_body_taken(std::move(options.on_body_taken)),
         finished(down.stream.get_executor()),
-        head_sent(head_already_sent) {}
+        head_sent(options.head_sent) {}
 
   Downstream& downstream;
   Upstream& upstream;
   InboundRequest& request;
   http::request_header<> head;
+  std::function<void()> on_body_taken;
   /// Expires when the monitor's coroutine has ended.
   asio::steady_timer finished;
   bool head_sent;
@@ -81,6 +82,9 @@
     outgoing.body().data = piece.data();
     outgoing.body().size = size;
     outgoing.body().more = !parser.is_done();
+    if (parser.is_done()) {
+      state.on_body_taken();
+    }
     if (size == 0 && outgoing.body().more) {
       continue;
     }
@@ -136,13 +140,11 @@
 RequestMonitor::RequestMonitor(Downstream& downstream,
                                Upstream& upstream,
                                InboundRequest& request,
-                               http::request_header<> head,
-                               bool head_sent)
+                               Options options)
     : m_state(std::make_shared<State>(downstream,
                                       upstream,
                                       request,
-                                      std::move(head),
-                                      head_sent)) {}
+                                      std::move(options))) {}
 
 void RequestMonitor::Start(const asio::any_io_executor& executor) {
   m_state->finished.expires_at(TimePoint::max());
--- a/packages/proxy/banyantrail/proxy/request_monitor.h
+++ b/packages/proxy/banyantrail/proxy/request_monitor.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <cstdint>
+#include <functional>
 #include <memory>
 
 #include "banyantrail/proxy/connection.h"
@@ -16,15 +16,22 @@
 /// The upstream and downstream objects must outlive `Stop`.
 class RequestMonitor {
  public:
-  /// `head` is the outgoing head; with a streaming request the monitor sends
-  /// the body, framed as the head says. Unless the head was already sent, it
-  /// goes out with the first piece of the body, so that a sender that gave up
-  /// before has proof that nothing reached the upstream.
+  struct Options {
+    /// The outgoing head; with a streaming request the monitor sends the body,
+    /// framed as the head says.
+    http::request_header<> head;
+    /// Unless the head was already sent, it goes out with the first piece of
+    /// the body, so that a sender that gave up before has proof that nothing
+    /// reached the upstream.
+    bool head_sent = false;
+    /// Called once when the whole body of a streaming request has arrived.
+    std::function<void()> on_body_taken = [] {};
+  };
+
   RequestMonitor(Downstream& downstream,
                  Upstream& upstream,
                  InboundRequest& request,
-                 http::request_header<> head,
-                 bool head_sent);
+                 Options options);
   RequestMonitor(const RequestMonitor&) = delete;
   RequestMonitor& operator=(const RequestMonitor&) = delete;
 
--- a/packages/wire/banyantrail/wire/mesh_headers.h
+++ b/packages/wire/banyantrail/wire/mesh_headers.h
@@ -41,6 +41,10 @@
 inline constexpr std::string_view kBackendServerHeader =
     "x-banyantrail-backend-server";
 
+/// Entry node to owner node: a hash of a body that the owner node does not read
+/// before it admits the request.
+inline constexpr std::string_view kBodyHashHeader = "x-banyantrail-body-hash";
+
 /// How many nodes a chain of nested calls has passed; carried by backend
 /// servers from call to call.
 inline constexpr std::string_view kDepthHeader = "x-banyantrail-depth";
--- a/tests/proxy/request_path_test.cc
+++ b/tests/proxy/request_path_test.cc
@@ -78,6 +78,23 @@
   LONGS_EQUAL(body.size(), view.body.size());
 }
 
+// Too small to stream, too large to be sent before it is admitted.
+TEST(RequestPath, BodyThatWaitsForAdmissionArrivesWhole) {
+  RequestPath path(EchoScript);
+  const std::string body(32U << 10U, 'b');
+  const CallerView view = path.Post(body);
+  CHECK(view.whole);
+  CHECK(body == view.body);
+}
+
+TEST(RequestPath, BodyThatIsNotAdmittedIsNotRun) {
+  RequestPath path(EchoScript);
+  path.SetState(BackendServerState::kDraining);
+  const CallerView view = path.Post(std::string(32U << 10U, 'b'));
+  LONGS_EQUAL(503, view.status);
+  STRCMP_EQUAL("not-run", view.outcome.c_str());
+}
+
 TEST(RequestPath, ChunkedBodyArrivesWhole) {
   RequestPath path(EchoScript);
   const CallerView view = path.Call(
