Let one node of each domain watch the store for the others

Cause: every node watched the configuration.

Ruled out: two leased relays a domain, for a node in touch with the store alone would not notice their silence within the bound of 2 s.

Change: the first member of a domain in rendezvous order watches and says after each answer which revision the store holds; deltas go down the tree that exists. Within a burst the watcher reads the newest configuration alone.

--- a/packages/distribution/banyantrail/distribution/distribution_protocol.cc
+++ b/packages/distribution/banyantrail/distribution/distribution_protocol.cc
@@ -161,22 +161,34 @@
 
 void DistributionProtocol::Handle(const NodeId& from,
                                   const DigestMessage& message) {
-  m_gate.OnPeerRevision(from, message.revision);
-  if (message.revision > m_store.revision()) {
-    if (!m_store.IsRefusedForGood(message.revision, message.release_digest)) {
-      const Duration grace =
-          IsOwnDomain(from) ? m_options.request_grace : Duration::zero();
-      m_requester.LearnPeer(from, message.revision, m_now + Jittered(grace));
-    }
-  } else {
-    m_requester.ForgetPeer(from, m_now, m_rng);
-  }
+  LearnHolder(from, message.revision, message.release_digest);
   // The membership exchange answers digests that carry its hashes.
   if (message.wants_reply && message.membership_hashes.empty()) {
     Offer(from, false);
   }
 }
 
+void DistributionProtocol::Handle(const NodeId& from,
+                                  const StoreHeadMessage& message) {
+  LearnHolder(from, message.revision, message.release_digest);
+}
+
+/// Notes that a peer holds a revision, to ask it for what lacks here.
+void DistributionProtocol::LearnHolder(const NodeId& from,
+                                       Revision revision,
+                                       const std::string& digest) {
+  m_gate.OnPeerRevision(from, revision);
+  if (revision <= m_store.revision()) {
+    m_requester.ForgetPeer(from, m_now, m_rng);
+    return;
+  }
+  if (!m_store.IsRefusedForGood(revision, digest)) {
+    const Duration grace =
+        IsOwnDomain(from) ? m_options.request_grace : Duration::zero();
+    m_requester.LearnPeer(from, revision, m_now + Jittered(grace));
+  }
+}
+
 template <typename Other>
 void DistributionProtocol::Handle(const NodeId&, const Other&) {}
 
--- a/packages/distribution/banyantrail/distribution/distribution_protocol.h
+++ b/packages/distribution/banyantrail/distribution/distribution_protocol.h
@@ -193,9 +193,13 @@
   void Handle(const NodeId& from, const ReleaseRequestMessage& message);
   void Handle(const NodeId& from, const ReleaseBusyMessage& message);
   void Handle(const NodeId& from, const DigestMessage& message);
+  void Handle(const NodeId& from, const StoreHeadMessage& message);
   template <typename Other>
   void Handle(const NodeId& from, const Other& message);
 
+  void LearnHolder(const NodeId& from,
+                   Revision revision,
+                   const std::string& digest);
   void OnResult(const ApplyResult& result);
   void OnApplied();
   void OnRefused(const RefusedRelease& refused);
--- a/packages/distribution/banyantrail/distribution/fleet_task.h
+++ b/packages/distribution/banyantrail/distribution/fleet_task.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <string>
@@ -21,8 +22,15 @@
   std::uint64_t seed = 0;
   /// How long one wait for a configuration lasts at most. A store that came
   /// back from an outage may never answer the waits from before it, so this
-  /// bounds how long a node misses changes after its return.
-  milliseconds watch_wait{2000};
+  /// bounds how long a node misses changes after its return. Other nodes rest
+  /// on a watcher for little longer, see StoreFollower.
+  milliseconds watch_wait{1000};
+  /// How often a node that rests on another's watch looks whether it still may.
+  Duration follow_interval = milliseconds(100);
+  /// Changes closer to each other than this are a burst. A watch would return
+  /// every one of them whole, so the node reads the newest alone, in intervals.
+  Duration burst_gap = milliseconds(700);
+  Duration burst_read_interval = milliseconds(300);
   /// Between two looks for the first configuration or for peers.
   BackoffOptions search{.initial = milliseconds(150), .max = seconds(1)};
   /// Between two calls of a store that does not answer. The upper bound leaves
@@ -33,6 +41,10 @@
 
   std::function<void(std::shared_ptr<const Release>)> on_release;
   std::function<void(Revision)> on_store_head;
+  /// The store has just said that this is its newest revision.
+  std::function<void(Revision)> on_store_confirmed = [](Revision) {};
+  /// Whether no other node watches the store for this one.
+  std::function<bool()> must_watch = [] { return true; };
   std::function<void(std::vector<IpEndpoint>)> on_peers;
   /// Whether the node has met its peers.
   std::function<bool()> has_joined;
@@ -80,6 +92,12 @@
     Backoff search(m_options.search);
     Backoff outage(m_options.outage);
     while (!m_stopped) {
+      if (!m_options.must_watch()) {
+        // Changes are missed meanwhile, so the next watch begins with a read.
+        m_must_read = true;
+        co_await Pause(m_pause, m_options.follow_interval);
+        continue;
+      }
       bool failed = false;
       bool found = false;
       try {
@@ -109,6 +127,7 @@
     m_must_read = false;
     m_revision = std::max(m_revision, release->revision);
     Take(std::move(*release));
+    m_options.on_store_confirmed(m_taken);
     co_return true;
   }
 
@@ -120,13 +139,34 @@
       co_return co_await ReadWhole();
     }
     m_revision = std::max(m_revision, watch.read_up_to);
+    bool in_burst = false;
     if (watch.release) {
+      const TimePoint now = SystemClock().Now();
+      in_burst = now - m_taken_at < m_options.burst_gap;
       Take(std::move(*watch.release));
     }
+    m_options.on_store_confirmed(m_taken);
+    if (in_burst) {
+      co_await ReadThroughBurst();
+    }
     co_return true;
   }
 
+  /// Reads the newest configuration in intervals until it changes no more.
+  asio::awaitable<void> ReadThroughBurst() {
+    Revision before = 0;
+    do {
+      before = m_taken;
+      co_await Pause(m_pause, m_options.burst_read_interval);
+      co_await ReadWhole();
+    } while (m_taken != before && !m_stopped);
+  }
+
   void Take(Release release) {
+    if (release.revision != m_taken) {
+      m_taken = release.revision;
+      m_taken_at = SystemClock().Now();
+    }
     m_options.on_store_head(release.revision);
     m_options.on_release(std::make_shared<const Release>(std::move(release)));
   }
@@ -204,6 +244,9 @@
   asio::steady_timer m_entry_pause;
   /// Where the watch goes on.
   Revision m_revision = 0;
+  /// The newest configuration that was passed on, and when.
+  Revision m_taken = 0;
+  TimePoint m_taken_at{};
   /// Nothing was read yet, or a watch broke off: it may have missed changes
   /// that the next one does not report.
   bool m_must_read = true;
--- /dev/null
+++ b/packages/distribution/banyantrail/distribution/store_follower.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <optional>
+
+#include "banyantrail/core/clock.h"
+#include "banyantrail/core/ids.h"
+
+namespace banyantrail {
+
+/// Decides whether a node has to watch the store itself, or may rest on the
+/// node of its failure domain that does.
+///
+/// The watching node confirms at least once in each of its waits which revision
+/// the store holds. A node that hears this recently, and that holds the
+/// revision, would learn nothing more from the store. Once the confirmations
+/// fail to come, for whatever reason, it watches on its own, so that a watcher
+/// that is dead, frozen or cut off delays a configuration by `max_age` at most.
+///
+/// Pure: time comes in as a parameter.
+class StoreFollower {
+ public:
+  struct Options {
+    /// How long a confirmation counts. Longer than a watcher's wait, and short
+    /// enough to read a change within the propagation bound after it.
+    Duration max_age = milliseconds(1300);
+    /// How long a confirmed revision may take to arrive from peers.
+    Duration max_lag = milliseconds(400);
+  };
+
+  explicit StoreFollower(Options options) : m_options(options) {}
+
+  /// A watching node says that the store holds `revision`.
+  void OnConfirmation(Revision revision, TimePoint now);
+
+  /// Whether the node, which holds `applied`, cannot rest on another one.
+  bool MustWatch(Revision applied, TimePoint now) const;
+
+ private:
+  Options m_options;
+  std::optional<TimePoint> m_confirmed_at;
+  Revision m_confirmed = 0;
+  /// When the confirmed revision was first heard of.
+  TimePoint m_first_heard{};
+};
+
+}  // namespace banyantrail
--- a/packages/node/banyantrail/node/control_plane.cc
+++ b/packages/node/banyantrail/node/control_plane.cc
@@ -9,6 +9,7 @@
 #include "banyantrail/config/release_compiler.h"
 #include "banyantrail/core/digest.h"
 #include "banyantrail/core/logging.h"
+#include "banyantrail/distribution/relay_lease.h"
 #include "banyantrail/node/distribution_actor.h"
 #include "banyantrail/node/membership_actor.h"
 #include "banyantrail/node/routing_actor.h"
@@ -54,7 +55,24 @@
   return std::holds_alternative<ReleaseDeltaMessage>(message) ||
          std::holds_alternative<ReleaseAckMessage>(message) ||
          std::holds_alternative<ReleaseRequestMessage>(message) ||
-         std::holds_alternative<ReleaseBusyMessage>(message);
+         std::holds_alternative<ReleaseBusyMessage>(message) ||
+         std::holds_alternative<StoreHeadMessage>(message);
+}
+
+bool MayWatchStore(const MemberRecord& record, const DomainId& domain) {
+  return record.domain == domain && record.state == MemberState::kAlive &&
+         !record.draining;
+}
+
+/// The members of the node's failure domain that watch the store for it.
+std::vector<NodeId> WatchersOf(const MembershipView& view) {
+  std::vector<NodeId> members;
+  for (const MemberRecord& record : view.members) {
+    if (MayWatchStore(record, view.own.domain)) {
+      members.push_back(record.node);
+    }
+  }
+  return RelayCandidates(view.own.domain, members);
 }
 
 }  // namespace
@@ -153,6 +171,9 @@
     }
     return;
   }
+  if (const auto* head = std::get_if<StoreHeadMessage>(&message)) {
+    m_store_follower.OnConfirmation(head->revision, SystemClock().Now());
+  }
   if (const auto* crash = std::get_if<CrashReportMessage>(&message)) {
     m_hooks.on_crash_report(*crash);
     return;
@@ -200,6 +221,7 @@
 void ControlPlane::OnMembers(std::shared_ptr<const MembershipView> view) {
   LogMemberChanges(*view);
   m_members = std::move(view);
+  m_watchers = WatchersOf(*m_members);
   for (const MemberRecord& record : m_members->members) {
     m_transport.SetAddress(record.node, record.peer_address);
   }
@@ -284,6 +306,32 @@
   caf::anon_send(m_distribution_actor, PlatformHeadRead{revision});
 }
 
+void ControlPlane::ConfirmStoreHead(Revision revision) {
+  const NodeId& own = m_members->own.node;
+  if (std::ranges::find(m_watchers, own) == m_watchers.end()) {
+    return;
+  }
+  const std::string digest =
+      m_release->revision == revision ? m_release->digest : std::string();
+  const StoreHeadMessage head{.revision = revision, .release_digest = digest};
+  for (const MemberRecord& record : m_members->members) {
+    const bool is_live = record.state == MemberState::kAlive ||
+                         record.state == MemberState::kSuspect;
+    const bool rests_on_this =
+        record.domain == m_members->own.domain && record.node != own;
+    if (is_live && rests_on_this) {
+      m_transport.Send(record.node, head);
+    }
+  }
+}
+
+bool ControlPlane::MustWatchStore() const {
+  const bool is_first =
+      m_watchers.empty() || m_watchers.front() == m_members->own.node;
+  return is_first ||
+         m_store_follower.MustWatch(m_release->revision, SystemClock().Now());
+}
+
 void ControlPlane::ReportCrash(const ServiceName& service,
                                std::vector<std::uint64_t> suspects) {
   const CrashReportMessage report{.node = m_members->own.node,
--- a/packages/node/banyantrail/node/control_plane.h
+++ b/packages/node/banyantrail/node/control_plane.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <vector>
 
+#include "banyantrail/distribution/store_follower.h"
 #include "banyantrail/net/asio.h"
 #include "banyantrail/node/control_messages.h"
 #include "banyantrail/node/metrics.h"
@@ -50,6 +51,11 @@
   void SetSeeds(std::vector<IpEndpoint> seeds);
   void OnReleaseRead(std::shared_ptr<const Release> release);
   void OnPlatformHead(Revision revision);
+  /// The store has just said that `revision` is its newest one: tells the nodes
+  /// of the failure domain that rest on this node's watch.
+  void ConfirmStoreHead(Revision revision);
+  /// Whether this node has to watch the store itself.
+  bool MustWatchStore() const;
   /// Tells the nodes that own backend servers of the service which requests
   /// were in flight at a crash.
   void ReportCrash(const ServiceName& service,
@@ -99,6 +105,10 @@
       std::make_shared<const MembershipView>();
   std::shared_ptr<const Release> m_release = std::make_shared<const Release>();
   DistributionStatus m_distribution;
+  StoreFollower m_store_follower{StoreFollower::Options{}};
+  /// Members of the own failure domain in the order in which they watch the
+  /// store for the others; the first does, the next when the first is silent.
+  std::vector<NodeId> m_watchers;
 };
 
 }  // namespace banyantrail
--- a/packages/node/banyantrail/node/node.cc
+++ b/packages/node/banyantrail/node/node.cc
@@ -156,6 +156,11 @@
           [&parts](Revision revision) {
             parts.control->OnPlatformHead(revision);
           },
+      .on_store_confirmed =
+          [&parts](Revision revision) {
+            parts.control->ConfirmStoreHead(revision);
+          },
+      .must_watch_store = [&parts] { return parts.control->MustWatchStore(); },
       .set_seeds =
           [&parts](std::vector<IpEndpoint> seeds) {
             parts.control->SetSeeds(std::move(seeds));
--- a/packages/node/banyantrail/node/node_services.h
+++ b/packages/node/banyantrail/node/node_services.h
@@ -31,6 +31,10 @@
   std::function<void(std::shared_ptr<const Release>)> on_release;
   /// The newest revision in the store.
   std::function<void(Revision)> on_store_head;
+  /// The store has just said that this is its newest revision.
+  std::function<void(Revision)> on_store_confirmed;
+  /// Whether no other node watches the store for this one.
+  std::function<bool()> must_watch_store;
   /// Addresses of peers for first contact.
   std::function<void(std::vector<IpEndpoint>)> set_seeds;
   std::function<std::shared_ptr<const MembershipView>()> members;
--- a/packages/wire/banyantrail/wire/peer_messages.h
+++ b/packages/wire/banyantrail/wire/peer_messages.h
@@ -184,6 +184,16 @@
   MSGPACK_DEFINE(node, incarnation, sequence, suspects, subtree)
 };
 
+/// The sender watches the store, which holds this revision now.
+struct StoreHeadMessage {
+  Revision revision = 0;
+  std::string release_digest;
+
+  friend bool operator==(const StoreHeadMessage&,
+                         const StoreHeadMessage&) = default;
+  MSGPACK_DEFINE(revision, release_digest)
+};
+
 /// Every message between nodes. The position in the list is its wire number,
 /// so new messages go to the end.
 using PeerMessage = std::variant<HelloMessage,
@@ -197,6 +207,7 @@
                                  ProbeMessage,
                                  ProbeAckMessage,
                                  StatusReportMessage,
-                                 CrashReportMessage>;
+                                 CrashReportMessage,
+                                 StoreHeadMessage>;
 
 }  // namespace banyantrail
--- a/tests/platform/fleet_task_test.cc
+++ b/tests/platform/fleet_task_test.cc
@@ -55,6 +55,18 @@
   std::vector<IpEndpoint> peers;
   std::vector<std::string> events;
   bool joined = false;
+  bool must_watch = true;
+  std::vector<Revision> confirmed;
+
+  int Calls(const std::string& call) {
+    return stand_in.calls["GET " + call];
+  }
+  int WholeReads() {
+    return Calls("/-/objects/config/main");
+  }
+  int Watches() {
+    return Calls("/-/objects/config");
+  }
 
   void Start(milliseconds watch_wait = FleetTaskOptions{}.watch_wait) {
     FleetTaskOptions options{
@@ -69,6 +81,9 @@
               releases.push_back(release->revision);
             },
         .on_store_head = [](Revision) {},
+        .on_store_confirmed =
+            [this](Revision revision) { confirmed.push_back(revision); },
+        .must_watch = [this] { return must_watch; },
         .on_peers = [this](std::vector<IpEndpoint> found) { peers = found; },
         .has_joined = [this] { return joined; },
         .count = [this](const std::string& event) { events.push_back(event); }};
@@ -178,3 +193,51 @@
   CHECK(HasRelease(second));
   CHECK(SystemClock().Now() - returned < kInTouchAfter);
 }
+
+// 60 nodes that each watch pay for 60 calls a change, and fetch it 60 times.
+TEST(FleetTask, LeavesTheStoreAloneWhileAnotherNodeWatches) {
+  CHECK(must_watch);
+  const Revision first = stand_in.Write("config", "main", Configuration(1));
+  Start(milliseconds(30));
+  CHECK(HasRelease(first));
+  must_watch = false;
+  io.run_for(milliseconds(200));
+  io.restart();
+  const int watches = Watches();
+  const int reads = WholeReads();
+  stand_in.Write("config", "main", Configuration(2));
+  io.run_for(milliseconds(300));
+  io.restart();
+  LONGS_EQUAL(watches, Watches());
+  LONGS_EQUAL(reads, WholeReads());
+  must_watch = true;
+  const Revision third = stand_in.Write("config", "main", Configuration(3));
+  CHECK(HasRelease(third));
+}
+
+TEST(FleetTask, ConfirmsWhatTheStoreHoldsInEachWait) {
+  const Revision first = stand_in.Write("config", "main", Configuration(1));
+  Start(milliseconds(30));
+  CHECK(RunUntil([&] { return confirmed.size() >= 3; }));
+  LONGS_EQUAL(first, confirmed.back());
+  const Revision second = stand_in.Write("config", "main", Configuration(2));
+  CHECK(RunUntil([&] { return confirmed.back() == second; }));
+}
+
+// liushu-hq-grown, trouble-1: 26 changes in 5 s, each of 200 KB and more, over
+// a link of 7 Mbit a second. Each watch returns every change whole.
+TEST(FleetTask, ReadsOnlyTheNewestOfABurst) {
+  constexpr int kChanges = 20;
+  constexpr milliseconds kGap{40};
+  stand_in.Write("config", "main", Configuration(1));
+  Start();
+  CHECK(RunUntil([&] { return !releases.empty(); }));
+  Revision last = 0;
+  for (int change = 2; change < 2 + kChanges; ++change) {
+    last = stand_in.Write("config", "main", Configuration(change));
+    io.run_for(kGap);
+    io.restart();
+  }
+  CHECK(HasRelease(last));
+  CHECK(Watches() + WholeReads() < kChanges / 2);
+}
