--- a/packages/distribution/banyantrail/distribution/distribution_protocol.cc
+++ b/packages/distribution/banyantrail/distribution/distribution_protocol.cc
@@ -358,7 +358,8 @@
   if (m_options.mode == DistributionMode::kPlatformWatch) {
     return;
   }
-  if (UsesTree()) {
+  const bool pushes = base.revision > 0 || m_options.push_first_release;
+  if (UsesTree() && pushes) {
     if (IsFirstRelay()) {
       PushAsRoot(base);
     } else {
--- a/packages/distribution/banyantrail/distribution/distribution_protocol.h
+++ b/packages/distribution/banyantrail/distribution/distribution_protocol.h
@@ -137,6 +137,9 @@
     Duration status_interval = seconds(5);
     /// Members that a node offers a new revision to in gossip mode.
     std::size_t gossip_fanout = 3;
+    /// Whether the first release of this node's life, read from the store, goes
+    /// down the tree. Not where every node begins with reading the store.
+    bool push_first_release = true;
     /// Off only to show in tests what replacing is for.
     bool replace_unacknowledged = true;
   };
--- a/packages/node/banyantrail/node/control_plane.cc
+++ b/packages/node/banyantrail/node/control_plane.cc
@@ -138,7 +138,8 @@
                    .labels = settings.labels,
                    .mode = settings.distribution_mode,
                    .store = {.compile = faults_of},
-                   .seed = seed},
+                   .seed = seed,
+                   .push_first_release = settings.push_first_release},
       .send = send,
       .apply =
           [this](std::shared_ptr<const Release> release) {
--- a/packages/node/banyantrail/node/settings.h
+++ b/packages/node/banyantrail/node/settings.h
@@ -74,6 +74,8 @@
   LogLevel log_level = LogLevel::kInfo;
   LimitSettings limits;
   DistributionMode distribution_mode = DistributionMode::kTree;
+  /// Whether the first configuration that this node reads goes to its peers.
+  bool push_first_release = true;
   /// Orders that carry an idempotency key are claimed in the platform before
   /// they are forwarded.
   bool once_only = true;
--- a/tests/distribution/distribution_protocol_test.cc
+++ b/tests/distribution/distribution_protocol_test.cc
@@ -258,6 +258,25 @@
   }
 }
 
+// 60 nodes start at once, and each reads a configuration of 200 KB from the
+// store: nobody lacks it.
+TEST(DistributionProtocol, AFirstReleaseNeedNotBePushed) {
+  for (const bool push : {false, true}) {
+    MessageQueue::Options options = TreeOnly(40);
+    options.protocol.push_first_release = push;
+    MessageQueue queue(options);
+    queue.Publish(0, MakeRelease(1));
+    queue.RunFor(milliseconds(500));
+    CHECK_EQUAL(push, queue.Converged(MakeRelease(1)));
+    for (std::size_t i = 1; i < 40; ++i) {
+      queue.Publish(i, MakeRelease(1));
+    }
+    queue.Publish(0, MakeRelease(2));
+    queue.RunFor(milliseconds(500));
+    CHECK(queue.Converged(MakeRelease(2)));
+  }
+}
+
 TEST(DistributionProtocol, ASecondRelayPushesWhenTheFirstIsDead) {
   MessageQueue queue(TreeOnly(40));
   queue.Preload(MakeRelease(1));
