Let refused bodies of moderate size try another domain

Tests: RefusedBodiesOfModerateSizeTryAnotherDomain, RefusedBodiesOfGreatSizeStayInTheirDomain, ABodyThatWasNotSentNeedsNoBudget.

--- a/packages/proxy/banyantrail/proxy/entry_stage.cc
+++ b/packages/proxy/banyantrail/proxy/entry_stage.cc
@@ -502,12 +502,15 @@
       .body_replayable = !passage.request.body_taken,
       .attempts = passage.sends,
       .max_attempts = passage.route->max_attempts,
+      .body_held_back =
+          IsForLoad(reason) && BodyBytes(passage.request) >= kLargeBodyBytes,
       .depth = std::max<std::uint32_t>(DepthOf(passage.request.head()),
                                        passage.is_call ? 1 : 0),
       .deadline = passage.deadline};
+  const ChoiceRequest rest{.body_bytes = BodyBytes(passage.request),
+                           .excluded = passage.tried};
   if (IsForLoad(reason) &&
-      BodyBytes(passage.request) > m_options.choice.max_spill_bytes) {
-    // It stays with the servers that its own domain has.
+      !MayTryAnother(passage.service->endpoints, m_options.choice, rest)) {
     m_options.hooks.count_retry("too_large_to_move");
     return false;
   }
--- a/packages/traffic/banyantrail/traffic/choose.cc
+++ b/packages/traffic/banyantrail/traffic/choose.cc
@@ -141,4 +141,16 @@
   return ChooseByTier(outliers, loads, options, now, rng, request).endpoint;
 }
 
+bool MayTryAnother(const std::vector<ServiceEndpoint>& endpoints,
+                   const ChoiceOptions& options,
+                   const ChoiceRequest& request) {
+  const bool may_move = request.body_bytes <= options.max_moved_bytes;
+  return std::ranges::any_of(endpoints, [&](const ServiceEndpoint& endpoint) {
+    const bool is_excluded =
+        std::ranges::find(request.excluded, KeyOf(endpoint)) !=
+        request.excluded.end();
+    return !is_excluded && (may_move || endpoint.domain == options.domain);
+  });
+}
+
 }  // namespace banyantrail
--- a/packages/traffic/banyantrail/traffic/choose.h
+++ b/packages/traffic/banyantrail/traffic/choose.h
@@ -31,8 +31,12 @@
   /// two there would use more than this share of its capacity.
   double spill_utilisation = 0.8;
   /// Requests with larger bodies leave the own domain only when none of its
-  /// endpoints is usable: moving them between domains costs more than a wait.
+  /// endpoints is usable, or each of them has refused the request: moving them
+  /// between domains costs more than a wait.
   std::uint64_t max_spill_bytes = 16U << 10U;
+  /// Requests with larger bodies than this stay with their domain when its
+  /// endpoints have no room.
+  std::uint64_t max_moved_bytes = 128U << 10U;
   /// At most this share of a service's endpoints is held back as outliers.
   double max_ejected_share = 0.34;
   ChoiceMethod method = ChoiceMethod::kTwoChoices;
@@ -56,4 +60,11 @@
                               Rng& rng,
                               const ChoiceRequest& request = {});
 
+/// Whether a request that the excluded endpoints had no room for may be offered
+/// to another one. One that is too large to be moved between domains may not
+/// once the endpoints of its own are all excluded.
+bool MayTryAnother(const std::vector<ServiceEndpoint>& endpoints,
+                   const ChoiceOptions& options,
+                   const ChoiceRequest& request);
+
 }  // namespace banyantrail
--- a/packages/traffic/banyantrail/traffic/retry_policy.cc
+++ b/packages/traffic/banyantrail/traffic/retry_policy.cc
@@ -88,8 +88,10 @@
 
 RetryDecision RetryPolicy::Decide(const FailedAttempt& attempt, TimePoint now) {
   const RetryDecision decision = DecideWithoutBudget(attempt, now);
-  if (!IsRetry(decision) ||
-      RetryabilityOf(attempt.reason) == Retryability::kElsewhereFree) {
+  const bool is_free =
+      RetryabilityOf(attempt.reason) == Retryability::kElsewhereFree ||
+      (decision == RetryDecision::kRetryNotRun && attempt.body_held_back);
+  if (!IsRetry(decision) || is_free) {
     return decision;
   }
   double& tokens = decision == RetryDecision::kRetryNotRun ? m_not_run_tokens
--- a/packages/traffic/banyantrail/traffic/retry_policy.h
+++ b/packages/traffic/banyantrail/traffic/retry_policy.h
@@ -71,6 +71,9 @@
   std::uint32_t attempts = 1;
   /// As declared by the routing rule; 0 leaves it to the policy's options.
   std::uint32_t max_attempts = 0;
+  /// The request has a large body, of which nothing was sent: another owner
+  /// node costs one small message, so that the retry needs no token.
+  bool body_held_back = false;
   /// Nesting of the call, from the depth header; 0 from an outside caller.
   std::uint32_t depth = 0;
   /// The request came from another node, which decides on retries itself.
--- a/tests/traffic/choose_test.cc
+++ b/tests/traffic/choose_test.cc
@@ -208,3 +208,24 @@
              {.body_bytes = 280'000, .excluded = own});
   CHECK(large != nullptr);
 }
+
+// Uploads of 60 KB, a third of them in a domain with one of six servers.
+TEST(Choose, RefusedBodiesOfModerateSizeTryAnotherDomain) {
+  const std::vector<banyantrail::EndpointKey> own{KeyOf(endpoints[0]),
+                                                  KeyOf(endpoints[1])};
+  CHECK(MayTryAnother(endpoints, options,
+                      {.body_bytes = 60'000, .excluded = own}));
+  const ServiceEndpoint* next = Choose(endpoints, loads, options, kStart, rng,
+                                       {.body_bytes = 60'000, .excluded = own});
+  STRCMP_EQUAL("d1", next->domain.str().c_str());
+}
+
+TEST(Choose, RefusedBodiesOfGreatSizeStayInTheirDomain) {
+  const std::vector<banyantrail::EndpointKey> first{KeyOf(endpoints[0])};
+  CHECK(MayTryAnother(endpoints, options,
+                      {.body_bytes = 280'000, .excluded = first}));
+  const std::vector<banyantrail::EndpointKey> own{KeyOf(endpoints[0]),
+                                                  KeyOf(endpoints[1])};
+  CHECK_FALSE(MayTryAnother(endpoints, options,
+                            {.body_bytes = 280'000, .excluded = own}));
+}
--- a/tests/traffic/retry_policy_test.cc
+++ b/tests/traffic/retry_policy_test.cc
@@ -93,6 +93,19 @@
         RetryDecision::kRetryNotRun);
 }
 
+// liushu-hq-grown, quiet-1: a domain with one of six servers takes a third of
+// the uploads, and each of 60 entry nodes earns a token in ten seconds.
+TEST(RetryPolicy, ABodyThatWasNotSentNeedsNoBudget) {
+  RetryPolicy policy({.burst = 0});
+  FailedAttempt attempt = Failed(RefusalReason::kDeadline);
+  attempt.body_held_back = true;
+  CHECK(policy.Decide(attempt, kNow) == RetryDecision::kRetryNotRun);
+  // Nothing is free for what may have run.
+  attempt.reason = RefusalReason::kConnectionLost;
+  attempt.idempotent = true;
+  CHECK(policy.Decide(attempt, kNow) == RetryDecision::kBudgetEmpty);
+}
+
 TEST(RetryPolicy, FirstAttemptsFillTheBudget) {
   RetryPolicy policy({.not_run_ratio = 0.5, .burst = 1});
   const FailedAttempt attempt = Failed(RefusalReason::kQueueFull);
