Remember over a restart which backend servers leave

Ruled out: two heartbeats before a restarted node believes its server (1.5 s of capacity at every restart); the records of peers, which drop the former life as soon as they hear of the new one.

Change: the node's entry in the store names the boots that have lately begun to leave. Departure is now one type, used by the store and the node.

Open: a departure acknowledged while the store is out, at a node killed before the store returns.

--- a/packages/distribution/banyantrail/distribution/fleet_store.h
+++ b/packages/distribution/banyantrail/distribution/fleet_store.h
@@ -8,14 +8,18 @@
 #include "banyantrail/core/clock.h"
 #include "banyantrail/core/ip_endpoint.h"
 #include "banyantrail/net/asio.h"
+#include "banyantrail/wire/departure.h"
 
 namespace banyantrail {
 
-/// How a node can be reached by its peers, as it stands in the store.
+/// What a node keeps of itself in the store: how its peers reach it, and what
+/// its next life has to know.
 struct NodeEntry {
   NodeId node;
   DomainId domain;
   IpEndpoint peer_address;
+  /// Boots of backend servers beside it that have lately begun to leave.
+  std::vector<Departure> departures;
 
   friend bool operator==(const NodeEntry&, const NodeEntry&) = default;
 };
@@ -46,6 +50,9 @@
   {
     store.ListNodes()
     } -> std::same_as<asio::awaitable<std::vector<NodeEntry>>>;
+  {
+    store.ReadNode(entry.node)
+    } -> std::same_as<asio::awaitable<std::optional<NodeEntry>>>;
   { store.WriteNode(entry) } -> std::same_as<asio::awaitable<void>>;
   { store.HasNode(entry.node) } -> std::same_as<asio::awaitable<bool>>;
   { store.DeleteNode(entry.node) } -> std::same_as<asio::awaitable<void>>;
--- a/packages/distribution/banyantrail/distribution/fleet_task.h
+++ b/packages/distribution/banyantrail/distribution/fleet_task.h
@@ -17,8 +17,12 @@
 
 /// Settings of FleetTask.
 struct FleetTaskOptions {
-  /// The own node's entry.
-  NodeEntry own;
+  NodeId node;
+  /// The own node's entry as it should stand in the store.
+  std::function<NodeEntry()> own_entry;
+  /// The entry that an earlier life of the node left, before the first write.
+  std::function<void(const NodeEntry&)> on_former_entry = [](const NodeEntry&) {
+  };
   std::uint64_t seed = 0;
   /// How long one wait for a configuration lasts at most. A store that came
   /// back from an outage may never answer the waits from before it, so this
@@ -81,6 +85,12 @@
         asio::detached);
   }
 
+  /// The own entry is to be written again.
+  void OnOwnEntryChanged() { m_entry_pause.cancel(); }
+
+  /// Whether it is known what an earlier life of the node left.
+  bool has_read_former_entry() const { return m_has_read_former; }
+
   void Stop() {
     m_stopped = true;
     m_pause.cancel();
@@ -189,15 +199,17 @@
 
   asio::awaitable<void> KeepEntry() {
     Backoff retry(m_options.search);
-    bool written = false;
+    std::optional<NodeEntry> written;
     while (!m_stopped) {
       try {
+        co_await ReadFormerEntry();
+        const NodeEntry own = m_options.own_entry();
         const bool is_there =
-            written && co_await m_store.HasNode(m_options.own.node);
+            written == own && co_await m_store.HasNode(m_options.node);
         if (!is_there) {
-          co_await m_store.WriteNode(m_options.own);
+          co_await m_store.WriteNode(own);
           m_options.count("entry_written");
-          written = true;
+          written = own;
         }
         if (!m_options.has_joined()) {
           co_await FindPeers();
@@ -206,20 +218,33 @@
         m_options.count("entry_failed");
         kLog.Warn("The own entry in the store cannot be kept: " +
                   std::string(error.what()) + ".");
-        written = false;
+        written.reset();
       }
-      const bool is_settled = written && m_options.has_joined();
+      const bool is_settled =
+          written == m_options.own_entry() && m_options.has_joined();
       const Duration wait =
           is_settled ? m_options.entry_check_interval : retry.Next(m_rng);
       co_await Pause(m_entry_pause, wait);
     }
   }
 
+  asio::awaitable<void> ReadFormerEntry() {
+    if (m_has_read_former) {
+      co_return;
+    }
+    const std::optional<NodeEntry> former =
+        co_await m_store.ReadNode(m_options.node);
+    if (former) {
+      m_options.on_former_entry(*former);
+    }
+    m_has_read_former = true;
+  }
+
   asio::awaitable<void> FindPeers() {
     const std::vector<NodeEntry> entries = co_await m_store.ListNodes();
     std::vector<IpEndpoint> peers;
     for (const NodeEntry& entry : entries) {
-      if (entry.node != m_options.own.node) {
+      if (entry.node != m_options.node) {
         peers.push_back(entry.peer_address);
       }
     }
@@ -251,6 +276,7 @@
   /// that the next one does not report.
   bool m_must_read = true;
   bool m_store_answers = true;
+  bool m_has_read_former = false;
   bool m_stopped = false;
 };
 
--- a/packages/node/banyantrail/node/data_plane.cc
+++ b/packages/node/banyantrail/node/data_plane.cc
@@ -193,6 +193,16 @@
   return known;
 }
 
+void DataPlane::RestoreDepartures(const std::vector<Departure>& departures) {
+  for (const Departure& departure : departures) {
+    kLog.Event({{"event", "departure_restored"},
+                {"id", departure.id.str()},
+                {"born", departure.born}});
+  }
+  m_backend_servers.Restore(departures, SystemClock().Now());
+  OnBackendServersChanged();
+}
+
 void DataPlane::StartDrain() {
   m_backend_servers.DrainAll();
   m_entry.StartDrain();
--- a/packages/node/banyantrail/node/data_plane.h
+++ b/packages/node/banyantrail/node/data_plane.h
@@ -44,6 +44,11 @@
   void Announce(Announcement announcement);
   /// Returns whether the backend server was known.
   bool Leave(const Departure& departure);
+  /// See LocalBackendServers.
+  std::vector<Departure> Departures() const {
+    return m_backend_servers.Departures();
+  }
+  void RestoreDepartures(const std::vector<Departure>& departures);
   std::vector<BackendServerRecord> backend_servers() const {
     return m_backend_servers.Records();
   }
--- a/packages/node/banyantrail/node/local_backend_servers.cc
+++ b/packages/node/banyantrail/node/local_backend_servers.cc
@@ -57,6 +57,9 @@
       found != m_entries.end() && found->second.born == announcement.born;
   const bool has_drained = is_same_boot && found->second.record.state ==
                                                BackendServerState::kDraining;
+  const bool was_leaving = is_same_boot && found->second.is_leaving;
+  const bool is_leaving =
+      was_leaving || announcement.record.state == BackendServerState::kDraining;
   if (has_drained && announcement.born > 0) {
     // Whoever began to leave does not come back in the same boot.
     record.state = BackendServerState::kDraining;
@@ -66,7 +69,8 @@
   m_entries[id] = {.record = std::move(record),
                    .born = announcement.born,
                    .sequence = announcement.sequence,
-                   .last_heartbeat = now};
+                   .last_heartbeat = now,
+                   .is_leaving = is_leaving};
   return changed;
 }
 
@@ -79,13 +83,47 @@
     }
     born = std::max(born, found->second.born);
   }
-  if (born > 0) {
-    Departed& departed = m_departed[departure.id];
-    departed = {.born = std::max(departed.born, born), .since = now};
-  }
+  NoteDeparture({.id = departure.id, .born = born}, now);
   return m_entries.erase(departure.id) > 0;
 }
 
+void LocalBackendServers::NoteDeparture(const Departure& departure,
+                                        TimePoint now) {
+  if (departure.born == 0) {
+    return;  // Nothing tells its boot from the next one under the same id.
+  }
+  Departed& departed = m_departed[departure.id];
+  departed = {.born = std::max(departed.born, departure.born), .since = now};
+}
+
+std::vector<Departure> LocalBackendServers::Departures() const {
+  std::map<BackendServerId, std::uint64_t> born;
+  for (const auto& [id, departed] : m_departed) {
+    born[id] = departed.born;
+  }
+  for (const auto& [id, entry] : m_entries) {
+    if (entry.is_leaving && entry.born > 0) {
+      born[id] = std::max(born[id], entry.born);
+    }
+  }
+  std::vector<Departure> departures;
+  for (const auto& [id, boot] : born) {
+    departures.push_back({.id = id, .born = boot});
+  }
+  return departures;
+}
+
+void LocalBackendServers::Restore(const std::vector<Departure>& departures,
+                                  TimePoint now) {
+  for (const Departure& departure : departures) {
+    NoteDeparture(departure, now);
+    const auto found = m_entries.find(departure.id);
+    if (found != m_entries.end() && found->second.born <= departure.born) {
+      m_entries.erase(found);
+    }
+  }
+}
+
 bool LocalBackendServers::Expire(TimePoint now) {
   constexpr int kForgetFactor = 10;
   bool changed = false;
--- a/packages/node/banyantrail/node/local_backend_servers.h
+++ b/packages/node/banyantrail/node/local_backend_servers.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "banyantrail/core/clock.h"
+#include "banyantrail/wire/departure.h"
 #include "banyantrail/wire/member_record.h"
 
 namespace banyantrail {
@@ -24,15 +25,6 @@
   friend bool operator==(const Announcement&, const Announcement&) = default;
 };
 
-/// A backend server's last word.
-struct Departure {
-  BackendServerId id;
-  /// See Announcement.
-  std::uint64_t born = 0;
-
-  friend bool operator==(const Departure&, const Departure&) = default;
-};
-
 /// The backend servers that announced themselves to this node. Announcements
 /// may come late and crossed: what is older than the last word known of a
 /// backend server changes nothing, and one that left stays away until a later
@@ -55,6 +47,14 @@
   /// It leaves for good. Returns whether it was known.
   bool Leave(const Departure& departure, TimePoint now);
 
+  /// Boots that have begun to leave, in the order of their ids. Kept for a
+  /// while beyond their end, for their late announcements.
+  std::vector<Departure> Departures() const;
+
+  /// Boots that an earlier life of this node knew to leave: they get no work,
+  /// whatever they announced before that arrives late.
+  void Restore(const std::vector<Departure>& departures, TimePoint now);
+
   /// Marks those as down whose heartbeat stopped, and forgets them after ten
   /// times that time. Returns whether anything changed.
   bool Expire(TimePoint now);
@@ -75,6 +75,8 @@
     std::uint64_t born = 0;
     std::uint64_t sequence = 0;
     TimePoint last_heartbeat;
+    /// It has announced that it drains.
+    bool is_leaving = false;
   };
 
   /// A boot that left.
@@ -83,6 +85,7 @@
     TimePoint since;
   };
 
+  void NoteDeparture(const Departure& departure, TimePoint now);
   bool IsOutdated(const Announcement& announcement) const;
   void ForgetEarlierAt(const Announcement& announcement);
 
--- a/packages/node/banyantrail/node/node.cc
+++ b/packages/node/banyantrail/node/node.cc
@@ -147,6 +147,11 @@
             parts.data->Announce(std::move(announcement));
           },
       .leave = [&parts](Departure departure) { parts.data->Leave(departure); },
+      .departures = [&parts] { return parts.data->Departures(); },
+      .restore_departures =
+          [&parts](const std::vector<Departure>& departures) {
+            parts.data->RestoreDepartures(departures);
+          },
       .is_ready = [&parts] { return parts.admin->IsReady(); },
       .on_release =
           [&parts](std::shared_ptr<const Release> release) {
--- a/packages/node/banyantrail/node/node_services.h
+++ b/packages/node/banyantrail/node/node_services.h
@@ -25,6 +25,10 @@
   std::function<void(Announcement)> announce;
   /// The backend server leaves.
   std::function<void(Departure)> leave;
+  /// Boots of backend servers that have begun to leave, for the next life of
+  /// the node; and those that an earlier life left behind.
+  std::function<std::vector<Departure>()> departures;
+  std::function<void(const std::vector<Departure>&)> restore_departures;
   /// Whether the node takes requests of callers.
   std::function<bool()> is_ready;
   /// A configuration was read from the store.
--- a/tests/node/local_backend_servers_test.cc
+++ b/tests/node/local_backend_servers_test.cc
@@ -109,3 +109,41 @@
                                clock.Now()));
   LONGS_EQUAL(1, servers.Records().size());
 }
+
+// Its node was started again meanwhile and has no memory of its own.
+TEST(LocalBackendServers, LateHeartbeatDoesNotBringBackOneThatLeftBefore) {
+  BackendServerRecord draining = Record("s1");
+  draining.state = BackendServerState::kDraining;
+  servers.Announce({.record = draining, .born = 5, .sequence = 3}, clock.Now());
+  const auto departures = servers.Departures();
+  LONGS_EQUAL(1, departures.size());
+
+  LocalBackendServers next_life({.max_servers = 2});
+  next_life.Announce({.record = Record("s1"), .born = 5, .sequence = 1},
+                     clock.Now());
+  next_life.Restore(departures, clock.Now());
+  CHECK(next_life.Records().empty());
+  CHECK_FALSE(next_life.Announce(
+      {.record = Record("s1"), .born = 5, .sequence = 2}, clock.Now()));
+  CHECK(next_life.Records().empty());
+  CHECK(next_life.Departures() == departures);
+  CHECK(next_life.Announce({.record = Record("s1"), .born = 6, .sequence = 1},
+                           clock.Now()));
+}
+
+TEST(LocalBackendServers, StopOfTheNodeIsNoDeparture) {
+  servers.Announce({.record = Record("s1"), .born = 5, .sequence = 1},
+                   clock.Now());
+  servers.DrainAll();
+  CHECK(servers.Departures().empty());
+}
+
+TEST(LocalBackendServers, GoodbyeIsADepartureForAWhile) {
+  servers.Announce({.record = Record("s1"), .born = 5, .sequence = 1},
+                   clock.Now());
+  servers.Leave({.id = BackendServerId("s1"), .born = 5}, clock.Now());
+  LONGS_EQUAL(1, servers.Departures().size());
+  clock.Advance(seconds(60));
+  servers.Expire(clock.Now());
+  CHECK(servers.Departures().empty());
+}
--- a/tests/platform/fleet_task_test.cc
+++ b/tests/platform/fleet_task_test.cc
@@ -4,17 +4,21 @@
 
 #include <algorithm>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "banyantrail/platform/object_store.h"
 #include "platform/object_store_stand_in.h"
 
+using banyantrail::BackendServerId;
 using banyantrail::BackoffOptions;
+using banyantrail::DomainId;
 using banyantrail::FleetTask;
 using banyantrail::FleetTaskOptions;
 using banyantrail::IpEndpoint;
 using banyantrail::milliseconds;
+using banyantrail::NodeEntry;
 using banyantrail::NodeId;
 using banyantrail::Release;
 using banyantrail::Revision;
@@ -57,6 +61,24 @@
   bool joined = false;
   bool must_watch = true;
   std::vector<Revision> confirmed;
+  NodeEntry own{.node = NodeId("n1"),
+                .domain = DomainId("a"),
+                .peer_address = {.address = "10.0.0.1", .port = 7600}};
+  std::optional<NodeEntry> former;
+
+  /// The node's entry as it stands in the store.
+  std::optional<NodeEntry> StoredEntry() {
+    std::optional<NodeEntry> entry;
+    asio::co_spawn(
+        io,
+        [&]() -> asio::awaitable<void> {
+          entry = co_await store.ReadNode(NodeId("n1"));
+        },
+        asio::detached);
+    io.run_for(milliseconds(10));
+    io.restart();
+    return entry;
+  }
 
   int Calls(const std::string& call) {
     return stand_in.calls["GET " + call];
@@ -70,8 +92,9 @@
 
   void Start(milliseconds watch_wait = FleetTaskOptions{}.watch_wait) {
     FleetTaskOptions options{
-        .own = {.node = NodeId("n1"),
-                .peer_address = {.address = "10.0.0.1", .port = 7600}},
+        .node = NodeId("n1"),
+        .own_entry = [this] { return own; },
+        .on_former_entry = [this](const NodeEntry& entry) { former = entry; },
         .watch_wait = watch_wait,
         .search = kFast,
         .outage = kFast,
@@ -241,3 +264,21 @@
   CHECK(HasRelease(last));
   CHECK(Watches() + WholeReads() < kChanges / 2);
 }
+
+// liushu-hq-grown, trouble-1: a backend server said that it leaves while its
+// node was stopped and started. A heartbeat from before, which arrived late,
+// brought it back at the new process.
+TEST(FleetTask, KeepsDeparturesForTheNextLifeOfTheNode) {
+  Start(milliseconds(30));
+  joined = true;
+  CHECK(RunUntil([&] { return StoredEntry() == own; }));
+  CHECK_FALSE(former.has_value());
+  own.departures = {{.id = BackendServerId("s1"), .born = 5}};
+  task->OnOwnEntryChanged();
+  CHECK(RunUntil([&] { return StoredEntry() == own; }));
+
+  task->Stop();
+  Start(milliseconds(30));
+  CHECK(RunUntil([&] { return task->has_read_former_entry(); }));
+  CHECK(former == own);
+}
