--- a/packages/proxy/banyantrail/proxy/connection.cc
+++ b/packages/proxy/banyantrail/proxy/connection.cc
@@ -28,8 +28,8 @@
                              ignored);
 }
 
-bool HasHungUp(Downstream& downstream) {
-  asio::ip::tcp::socket& socket = downstream.stream.socket();
+boost::system::error_code PeekWithoutWaiting(beast::tcp_stream& stream) {
+  asio::ip::tcp::socket& socket = stream.socket();
   boost::system::error_code error;
   if (!socket.non_blocking()) {
     socket.non_blocking(true, error);
@@ -37,6 +37,11 @@
   char byte = 0;
   socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek,
                  error);
+  return error;
+}
+
+bool HasHungUp(Downstream& downstream) {
+  const boost::system::error_code error = PeekWithoutWaiting(downstream.stream);
   return error && error != asio::error::would_block;
 }
 
--- a/packages/proxy/banyantrail/proxy/connection.h
+++ b/packages/proxy/banyantrail/proxy/connection.h
@@ -74,6 +74,10 @@
   asio::steady_timer m_timer;
 };
 
+/// Looks for one byte without taking it: would_block when there is none, no
+/// error when there is, another error when the connection is closed or broken.
+boost::system::error_code PeekWithoutWaiting(beast::tcp_stream& stream);
+
 /// Whether the other end has closed or broken the connection, as far as it is
 /// known without waiting. A node that was short of processor time reads
 /// requests whose senders are gone.
--- a/packages/proxy/banyantrail/proxy/upstream_pool.cc
+++ b/packages/proxy/banyantrail/proxy/upstream_pool.cc
@@ -9,13 +9,7 @@
 /// Whether nothing arrived on an idle connection. A server that closed it, or
 /// that sends out of turn, makes it readable.
 bool IsQuiet(Upstream& upstream) {
-  asio::ip::tcp::socket& socket = upstream.stream.socket();
-  boost::system::error_code error;
-  socket.non_blocking(true, error);
-  char byte = 0;
-  socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek,
-                 error);
-  return error == asio::error::would_block;
+  return PeekWithoutWaiting(upstream.stream) == asio::error::would_block;
 }
 
 }  // namespace
