Follow a request through the nodes' logs

The owner stage left no line of a request that it turned away, lines did not name their node, and their time had no fraction. Now `turned_away` names the request, the reason and the load that it rests on, bounded as the other lines are; each line names the node and milliseconds; `banyantrailctl trace ID FILE...` merges what several logs say of a request and counts what they left out. The field `node` of `member` lines is `member` now.

--- a/packages/core/banyantrail/core/logging.cc
+++ b/packages/core/banyantrail/core/logging.cc
@@ -37,6 +37,8 @@
 /// would have to wait for the reader.
 class JsonLineAppender : public log4cxx::AppenderSkeleton {
  public:
+  explicit JsonLineAppender(std::string node) : m_node(std::move(node)) {}
+
   void close() override {}
   bool requiresLayout() const override { return false; }
 
@@ -57,12 +59,13 @@
   }
 
  private:
-  static std::string LineOf(const log4cxx::spi::LoggingEvent& event) {
+  std::string LineOf(const log4cxx::spi::LoggingEvent& event) const {
     std::string level;
     event.getLevel()->toString(level);
     nlohmann::json line = {
-        {"time", FormatWallTime(std::chrono::system_clock::now())},
+        {"time", FormatWallTimeMs(std::chrono::system_clock::now())},
         {"level", level},
+        {"node", m_node},
         {"part", event.getLoggerName()}};
     const std::string& message = event.getMessage();
     const nlohmann::json fields =
@@ -91,13 +94,14 @@
     return write(STDOUT_FILENO, line.data(), line.size()) > 0;
   }
 
+  std::string m_node;
   std::uint64_t m_lost = 0;
 };
 
 }  // namespace
 
-void ConfigureLogging(LogLevel level) {
-  const auto appender = std::make_shared<JsonLineAppender>();
+void ConfigureLogging(LogLevel level, std::string node) {
+  const auto appender = std::make_shared<JsonLineAppender>(std::move(node));
   const log4cxx::LoggerPtr root = log4cxx::Logger::getRootLogger();
   root->removeAllAppenders();
   root->addAppender(appender);
--- a/packages/core/banyantrail/core/logging.h
+++ b/packages/core/banyantrail/core/logging.h
@@ -10,9 +10,9 @@
 enum class LogLevel { kDebug, kInfo, kWarn, kError };
 
 /// Writes all log lines at or above `level` to standard output, one JSON object
-/// a line. A reader that does not keep up loses lines; the next one that goes
-/// out says how many. Call it once, at the start of main.
-void ConfigureLogging(LogLevel level);
+/// a line, which names `node`. A reader that does not keep up loses lines; the
+/// next one that goes out says how many. Call it once, at the start of main.
+void ConfigureLogging(LogLevel level, std::string node);
 
 /// Parses "debug", "info", "warn" or "error". Throws Error{kInvalidSettings}.
 LogLevel ParseLogLevel(std::string_view text);
--- a/packages/core/banyantrail/core/wall_time.cc
+++ b/packages/core/banyantrail/core/wall_time.cc
@@ -17,6 +17,19 @@
   return {text.data(), length};
 }
 
+std::string FormatWallTimeMs(WallTime time) {
+  constexpr std::size_t kDigits = 3;
+  const auto since_epoch =
+      std::chrono::floor<std::chrono::milliseconds>(time.time_since_epoch());
+  const auto second =
+      std::chrono::floor<std::chrono::seconds>(time.time_since_epoch());
+  std::string fraction = std::to_string((since_epoch - second).count());
+  fraction.insert(0, kDigits - fraction.size(), '0');
+  std::string text = FormatWallTime(WallTime(second));
+  text.insert(text.size() - 1, "." + fraction);
+  return text;
+}
+
 WallTime ParseWallTime(const std::string& text) {
   std::tm parts{};
   const char* end = strptime(text.c_str(), "%Y-%m-%dT%H:%M:%SZ", &parts);
--- a/packages/ctl/banyantrail/ctl/commands.cc
+++ b/packages/ctl/banyantrail/ctl/commands.cc
@@ -6,6 +6,7 @@
 
 #include "banyantrail/ctl/declare_commands.h"
 #include "banyantrail/ctl/read_commands.h"
+#include "banyantrail/ctl/request_trace.h"
 
 namespace banyantrail::ctl {
 namespace {
@@ -15,15 +16,16 @@
   ExitCode (*run)(CommandContext& context);
 };
 
-constexpr std::array<Command, 9> kCommands{{{"validate", &RunValidate},
-                                            {"diff", &RunDiff},
-                                            {"apply", &RunApply},
-                                            {"get", &RunGet},
-                                            {"status", &RunStatus},
-                                            {"explain", &RunExplain},
-                                            {"history", &RunHistory},
-                                            {"members", &RunMembers},
-                                            {"drain", &RunDrain}}};
+constexpr std::array<Command, 10> kCommands{{{"validate", &RunValidate},
+                                             {"diff", &RunDiff},
+                                             {"apply", &RunApply},
+                                             {"get", &RunGet},
+                                             {"status", &RunStatus},
+                                             {"explain", &RunExplain},
+                                             {"history", &RunHistory},
+                                             {"members", &RunMembers},
+                                             {"drain", &RunDrain},
+                                             {"trace", &RunTrace}}};
 
 }  // namespace
 
--- a/packages/ctl/banyantrail/ctl/ctl_options.cc
+++ b/packages/ctl/banyantrail/ctl/ctl_options.cc
@@ -31,6 +31,8 @@
     "  history            the accepted changes, newest first\n"
     "  members            the node's view of the fleet\n"
     "  drain              start the planned stop of the node\n"
+    "  trace ID [FILE...] what the nodes' log files, or standard input, say of "
+    "a request\n"
     "\n"
     "Exit status: 0 done; 1 refused, faults or a conflict; 2 wrong command "
     "line; 3 node or platform unreachable, nothing changed; 4 the outcome of a "
@@ -44,15 +46,19 @@
   std::size_t max_operands;
 };
 
-constexpr std::array<CommandShape, 9> kCommands{{{"validate", 1, 1},
-                                                 {"diff", 1, 1},
-                                                 {"apply", 1, 1},
-                                                 {"get", 0, 1},
-                                                 {"status", 0, 1},
-                                                 {"explain", 0, 1},
-                                                 {"history", 0, 0},
-                                                 {"members", 0, 0},
-                                                 {"drain", 0, 0}}};
+/// A request's id and the log files of a fleet.
+constexpr std::size_t kMaxLogs = 10'000;
+
+constexpr std::array<CommandShape, 10> kCommands{{{"validate", 1, 1},
+                                                  {"diff", 1, 1},
+                                                  {"apply", 1, 1},
+                                                  {"get", 0, 1},
+                                                  {"status", 0, 1},
+                                                  {"explain", 0, 1},
+                                                  {"history", 0, 0},
+                                                  {"members", 0, 0},
+                                                  {"drain", 0, 0},
+                                                  {"trace", 1, kMaxLogs}}};
 
 Error UsageError(std::string message) {
   return Error({.kind = ErrorKind::kInvalidSettings,
@@ -143,7 +149,9 @@
     }
   }
   if (options.operands.size() < found->min_operands) {
-    throw UsageError(options.command + " needs a directory");
+    throw UsageError(options.command + (options.command == "trace"
+                                            ? " needs the id of a request"
+                                            : " needs a directory"));
   }
   if (options.operands.size() > found->max_operands) {
     throw UsageError(options.command + " does not take " +
--- a/packages/node/banyantrail/node/control_plane.cc
+++ b/packages/node/banyantrail/node/control_plane.cc
@@ -210,7 +210,7 @@
                          known->incarnation == record.incarnation;
     if (!is_same) {
       kLog.Event({{"event", "member"},
-                  {"node", record.node.str()},
+                  {"member", record.node.str()},
                   {"state", static_cast<int>(record.state)},
                   {"draining", record.draining},
                   {"incarnation", record.incarnation},
--- a/packages/node/banyantrail/node/data_plane.cc
+++ b/packages/node/banyantrail/node/data_plane.cc
@@ -19,6 +19,32 @@
 /// Heartbeats may come an interval late.
 constexpr int kMissedHeartbeats = 3;
 
+/// Writes requests that were turned away to the log, a bounded number of each
+/// reason.
+std::function<void(const TurnedAway&)> TurnedAwayWriter() {
+  const auto budget = std::make_shared<LineBudget>(LineBudget::Options{});
+  return [budget](const TurnedAway& request) {
+    const std::string_view reason = ToString(request.reason);
+    const auto left_out =
+        budget->Take(std::string(reason), SystemClock().Now());
+    if (!left_out) {
+      return;
+    }
+    kLog.Event(
+        {{"event", "turned_away"},
+         {"request", request.request},
+         {"service", request.service},
+         {"server", request.server},
+         {"reason", reason},
+         {"in_flight", request.load.in_flight},
+         {"queued", request.load.queued},
+         {"limit", request.load.limit},
+         {"left_ms",
+          std::chrono::duration_cast<milliseconds>(request.left).count()},
+         {"left_out", *left_out}});
+  };
+}
+
 constexpr std::uint64_t kBytesPerMbit = 125'000;
 
 OwnerStage::Options OwnerOptions(Metrics& metrics,
@@ -30,6 +56,7 @@
                         [&metrics](RefusalReason reason) {
                           metrics.CountRefusal("mesh", ToString(reason));
                         },
+                    .on_turned_away = TurnedAwayWriter(),
                     .on_unreachable =
                         [&servers, on_change](const BackendServerId& id) {
                           if (servers.MarkDown(id)) {
--- a/packages/node/banyantrail/node/main.cc
+++ b/packages/node/banyantrail/node/main.cc
@@ -47,7 +47,7 @@
 int RunOnOwnStore(const std::string& path) {
   const banyantrail::NodeSettings settings =
       banyantrail::LoadNodeSettings(path);
-  banyantrail::ConfigureLogging(settings.log_level);
+  banyantrail::ConfigureLogging(settings.log_level, settings.node.str());
   banyantrail::Node node(settings);
   node.Run();
   return kExitOk;
@@ -56,7 +56,8 @@
 int RunOnUsersPlatform(const std::string& path) {
   const banyantrail::platform::Deployment deployment =
       banyantrail::platform::LoadDeployment(path);
-  banyantrail::ConfigureLogging(deployment.node.log_level);
+  banyantrail::ConfigureLogging(deployment.node.log_level,
+                                deployment.node.node.str());
   banyantrail::Node node(
       deployment.node,
       {.dialect = banyantrail::platform::UsersDialect(),
--- a/packages/proxy/banyantrail/proxy/owner_stage.cc
+++ b/packages/proxy/banyantrail/proxy/owner_stage.cc
@@ -269,6 +269,7 @@
                                          const BackendPtr& backend,
                                          RefusalReason reason) {
   m_options.hooks.count_refusal(reason);
+  ReportTurnedAway(request, backend, reason);
   // A body that streams stays unread, unless the sender waits for permission.
   const bool body_unread = request.streams && !request.expects_continue;
   SystemAnswer answer = RefusalAnswer(reason);
@@ -279,6 +280,22 @@
   downstream.must_close = downstream.must_close || body_unread;
 }
 
+void OwnerStage::ReportTurnedAway(const InboundRequest& request,
+                                  const BackendPtr& backend,
+                                  RefusalReason reason) const {
+  const http::request_header<>& head = request.head();
+  TurnedAway turned_away{
+      .request = RequestIdOf(request),
+      .service = FieldValue(head, kServiceHeader),
+      .server = FieldValue(head, kBackendServerHeader),
+      .reason = reason,
+      .left = milliseconds(NumberField(head, kDeadlineHeader).value_or(0))};
+  if (backend) {
+    turned_away.load = backend->gate->load();
+  }
+  m_options.hooks.on_turned_away(turned_away);
+}
+
 WorkRequest OwnerStage::WorkOf(const Passage& passage) {
   const http::request_header<>& head = passage.request.head();
   const std::uint32_t priority =
@@ -323,10 +340,9 @@
   co_return refusal;
 }
 
-std::string_view OwnerStage::RequestIdOf(const Passage& passage) const {
+std::string_view OwnerStage::RequestIdOf(const InboundRequest& request) const {
   const std::string& name = m_options.dialect.request_id;
-  return name.empty() ? std::string_view()
-                      : FieldValue(passage.request.head(), name);
+  return name.empty() ? std::string_view() : FieldValue(request.head(), name);
 }
 
 /// Words the head for the backend server: the deadline, who calls, and which
@@ -358,7 +374,7 @@
       .on_body_taken = [this, &passage] { EndTransfer(passage); },
       .dialect = &m_options.dialect};
   SetServerFields(passage, options.head);
-  const std::string request_id(RequestIdOf(passage));
+  const std::string request_id(RequestIdOf(passage.request));
   m_running.Add(request_id);
   Attempt attempt = co_await MakeAttempt(m_pool, downstream, passage.request,
                                          std::move(options));
--- a/packages/proxy/banyantrail/proxy/owner_stage.h
+++ b/packages/proxy/banyantrail/proxy/owner_stage.h
@@ -19,9 +19,24 @@
 
 namespace banyantrail {
 
+/// A request that the owner node turned away, with what that rests on, for the
+/// log.
+struct TurnedAway {
+  std::string_view request;
+  std::string_view service;
+  /// Empty when the request names no backend server of this node.
+  std::string_view server;
+  RefusalReason reason = RefusalReason::kQueueFull;
+  AdmissionLoad load;
+  /// Until the deadline.
+  Duration left{};
+};
+
 /// What the owner stage tells the rest of the node.
 struct OwnerStageHooks {
   std::function<void(RefusalReason)> count_refusal;
+  std::function<void(const TurnedAway&)> on_turned_away =
+      [](const TurnedAway&) {};
   /// Connections to the backend server fail: it is down until it announces
   /// itself again.
   std::function<void(const BackendServerId&)> on_unreachable;
@@ -97,8 +112,11 @@
                                const InboundRequest& request,
                                const BackendPtr& backend,
                                RefusalReason reason);
+  void ReportTurnedAway(const InboundRequest& request,
+                        const BackendPtr& backend,
+                        RefusalReason reason) const;
   static WorkRequest WorkOf(const Passage& passage);
-  std::string_view RequestIdOf(const Passage& passage) const;
+  std::string_view RequestIdOf(const InboundRequest& request) const;
   AdmissionOptions AdmissionOptionsFor(const BackendServerRecord& record) const;
   asio::awaitable<std::optional<RefusalReason>> AwaitTransfer(
       Downstream& downstream,
