--- a/packages/distribution/banyantrail/distribution/distribution_protocol.h
+++ b/packages/distribution/banyantrail/distribution/distribution_protocol.h
@@ -138,10 +138,9 @@
     Duration status_interval = seconds(5);
     /// Members that a node offers a new revision to in gossip mode.
     std::size_t gossip_fanout = 3;
-    /// A larger difference is not pushed, and given on request as whole
-    /// releases
-    /// are. For links so narrow that each hop of the tree would take longer
-    /// than reading the store.
+    /// A larger difference is not pushed; on request it is given as whole
+    /// releases are. For links so narrow that each hop of the tree would take
+    /// longer than reading the store.
     std::size_t max_pushed_bytes = std::numeric_limits<std::size_t>::max();
     /// Whether the first release of this node's life, read from the store, goes
     /// down the tree. Not where every node begins with reading the store.
