--- a/packages/node/banyantrail/node/local_backend_servers.cc
+++ b/packages/node/banyantrail/node/local_backend_servers.cc
@@ -107,6 +107,7 @@
     }
   }
   std::vector<Departure> departures;
+  departures.reserve(born.size());
   for (const auto& [id, boot] : born) {
     departures.push_back({.id = id, .born = boot});
   }
