--- a/tests/distribution/store_follower_test.cc
+++ b/tests/distribution/store_follower_test.cc
@@ -5,7 +5,6 @@
 
 #include <vector>
 
-using banyantrail::Duration;
 using banyantrail::milliseconds;
 using banyantrail::Revision;
 using banyantrail::StoreFollower;
--- a/tests/traffic/body_transfers_test.cc
+++ b/tests/traffic/body_transfers_test.cc
@@ -6,12 +6,9 @@
 #include <CppUTest/TestHarness.h>
 
 #include <algorithm>
-#include <deque>
 #include <map>
 #include <vector>
 
-#include "banyantrail/core/random.h"
-
 using banyantrail::AdmissionChanges;
 using banyantrail::AdmissionOptions;
 using banyantrail::AdmissionQueue;
@@ -19,12 +16,9 @@
 using banyantrail::BodyTransferOptions;
 using banyantrail::Duration;
 using banyantrail::milliseconds;
-using banyantrail::RefusedRequest;
 using banyantrail::RequestId;
-using banyantrail::Rng;
 using banyantrail::seconds;
 using banyantrail::TimePoint;
-using banyantrail::UniformIndex;
 
 namespace {
 
