--- a/tests/platform/deployment_test.cc
+++ b/tests/platform/deployment_test.cc
@@ -24,7 +24,7 @@
   "listen": {"inbound": "10.1.0.41:8624", "outbound": "10.1.0.41:8629",
              "ready": "10.1.0.41:8625", "control": "10.1.0.41:8620"},
   "internal_ports": [7600, 7615], "seeds": [],
-  "limits": {"file_descriptors": 4100, "memory_mb": 260},
+  "limits": {"file_descriptors": 4100, "memory_mb": 260, "link_mbps": 7.0},
   "heartbeat_interval": "1500ms",
   "bounds": ["drain=2000ms", "grace=6s", "budget_ratio=0.25",
              "budget_slack=64", "budget_window=10s", "odd"],
@@ -71,6 +71,14 @@
   DOUBLES_EQUAL(0.25, deployment.node.retry_budget.ratio, 1e-9);
   DOUBLES_EQUAL(64, deployment.node.retry_budget.slack, 1e-9);
   CHECK(deployment.node.heartbeat_interval == milliseconds(1500));
+  LONGS_EQUAL(7, deployment.node.limits.link_mbit_per_s);
+}
+
+TEST(Deployment, WidthOfTheLinkIsAPositiveNumber) {
+  for (const json& width : {json(0), json(-1.5), json("7")}) {
+    const std::string error = ErrorWith("/limits/link_mbps", width);
+    CHECK_TEXT(error.find("link_mbps") != std::string::npos, error.c_str());
+  }
 }
 
 TEST(Deployment, FaultNamesFileAndField) {
