--- a/tests/distribution/store_follower_test.cc
+++ b/tests/distribution/store_follower_test.cc
@@ -62,8 +62,9 @@
   CHECK(MustWatch(milliseconds(201)));
 }
 
-// liushu-hq-grown, a recorded day: 1,400 routes are added, 280 KB, on links of
-// 7 Mbit a second. Four copies at each hop of the tree take over a second.
+// liushu-hq-grown, a recorded day: 1,400 routes are added, some 280 KB, on
+// links of 7 Mbit a second. Four copies at each hop of the tree take over a
+// second.
 TEST(StoreFollower, ReadsAtOnceWhatPeersWillNotSend) {
   follower.OnConfirmation(
       {.revision = kHeld + 1, .comes_by_tree = false, .applied = kHeld},
--- a/tests/net/http_client_test.cc
+++ b/tests/net/http_client_test.cc
@@ -91,8 +91,8 @@
 
 }  // namespace
 
-// liushu-hq-grown, a recorded day: 550 KB over a link of 7 Mbit a second, from
-// a slow store, never arrived whole within the time for an answer.
+// liushu-hq-grown, a recorded day: some 550 KB over a link of 7 Mbit a second,
+// from a slow store, never arrived whole within the time for an answer.
 TEST(HttpClient, BodyMayTakeLongerThanTheAnswerWhileItKeepsComing) {
   constexpr int kPieces = 8;
   asio::co_spawn(io,
--- a/tests/platform/fleet_task_test.cc
+++ b/tests/platform/fleet_task_test.cc
@@ -253,7 +253,7 @@
   CHECK(change_bytes > 100 && change_bytes < 300);
 }
 
-// liushu-hq-grown, trouble-1: 26 changes in 5 s, each of 200 KB and more, over
+// liushu-hq-grown, trouble-1: changes every 0.19 s, each some 200 KB, over
 // a link of 7 Mbit a second. Each watch returns every change whole.
 TEST(FleetTask, ReadsOnlyTheNewestOfABurst) {
   constexpr int kChanges = 20;
