Keep one odd entry of the store from hiding the others

Cause: a list or watch of the store was parsed as one JSON text. A number out of range (1e999) in any entry of another writer made the whole text invalid, so that a node found no peers and followed no configuration; a paging field of another type threw an exception that ended the task for good.

Ruled out: deep nesting. The parser and the destructor of the library are iterative; 200,000 levels are read without harm (in the test).

Change: SplitJsonArray delimits the elements by brackets and strings alone, and each is parsed by itself. An entry with port 0 or above 65535 is passed over, a heartbeat with one rejected.

--- a/tests/platform/object_store_stand_in.cc
+++ b/tests/platform/object_store_stand_in.cc
@@ -67,6 +67,8 @@
   const std::string query =
       query_start == std::string::npos ? "" : target.substr(query_start + 1);
   ++calls[std::string(request.method_string()) + " " + path];
+  const bool may_be_stale = QueryValue(query, "stale_ok") == "1";
+  full_calls += may_be_stale ? 0 : 1;
   if (unresponsive) {
     co_await NeverRespond();
   }
@@ -86,6 +88,9 @@
         key.first, std::stoull(watch),
         milliseconds(std::stoull(QueryValue(query, "wait_ms"))));
   }
+  if (may_be_stale && stale_copy_lags) {
+    co_return MakeResponse(404, json::object());
+  }
   if (key.second.empty()) {
     co_return List(key.first, QueryValue(query, "after"));
   }
@@ -152,7 +157,7 @@
     co_await timer.async_wait(asio::use_awaitable);
     events = EventsAfter(kind, after);
   }
-  co_return MakeResponse(200, {{"events", events}, {"as_of", m_revision}});
+  co_return WithRawItems({{"as_of", m_revision}}, "events", events);
 }
 
 HttpResponse ObjectStoreStandIn::List(const std::string& kind,
@@ -169,8 +174,27 @@
     }
     items.push_back(object);
   }
-  return MakeResponse(
-      200, {{"items", items}, {"has_more", has_more}, {"as_of", m_revision}});
+  json response = {{"has_more", has_more}, {"as_of", m_revision}};
+  if (odd_paging) {
+    response["has_more"] = "perhaps";
+  }
+  return WithRawItems(response, "items", items);
+}
+
+/// A response with the fields and the array `name`, to which `raw_items` are
+/// added.
+HttpResponse ObjectStoreStandIn::WithRawItems(const json& fields,
+                                              const std::string& name,
+                                              const json& items) const {
+  std::string array = items.dump();
+  if (!raw_items.empty()) {
+    array.pop_back();
+    array += (items.empty() ? "" : ",") + raw_items + "]";
+  }
+  std::string text = fields.dump();
+  text.pop_back();
+  text += ",\"" + name + "\":" + array + "}";
+  return JsonResponse(http::status::ok, text);
 }
 
 }  // namespace banyantrail::test
--- a/tests/platform/object_store_stand_in.h
+++ b/tests/platform/object_store_stand_in.h
@@ -37,6 +37,15 @@
   int lose_responses = 0;
   /// Maximum number of objects per page of a list.
   std::size_t page_size = 500;
+  /// Reads that may be stale do not see any object.
+  bool stale_copy_lags = false;
+  /// Lists have a `has_more` field of an unexpected type.
+  bool odd_paging = false;
+  /// Bytes of further items of every list and of further events of every watch,
+  /// separated by commas; they need not be valid JSON values.
+  std::string raw_items;
+  /// Number of calls other than reads that may be stale.
+  int full_calls = 0;
   /// Number of calls, by method and path without the query.
   std::map<std::string, int> calls;
 
@@ -56,6 +65,9 @@
                                       std::uint64_t after,
                                       milliseconds wait);
   HttpResponse List(const std::string& kind, const std::string& after) const;
+  HttpResponse WithRawItems(const nlohmann::json& fields,
+                            const std::string& name,
+                            const nlohmann::json& items) const;
   nlohmann::json EventsAfter(const std::string& kind,
                              std::uint64_t after) const;
 
--- a/tests/platform/object_store_test.cc
+++ b/tests/platform/object_store_test.cc
@@ -15,6 +15,7 @@
 using banyantrail::milliseconds;
 using banyantrail::NodeEntry;
 using banyantrail::NodeId;
+using banyantrail::ReadConsistency;
 using banyantrail::platform::ObjectStore;
 using banyantrail::test::ObjectStoreStandIn;
 using nlohmann::json;
@@ -74,7 +75,7 @@
   std::optional<banyantrail::Release> Read() {
     std::optional<banyantrail::Release> release;
     Run([&]() -> asio::awaitable<void> {
-      release = co_await store.ReadRelease();
+      release = co_await store.ReadRelease(ReadConsistency::kLinearizable);
     });
     return release;
   }
@@ -89,7 +90,9 @@
 
   std::vector<NodeEntry> Nodes() {
     std::vector<NodeEntry> nodes;
-    Run([&]() -> asio::awaitable<void> { nodes = co_await store.ListNodes(); });
+    Run([&]() -> asio::awaitable<void> {
+      nodes = co_await store.ListNodes(ReadConsistency::kLinearizable);
+    });
     return nodes;
   }
 };
@@ -166,3 +169,35 @@
   LONGS_EQUAL(4, nodes.size());
   CHECK(nodes.back() == Entry("n5"));
 }
+
+// Another writer may leave entries that a JSON parser rejects as a whole or
+// that are nested so deeply that a recursive one runs out of stack.
+TEST(ObjectStore, OddEntriesDoNotHideTheOthers) {
+  constexpr std::size_t kDepth = 200'000;
+  const std::string deep = std::string(kDepth, '[') + std::string(kDepth, ']');
+  const std::string tail = R"(,"revision":1},"specification":{"domain":"a",)";
+  const std::string head = R"({"metadata":{"name":)";
+  stand_in.raw_items =
+      head + R"("x1")" + tail + R"("peer_address":1e999}},)" +             //
+      head + R"("x2")" + tail + R"("peer_address":)" + deep + "}}," +      //
+      head + R"("x3")" + tail + R"("peer_address":"10.0.0.9:70000"}},)" +  //
+      head + R"("x4")" + tail + R"("peer_address":"10.0.0.9:0"}},)" +      //
+      head + R"(99999999999999999999999999)" + tail + "}}," + deep +
+      R"(,{"odd":"\"]}{["})";
+  Run([&]() -> asio::awaitable<void> {
+    co_await store.WriteNode(Entry("n1"));
+  });
+  const std::vector<NodeEntry> nodes = Nodes();
+  LONGS_EQUAL(1, nodes.size());
+  CHECK(nodes.front() == Entry("n1"));
+}
+
+TEST(ObjectStore, OddEventsDoNotHideAConfiguration) {
+  const std::uint64_t first =
+      stand_in.Write("config", "main", Configuration("orders"));
+  const std::uint64_t last =
+      stand_in.Write("config", "main", Configuration("lookups"));
+  stand_in.raw_items = R"({"object":{"metadata":{"name":"main"},)"
+                       R"("specification":{"version":1e999}}},[[[[]]]],7)";
+  LONGS_EQUAL(last, Await(first).release->revision);
+}
