--- a/packages/distribution/banyantrail/distribution/configuration_store.h
+++ b/packages/distribution/banyantrail/distribution/configuration_store.h
@@ -25,6 +25,10 @@
   friend bool operator==(const NodeEntry&, const NodeEntry&) = default;
 };
 
+/// Whether a read may return data that the store has since replaced. Such reads
+/// are cheap for the store and do not count towards its rate limit.
+enum class ReadConsistency { kLinearizable, kMayBeStale };
+
 /// The result of waiting for a configuration.
 struct ReleaseWatchResult {
   /// The newest configuration among the changes; nullopt if nothing changed.
@@ -40,19 +44,22 @@
 /// entries through which nodes discover each other. Throws the errors of
 /// StoreTransport, and kMalformedMessage if stored data cannot be parsed.
 template <typename T>
-concept ConfigurationStore =
-    requires(T& store, Revision after, milliseconds wait, NodeEntry entry) {
+concept ConfigurationStore = requires(T& store,
+                                      Revision after,
+                                      milliseconds wait,
+                                      NodeEntry entry,
+                                      ReadConsistency consistency) {
   {
-    store.ReadRelease()
+    store.ReadRelease(consistency)
     } -> std::same_as<asio::awaitable<std::optional<Release>>>;
   {
     store.AwaitRelease(after, wait)
     } -> std::same_as<asio::awaitable<ReleaseWatchResult>>;
   {
-    store.ListNodes()
+    store.ListNodes(consistency)
     } -> std::same_as<asio::awaitable<std::vector<NodeEntry>>>;
   {
-    store.ReadNode(entry.node)
+    store.CreateNode(entry)
     } -> std::same_as<asio::awaitable<std::optional<NodeEntry>>>;
   { store.WriteNode(entry) } -> std::same_as<asio::awaitable<void>>;
   { store.HasNode(entry.node) } -> std::same_as<asio::awaitable<bool>>;
--- a/packages/distribution/banyantrail/distribution/configuration_store_task.h
+++ b/packages/distribution/banyantrail/distribution/configuration_store_task.h
@@ -13,11 +13,16 @@
 #include "banyantrail/core/random.h"
 #include "banyantrail/distribution/configuration_store.h"
 #include "banyantrail/distribution/release_store.h"
+#include "banyantrail/distribution/store_follower.h"
 
 namespace banyantrail {
 
 struct ConfigurationStoreTaskOptions {
   NodeId node;
+  /// Whether the store already had a configuration before this node started.
+  /// Then the node reads it at once, without the assurance that it is the
+  /// newest one, to serve what it can until a watching node confirms that.
+  bool reads_at_start = false;
   /// Returns the entry that the store should hold for this node.
   std::function<NodeEntry()> own_entry;
   /// Receives the entry that the node stored before it restarted, if any,
@@ -31,8 +36,11 @@
   /// on a watcher for only slightly longer, see
   /// StoreFollower::Options::max_age.
   milliseconds watch_wait{1000};
-  /// How often a node that relies on another node's watch calls must_watch.
-  Duration must_watch_interval = milliseconds(100);
+  /// How often a node that relies on another node's watch calls store_duty.
+  Duration duty_check_interval = milliseconds(100);
+  /// How long a node that catches up waits for the store to give the missing
+  /// revision to a read that may be stale, before it reads it at full cost.
+  Duration catch_up_wait = milliseconds(300);
   /// Changes less than this apart form a burst. A watch would return each of
   /// them as a whole configuration, so during a burst the node reads only the
   /// newest one, every burst_read_interval.
@@ -46,8 +54,20 @@
   /// store responds again.
   BackoffOptions outage_backoff{.initial = milliseconds(100),
                                 .max = milliseconds(700)};
+  /// The same while other_node_watches returns true.
+  Duration relaxed_outage_delay = seconds(2);
+  /// Delay between two searches for peers if the first one found some, which
+  /// may all be starting.
+  Duration peer_search_interval = seconds(2);
+  /// Delay between two attempts to write the own entry.
+  BackoffOptions entry_backoff{.initial = milliseconds(150), .max = seconds(2)};
+  /// How long AwaitPreviousEntry and AwaitStoredEntry wait for a store that
+  /// does not respond. Together below the time in which the sender of an
+  /// announcement expects its acknowledgement.
+  Duration previous_entry_wait = milliseconds(400);
+  Duration stored_entry_wait = milliseconds(500);
   /// How often the own entry is checked once it is written and peers are found.
-  Duration entry_check_interval = seconds(20);
+  Duration entry_check_interval = seconds(60);
 
   std::function<void(std::shared_ptr<const Release>)> on_release;
   std::function<void(Revision)> on_store_head;
@@ -55,8 +75,14 @@
   /// the size in bytes of the difference from the one before.
   std::function<void(Revision, std::size_t)> on_store_confirmed =
       [](Revision, std::size_t) {};
-  /// Whether this node has to watch the store itself, see StoreFollower.
-  std::function<bool()> must_watch = [] { return true; };
+  /// A call to read the configuration failed.
+  std::function<void()> on_store_failed = [] {};
+  /// What this node has to do itself, see StoreFollower.
+  std::function<StoreDuty()> store_duty = [] {
+    return StoreDuty{.kind = StoreDuty::Kind::kWatch};
+  };
+  /// Whether another node watches the store for this one, or tries to.
+  std::function<bool()> other_node_watches = [] { return false; };
   std::function<void(std::vector<IpEndpoint>)> on_peers;
   /// Whether the node has joined its peers.
   std::function<bool()> has_joined;
@@ -102,6 +128,25 @@
   /// Whether the entry that the node stored before it restarted has been read.
   bool has_read_previous_entry() const { return m_has_read_previous_entry; }
 
+  /// Waits until the entry that the node stored before it restarted has been
+  /// read, or for a limited time.
+  asio::awaitable<void> AwaitPreviousEntry() {
+    co_await PollUntil([this] { return m_has_read_previous_entry; },
+                       m_options.previous_entry_wait);
+  }
+
+  /// Waits until the store holds the current own entry, or for a limited time.
+  /// A departure that is acknowledged afterwards is remembered if the node is
+  /// killed right after the acknowledgement.
+  asio::awaitable<void> AwaitStoredEntry() {
+    co_await PollUntil(
+        [this] { return m_stored_entry == m_options.own_entry(); },
+        m_options.stored_entry_wait);
+  }
+
+  /// After Stop, changes of the own entry are no longer stored.
+  bool is_stopped() const { return m_stopped; }
+
   void Stop() {
     m_stopped = true;
     m_watch_timer.cancel();
@@ -113,38 +158,111 @@
     Backoff search_backoff(m_options.search_backoff);
     Backoff outage_backoff(m_options.outage_backoff);
     while (!m_stopped) {
-      if (!m_options.must_watch()) {
+      const StoreDuty duty = m_options.store_duty();
+      if (!IsDue(duty)) {
         // Changes are missed in the meantime, so a read precedes the next
         // watch.
         m_must_read_configuration = true;
-        co_await Sleep(m_watch_timer, m_options.must_watch_interval);
+        co_await ReadAtStart();
+        co_await Sleep(m_watch_timer, m_options.duty_check_interval);
         continue;
       }
       bool failed = false;
       bool found = false;
       try {
-        found = m_must_read_configuration ? co_await ReadConfiguration()
-                                          : co_await WatchOnce();
+        found = co_await Perform(duty);
         OnStoreReadResult(true, "");
         outage_backoff.Reset();
-      } catch (const Error& error) {
+      } catch (const std::exception& error) {
         failed = true;
         m_must_read_configuration = true;
         OnStoreReadResult(false, error.what());
+        m_options.on_store_failed();
       }
       if (failed) {
-        co_await Sleep(m_watch_timer, outage_backoff.Next(m_rng));
+        const Duration delay = outage_backoff.Next(m_rng);
+        co_await Sleep(m_watch_timer,
+                       m_options.other_node_watches()
+                           ? std::max(delay, m_options.relaxed_outage_delay)
+                           : delay);
       } else if (!found) {
         co_await Sleep(m_watch_timer, search_backoff.Next(m_rng));
       }
     }
   }
 
+  asio::awaitable<void> ReadAtStart() {
+    if (!m_options.reads_at_start || m_has_read_at_start) {
+      co_return;
+    }
+    m_has_read_at_start = true;
+    try {
+      co_await ReadStaleConfiguration();
+    } catch (const std::exception& error) {
+      kLog.Warn("Reading the configuration at the start failed: " +
+                std::string(error.what()) + ".");
+    }
+  }
+
+  /// Whether the duty calls for a call to the store. A configuration that was
+  /// delivered may still be on its way to being applied.
+  bool IsDue(const StoreDuty& duty) const {
+    switch (duty.kind) {
+      case StoreDuty::Kind::kRely:
+        return false;
+      case StoreDuty::Kind::kCatchUp:
+        return duty.revision > delivered_revision();
+      case StoreDuty::Kind::kWatch:
+        return true;
+    }
+    return true;
+  }
+
+  /// Returns false if the store has no configuration.
+  asio::awaitable<bool> Perform(StoreDuty duty) {
+    bool found = false;
+    if (duty.kind == StoreDuty::Kind::kCatchUp) {
+      found = co_await CatchUp();
+    } else if (m_must_read_configuration) {
+      found = co_await ReadConfiguration();
+    } else {
+      found = co_await WatchOnce();
+    }
+    co_return found;
+  }
+
+  /// Reads a revision that a watching node has confirmed: first from a copy
+  /// that may lag behind, at full cost only if it stays away.
+  asio::awaitable<bool> CatchUp() {
+    co_await ReadStaleConfiguration();
+    if (!IsDue(m_options.store_duty())) {
+      co_return true;
+    }
+    co_await Sleep(m_watch_timer, m_options.catch_up_wait);
+    if (!IsDue(m_options.store_duty())) {
+      co_return true;
+    }
+    const bool found = co_await ReadConfiguration();
+    m_must_read_configuration = true;
+    co_return found;
+  }
+
+  asio::awaitable<void> ReadStaleConfiguration() {
+    std::optional<Release> release =
+        co_await m_store.ReadRelease(ReadConsistency::kMayBeStale);
+    if (release && release->revision > delivered_revision()) {
+      m_delivered = std::make_shared<const Release>(std::move(*release));
+      m_options.on_release(m_delivered);
+    }
+  }
+
   /// Reads the whole configuration. Returns false if the store has none.
   asio::awaitable<bool> ReadConfiguration() {
-    std::optional<Release> release = co_await m_store.ReadRelease();
+    std::optional<Release> release =
+        co_await m_store.ReadRelease(ReadConsistency::kLinearizable);
     if (!release) {
       m_options.on_store_head(0);
+      NotifyConfirmed();
       co_return false;
     }
     m_must_read_configuration = false;
@@ -209,6 +327,7 @@
       return;
     }
     m_store_readable = readable;
+    m_entry_checked_at = TimePoint{};
     m_options.count_event(readable ? "store_regained" : "store_lost");
     if (readable) {
       kLog.Info("The configuration can be read from the store again.");
@@ -220,59 +339,106 @@
   }
 
   asio::awaitable<void> MaintainEntry() {
-    Backoff retry_backoff(m_options.search_backoff);
-    std::optional<NodeEntry> written;
+    Backoff retry_backoff(m_options.entry_backoff);
     while (!m_stopped) {
       try {
-        co_await ReadPreviousEntry();
-        const NodeEntry own = m_options.own_entry();
-        const bool is_stored =
-            written == own && co_await m_store.HasNode(m_options.node);
-        if (!is_stored) {
-          co_await m_store.WriteNode(own);
-          m_options.count_event("entry_written");
-          written = own;
-        }
+        co_await StoreEntry();
         if (!m_options.has_joined()) {
           co_await FindPeers();
         }
-      } catch (const Error& error) {
+      } catch (const std::exception& error) {
         m_options.count_event("entry_failed");
         kLog.Warn("Maintaining the node's entry in the store failed: " +
                   std::string(error.what()) + ".");
-        written.reset();
       }
       const bool is_settled =
-          written == m_options.own_entry() && m_options.has_joined();
-      const Duration wait = is_settled ? m_options.entry_check_interval
-                                       : retry_backoff.Next(m_rng);
-      co_await Sleep(m_entry_timer, wait);
+          m_stored_entry == m_options.own_entry() && m_options.has_joined();
+      if (is_settled) {
+        retry_backoff.Reset();
+      }
+      Duration delay = retry_backoff.Next(m_rng);
+      if (is_settled) {
+        delay = m_options.entry_check_interval;
+      } else if (m_stored_entry == m_options.own_entry() && m_found_peers) {
+        delay = m_options.peer_search_interval;
+      }
+      co_await Sleep(m_entry_timer, delay);
     }
   }
 
-  asio::awaitable<void> ReadPreviousEntry() {
-    if (m_has_read_previous_entry) {
-      co_return;
+  /// Brings the node's entry in the store up to date.
+  asio::awaitable<void> StoreEntry() {
+    if (!m_has_read_previous_entry) {
+      co_await CreateEntry();
+    } else if (m_stored_entry == m_options.own_entry()) {
+      co_await CheckEntry();
     }
-    const std::optional<NodeEntry> previous =
-        co_await m_store.ReadNode(m_options.node);
+    const NodeEntry own = m_options.own_entry();
+    if (m_stored_entry != own) {
+      co_await m_store.WriteNode(own);
+      m_stored_entry = own;
+      m_entry_checked_at = SystemClock().Now();
+      m_options.count_event("entry_written");
+    }
+  }
+
+  /// Creates the entry, or reads the one that the node stored before it
+  /// restarted.
+  asio::awaitable<void> CreateEntry() {
+    const NodeEntry own = m_options.own_entry();
+    const std::optional<NodeEntry> previous = co_await m_store.CreateNode(own);
+    m_stored_entry = previous ? previous : own;
+    m_entry_checked_at = SystemClock().Now();
     if (previous) {
       m_options.on_previous_entry(*previous);
+    } else {
+      m_options.count_event("entry_written");
     }
     m_has_read_previous_entry = true;
   }
 
+  /// Checks periodically whether the store still has the entry.
+  asio::awaitable<void> CheckEntry() {
+    const TimePoint now = SystemClock().Now();
+    if (now < m_entry_checked_at + m_options.entry_check_interval) {
+      co_return;
+    }
+    m_entry_checked_at = now;
+    const bool is_stored = co_await m_store.HasNode(m_options.node);
+    if (!is_stored) {
+      m_stored_entry.reset();
+    }
+  }
+
   asio::awaitable<void> FindPeers() {
-    const std::vector<NodeEntry> entries = co_await m_store.ListNodes();
+    /// Other nodes that start at the same time are not in a stale list yet.
+    constexpr std::uint32_t kStaleSearchesPerFreshOne = 4;
+    const bool may_be_stale = m_searches++ % (kStaleSearchesPerFreshOne + 1) !=
+                              kStaleSearchesPerFreshOne;
+    const std::vector<NodeEntry> entries = co_await m_store.ListNodes(
+        may_be_stale ? ReadConsistency::kMayBeStale
+                     : ReadConsistency::kLinearizable);
     std::vector<IpEndpoint> peers;
     for (const NodeEntry& entry : entries) {
       if (entry.node != m_options.node) {
         peers.push_back(entry.peer_address);
       }
     }
+    m_found_peers = !peers.empty();
     m_options.on_peers(std::move(peers));
   }
 
+  template <typename Condition>
+  asio::awaitable<void> PollUntil(Condition is_met, Duration max_wait) {
+    constexpr Duration kPollInterval = milliseconds(10);
+    const TimePoint deadline = SystemClock().Now() + max_wait;
+    asio::steady_timer timer(m_executor);
+    while (!is_met() && !m_stopped && SystemClock().Now() < deadline) {
+      timer.expires_after(kPollInterval);
+      co_await timer.async_wait(asio::use_awaitable);
+    }
+  }
+
   /// Waits for `duration` or until the timer is cancelled.
   asio::awaitable<void> Sleep(asio::steady_timer& timer, Duration duration) {
     boost::system::error_code ignored;
@@ -301,6 +467,13 @@
   /// have been missed that the next watch does not report.
   bool m_must_read_configuration = true;
   bool m_store_readable = true;
+  bool m_has_read_at_start = false;
+  /// The entry that the store holds for this node, as far as known.
+  std::optional<NodeEntry> m_stored_entry;
+  TimePoint m_entry_checked_at{};
+  /// Number of searches for peers in the store.
+  std::uint32_t m_searches = 0;
+  bool m_found_peers = false;
   bool m_has_read_previous_entry = false;
   bool m_stopped = false;
 };
--- a/packages/distribution/banyantrail/distribution/distribution_protocol.cc
+++ b/packages/distribution/banyantrail/distribution/distribution_protocol.cc
@@ -173,7 +173,7 @@
 
 void DistributionProtocol::Handle(const NodeId& from,
                                   const StoreHeadMessage& message) {
-  if (message.is_pushed) {
+  if (message.is_pushed && !message.store_failed) {
     OnPeerRevision(from, message.revision, message.release_digest);
   }
 }
--- a/packages/distribution/banyantrail/distribution/relay_lease.cc
+++ b/packages/distribution/banyantrail/distribution/relay_lease.cc
@@ -62,20 +62,32 @@
   return value;
 }
 
-std::vector<NodeId> RelayCandidates(const DomainId& domain,
-                                    const std::vector<NodeId>& nodes) {
+std::vector<NodeId> RendezvousOrder(const DomainId& domain,
+                                    const std::vector<NodeId>& nodes,
+                                    std::size_t max_count) {
   const std::uint64_t seed = Hash64(domain.str());
-  const auto weight = [seed](const NodeId& node) {
-    return std::pair(Hash64(node.str(), seed), node);
-  };
-  std::vector<NodeId> candidates = nodes;
-  const std::size_t count = std::min(kRelaySlots, candidates.size());
+  std::vector<std::pair<std::uint64_t, const NodeId*>> weighted;
+  weighted.reserve(nodes.size());
+  for (const NodeId& node : nodes) {
+    weighted.emplace_back(Hash64(node.str(), seed), &node);
+  }
+  const std::size_t count = std::min(max_count, weighted.size());
   std::partial_sort(
-      candidates.begin(),
-      candidates.begin() + static_cast<std::ptrdiff_t>(count), candidates.end(),
-      [&](const NodeId& a, const NodeId& b) { return weight(a) > weight(b); });
-  candidates.resize(count);
-  return candidates;
+      weighted.begin(), weighted.begin() + static_cast<std::ptrdiff_t>(count),
+      weighted.end(), [](const auto& a, const auto& b) {
+        return a.first != b.first ? a.first > b.first : *a.second > *b.second;
+      });
+  std::vector<NodeId> order;
+  order.reserve(count);
+  for (std::size_t i = 0; i < count; ++i) {
+    order.push_back(*weighted[i].second);
+  }
+  return order;
+}
+
+std::vector<NodeId> RelayCandidates(const DomainId& domain,
+                                    const std::vector<NodeId>& nodes) {
+  return RendezvousOrder(domain, nodes, kRelaySlots);
 }
 
 RelayLease::RelayLease(Options options) : m_options(std::move(options)) {
--- a/packages/distribution/banyantrail/distribution/relay_lease.h
+++ b/packages/distribution/banyantrail/distribution/relay_lease.h
@@ -45,6 +45,12 @@
 /// Throws Error{kMalformedMessage} that names the invalid field.
 RelayLeaseValue ParseRelayLeaseValue(const nlohmann::json& json);
 
+/// Up to `max_count` of the nodes by descending rendezvous hash: nodes that
+/// join or leave do not change the order of the others.
+std::vector<NodeId> RendezvousOrder(const DomainId& domain,
+                                    const std::vector<NodeId>& nodes,
+                                    std::size_t max_count);
+
 /// The nodes of a domain that may acquire a lease: the first kRelaySlots in
 /// rendezvous order, so that the number of platform calls is independent of the
 /// number of nodes.
--- a/packages/distribution/banyantrail/distribution/store_follower.h
+++ b/packages/distribution/banyantrail/distribution/store_follower.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <algorithm>
+#include <cstddef>
 #include <optional>
 
 #include "banyantrail/core/clock.h"
@@ -7,14 +9,35 @@
 
 namespace banyantrail {
 
+/// What a node has to do itself to learn of new configurations.
+struct StoreDuty {
+  enum class Kind {
+    /// Another node watches the store.
+    kRely,
+    /// Read the configuration once: a revision that a watcher has confirmed did
+    /// not arrive from peers.
+    kCatchUp,
+    /// Watch the store.
+    kWatch,
+  };
+
+  Kind kind = Kind::kRely;
+  /// The missing revision for kCatchUp, else 0.
+  Revision revision = 0;
+
+  friend bool operator==(const StoreDuty&, const StoreDuty&) = default;
+};
+
 /// Decides whether a node has to watch the store itself, or may rely on another
 /// node of its failure domain that watches it.
 ///
 /// The watching node confirms the store's revision to the others at least once
 /// per watch. A node that holds a recently confirmed revision would learn
-/// nothing more from the store. When confirmations stop for any reason, the
-/// node watches the store itself, so a watcher that is dead, frozen or
-/// partitioned delays a configuration by at most `max_age`.
+/// nothing more from the store. When confirmations stop, the nodes take over
+/// one by one in the order of their ranks, so that the loss of a watcher does
+/// not cost a call of every node. A node that hears nothing at all from its
+/// watchers, not even that the store fails, may be the only one with a path to
+/// the store, and does not wait for more than one of them.
 ///
 /// Performs no I/O; time is a parameter.
 class StoreFollower {
@@ -26,10 +49,16 @@
     Duration max_age = milliseconds(1300);
     /// How long a confirmed revision may take to arrive from peers before the
     /// node reads the store.
-    Duration max_push_delay = milliseconds(400);
+    Duration max_push_delay = milliseconds(700);
+    /// How much longer a node waits for confirmations than the node before it
+    /// in the order of precedence.
+    Duration takeover_step = milliseconds(250);
   };
 
-  explicit StoreFollower(Options options) : m_options(options) {}
+  /// `start` is when the node started; it waits for a first confirmation as if
+  /// it had just received one.
+  StoreFollower(Options options, TimePoint start)
+      : m_options(options), m_confirmed_at(start) {}
 
   /// The message of a watching node, and the revision that this node has
   /// applied when it arrives.
@@ -44,13 +73,45 @@
 
   void OnConfirmation(const Confirmation& confirmation, TimePoint now);
 
-  /// Whether the node, which has applied `applied`, has to watch the store
-  /// itself.
-  bool MustWatch(Revision applied, TimePoint now) const;
+  /// A watching node reported that the store does not respond to it.
+  void OnStoreFailure(TimePoint now) { m_failure_reported_at = now; }
+
+  /// The state of this node.
+  struct NodeState {
+    /// The revision that it has applied.
+    Revision applied = 0;
+    /// Its position in the order of precedence of the domain's watchers; 0 for
+    /// the node that watches while it can.
+    std::size_t rank = 0;
+  };
+
+  StoreDuty Duty(const NodeState& node, TimePoint now) const;
+
+  /// Whether another node has confirmed the store's revision recently.
+  bool HasValidConfirmation(TimePoint now) const {
+    return m_has_confirmation && now - m_confirmed_at <= m_options.max_age;
+  }
+
+  /// Whether another node watches the store for this one, or is the first to
+  /// notice when a store that fails recovers.
+  bool OtherNodeWatches(std::size_t rank, TimePoint now) const {
+    constexpr std::size_t kNodesThatTry = 2;
+    return HasValidConfirmation(now) ||
+           (rank >= kNodesThatTry && HearsFailures(now));
+  }
 
  private:
+  Duration TakeoverDelay(std::size_t rank, TimePoint now) const;
+  bool HearsFailures(TimePoint now) const {
+    return m_failure_reported_at &&
+           now - *m_failure_reported_at <= m_options.max_age;
+  }
+
   Options m_options;
-  std::optional<TimePoint> m_confirmed_at;
+  bool m_has_confirmation = false;
+  /// Time of the last confirmation, or the start of the node.
+  TimePoint m_confirmed_at;
+  std::optional<TimePoint> m_failure_reported_at;
   /// A confirmed revision that the node is waiting for, and the start of the
   /// wait. Newer confirmations do not extend the wait until it is applied.
   Revision m_awaited_revision = 0;
--- a/packages/node/banyantrail/node/admin_api.cc
+++ b/packages/node/banyantrail/node/admin_api.cc
@@ -290,8 +290,8 @@
 HttpResponse AdminApi::Members() const {
   const MembershipView& view = *m_options.control.membership();
   json members = json::array();
-  for (const MemberRecord& member : view.members) {
-    members.push_back(MemberJson(member));
+  for (const auto& member : view.members) {
+    members.push_back(MemberJson(*member));
   }
   return MakeResponse(http::status::ok,
                       {{"node", m_options.settings.node.str()},
--- a/packages/node/banyantrail/node/control_messages.h
+++ b/packages/node/banyantrail/node/control_messages.h
@@ -10,6 +10,7 @@
 #include "banyantrail/core/clock.h"
 #include "banyantrail/core/ids.h"
 #include "banyantrail/distribution/distribution_protocol.h"
+#include "banyantrail/node/membership_view.h"
 #include "banyantrail/wire/member_record.h"
 #include "banyantrail/wire/peer_messages.h"
 
@@ -58,23 +59,6 @@
   Revision revision = 0;
 };
 
-/// An immutable snapshot of this node's view of the fleet.
-struct MembershipView {
-  MemberRecord self;
-  /// All known members in any state, including this node.
-  std::vector<MemberRecord> members;
-  /// The node may be partitioned from its failure domain.
-  bool isolated = false;
-  /// The complete member table was pulled from a peer since the process
-  /// started.
-  bool joined = false;
-  /// The greatest revision that any member is known to have applied.
-  Revision max_applied_revision = 0;
-
-  friend bool operator==(const MembershipView&,
-                         const MembershipView&) = default;
-};
-
 struct MembershipChanged {
   std::shared_ptr<const MembershipView> view;
 };
--- a/packages/node/banyantrail/node/control_plane.cc
+++ b/packages/node/banyantrail/node/control_plane.cc
@@ -13,6 +13,7 @@
 #include "banyantrail/node/distribution_actor.h"
 #include "banyantrail/node/membership_actor.h"
 #include "banyantrail/node/routing_actor.h"
+#include "banyantrail/wire/request_metadata.h"
 
 namespace banyantrail {
 namespace {
@@ -42,7 +43,8 @@
           .labels = settings.labels,
           .peer_address = settings.listen.peer,
           .mesh_address = settings.listen.mesh,
-          .admin_address = settings.listen.admin};
+          .admin_address = settings.listen.admin,
+          .mesh_version = kMeshVersion};
 }
 
 caf::actor_system_config& ConfigureScheduler(caf::actor_system_config& config) {
@@ -59,6 +61,19 @@
          std::holds_alternative<StoreHeadMessage>(message);
 }
 
+/// Number of nodes of a failure domain that confirm the store's revision to the
+/// others when they watch it.
+constexpr std::size_t kMaxStoreWatchers = 8;
+
+/// The timing of StoreFollower: a configuration reaches a node within the bound
+/// when its watcher is lost, or when peers do not push it.
+StoreFollower::Options FollowerOptions(const NodeSettings& settings) {
+  const Duration bound = settings.configuration_bound;
+  return {.max_age = bound * 13 / 20,
+          .max_push_delay = bound * 7 / 20,
+          .takeover_step = bound / 8};
+}
+
 bool MayWatchStore(const MemberRecord& record, const DomainId& domain) {
   return record.domain == domain && record.state == MemberState::kAlive &&
          !record.draining;
@@ -68,12 +83,21 @@
 /// others, in order of precedence.
 std::vector<NodeId> StoreWatchersInOrder(const MembershipView& view) {
   std::vector<NodeId> members;
-  for (const MemberRecord& record : view.members) {
-    if (MayWatchStore(record, view.self.domain)) {
-      members.push_back(record.node);
+  for (const auto& record : view.members) {
+    if (MayWatchStore(*record, view.self.domain)) {
+      members.push_back(record->node);
     }
   }
-  return RelayCandidates(view.self.domain, members);
+  return RendezvousOrder(view.self.domain, members, kMaxStoreWatchers);
+}
+
+void LogMember(const MemberRecord& record) {
+  kLog.Event({{"event", "member"},
+              {"member", record.node.str()},
+              {"state", static_cast<int>(record.state)},
+              {"draining", record.draining},
+              {"incarnation", record.incarnation},
+              {"sequence", record.sequence}});
 }
 
 }  // namespace
@@ -101,7 +125,8 @@
                    .on_unreachable =
                        [this](const NodeId& node) { OnUnreachable(node); }}),
       m_actor_system(ConfigureScheduler(m_actor_config)),
-      m_tick_timer(io) {
+      m_tick_timer(io),
+      m_store_follower(FollowerOptions(settings), SystemClock().Now()) {
   SpawnActors(settings);
   asio::co_spawn(io, RunTicks(), asio::detached);
 }
@@ -178,10 +203,7 @@
     return;
   }
   if (const auto* head = std::get_if<StoreHeadMessage>(&message)) {
-    m_store_follower.OnConfirmation({.revision = head->revision,
-                                     .is_pushed = head->is_pushed,
-                                     .applied = m_applied_release->revision},
-                                    SystemClock().Now());
+    OnStoreHead(*head);
   }
   if (const auto* crash = std::get_if<CrashReportMessage>(&message)) {
     m_hooks.on_crash_report(*crash);
@@ -203,39 +225,36 @@
                  PeerMessageReceived{from, std::move(message)});
 }
 
+void ControlPlane::OnStoreHead(const StoreHeadMessage& head) {
+  const TimePoint now = SystemClock().Now();
+  if (head.store_failed) {
+    m_store_follower.OnStoreFailure(now);
+    return;
+  }
+  m_store_follower.OnConfirmation({.revision = head.revision,
+                                   .is_pushed = head.is_pushed,
+                                   .applied = m_applied_release->revision},
+                                  now);
+}
+
 void ControlPlane::OnUnreachable(const NodeId& node) {
   caf::anon_send(m_membership_actor, PeerUnreachable{node});
   caf::anon_send(m_distribution_actor, PeerUnreachable{node});
 }
 
-/// Logs each member whose state changed.
-void ControlPlane::LogMemberChanges(const MembershipView& view) const {
-  for (const MemberRecord& record : view.members) {
-    const auto known = std::ranges::find(m_membership_view->members,
-                                         record.node, &MemberRecord::node);
-    const bool is_unchanged = known != m_membership_view->members.end() &&
-                              known->state == record.state &&
-                              known->draining == record.draining &&
-                              known->incarnation == record.incarnation;
-    if (!is_unchanged) {
-      kLog.Event({{"event", "member"},
-                  {"member", record.node.str()},
-                  {"state", static_cast<int>(record.state)},
-                  {"draining", record.draining},
-                  {"incarnation", record.incarnation},
-                  {"sequence", record.sequence}});
-    }
-  }
-}
-
 void ControlPlane::OnMembers(std::shared_ptr<const MembershipView> view) {
-  LogMemberChanges(*view);
+  const auto changed = ChangedMembers(*m_membership_view, *view);
+  const bool is_new_version = view->version != m_membership_view->version;
   m_membership_view = std::move(view);
-  m_store_watchers = StoreWatchersInOrder(*m_membership_view);
-  for (const MemberRecord& record : m_membership_view->members) {
-    m_transport.SetAddress(record.node, record.peer_address);
-  }
   caf::anon_send(m_distribution_actor, MembershipChanged{m_membership_view});
+  if (!is_new_version) {
+    return;
+  }
+  for (const auto& record : changed) {
+    LogMember(*record);
+    m_transport.SetAddress(record->node, record->peer_address);
+  }
+  m_store_watchers = StoreWatchersInOrder(*m_membership_view);
   caf::anon_send(m_routing_actor, MembershipChanged{m_membership_view});
   m_hooks.on_members(m_membership_view);
 }
@@ -318,34 +337,56 @@
 
 void ControlPlane::ConfirmStoreHead(Revision revision,
                                     std::size_t change_bytes) {
+  const std::string digest = m_applied_release->revision == revision
+                                 ? m_applied_release->digest
+                                 : std::string();
+  SendToFollowers({.revision = revision,
+                   .release_digest = digest,
+                   .is_pushed = change_bytes <= m_max_pushed_bytes});
+}
+
+void ControlPlane::ReportStoreFailure() {
+  SendToFollowers({.store_failed = true});
+}
+
+/// Sends a message about the store to the other nodes of the failure domain, if
+/// this node is among its watchers.
+void ControlPlane::SendToFollowers(const StoreHeadMessage& head) {
   const NodeId& self = m_membership_view->self.node;
   if (std::ranges::find(m_store_watchers, self) == m_store_watchers.end()) {
     return;
   }
-  const std::string digest = m_applied_release->revision == revision
-                                 ? m_applied_release->digest
-                                 : std::string();
-  const StoreHeadMessage head{.revision = revision,
-                              .release_digest = digest,
-                              .is_pushed = change_bytes <= m_max_pushed_bytes};
-  for (const MemberRecord& record : m_membership_view->members) {
-    const bool is_live = record.state == MemberState::kAlive ||
-                         record.state == MemberState::kSuspect;
+  for (const auto& record : m_membership_view->members) {
+    const bool is_live = record->state == MemberState::kAlive ||
+                         record->state == MemberState::kSuspect;
     const bool relies_on_this_node =
-        record.domain == m_membership_view->self.domain && record.node != self;
+        record->domain == m_membership_view->self.domain &&
+        record->node != self;
     if (is_live && relies_on_this_node) {
-      m_transport.Send(record.node, head);
+      m_transport.Send(record->node, head);
     }
   }
 }
 
-bool ControlPlane::MustWatchStore() const {
-  const bool is_primary_watcher =
-      m_store_watchers.empty() ||
-      m_store_watchers.front() == m_membership_view->self.node;
-  return is_primary_watcher ||
-         m_store_follower.MustWatch(m_applied_release->revision,
-                                    SystemClock().Now());
+/// A node that has not joined yet does not know its position and counts as
+/// last.
+std::size_t ControlPlane::StoreWatcherRank() const {
+  const auto self =
+      std::ranges::find(m_store_watchers, m_membership_view->self.node);
+  return m_membership_view->joined
+             ? static_cast<std::size_t>(self - m_store_watchers.begin())
+             : kMaxStoreWatchers;
+}
+
+StoreDuty ControlPlane::CurrentStoreDuty() const {
+  return m_store_follower.Duty(
+      {.applied = m_applied_release->revision, .rank = StoreWatcherRank()},
+      SystemClock().Now());
+}
+
+bool ControlPlane::OtherNodeWatchesStore() const {
+  return m_store_follower.OtherNodeWatches(StoreWatcherRank(),
+                                           SystemClock().Now());
 }
 
 void ControlPlane::ReportCrash(const ServiceName& service,
@@ -354,13 +395,13 @@
                                   .incarnation = m_incarnation,
                                   .sequence = ++m_crash_report_sequence,
                                   .suspects = std::move(suspects)};
-  for (const MemberRecord& member : m_membership_view->members) {
+  for (const auto& member : m_membership_view->members) {
     const bool owns_backend_server = std::ranges::any_of(
-        member.backend_servers, [&service](const BackendServerRecord& server) {
+        member->backend_servers, [&service](const BackendServerRecord& server) {
           return server.service == service;
         });
-    if (owns_backend_server && member.node != report.node) {
-      m_transport.Send(member.node, report);
+    if (owns_backend_server && member->node != report.node) {
+      m_transport.Send(member->node, report);
     }
   }
 }
--- a/packages/node/banyantrail/node/control_plane.h
+++ b/packages/node/banyantrail/node/control_plane.h
@@ -60,8 +60,13 @@
   /// differs from the preceding one by `change_bytes`. Forwards this to the
   /// nodes of the failure domain that rely on this node's watch.
   void ConfirmStoreHead(Revision revision, std::size_t change_bytes);
-  /// Whether this node has to watch the store itself.
-  bool MustWatchStore() const;
+  /// The store did not respond to this node. Tells the nodes that rely on its
+  /// watch.
+  void ReportStoreFailure();
+  /// What this node has to do itself to learn of new configurations.
+  StoreDuty CurrentStoreDuty() const;
+  /// Whether another node watches the store for this one, or tries to.
+  bool OtherNodeWatchesStore() const;
   /// Reports the requests that were in flight when a backend server of the
   /// service crashed to the nodes that own backend servers of this service.
   void ReportCrash(const ServiceName& service,
@@ -84,8 +89,10 @@
  private:
   void SpawnActors(const NodeSettings& settings);
   void OnPeerMessage(const NodeId& from, PeerMessage message);
+  void OnStoreHead(const StoreHeadMessage& head);
+  void SendToFollowers(const StoreHeadMessage& head);
+  std::size_t StoreWatcherRank() const;
   void OnUnreachable(const NodeId& node);
-  void LogMemberChanges(const MembershipView& view) const;
   void OnMembers(std::shared_ptr<const MembershipView> view);
   void OnReleaseApplied(std::shared_ptr<const Release> release);
   void OnSnapshot(std::shared_ptr<const RoutingSnapshot> snapshot);
@@ -114,10 +121,10 @@
   std::shared_ptr<const Release> m_applied_release =
       std::make_shared<const Release>();
   DistributionStatus m_distribution_status;
-  StoreFollower m_store_follower{StoreFollower::Options{}};
+  StoreFollower m_store_follower;
   /// The members of this node's failure domain that may watch the store for
   /// the others, in order of precedence: the first one watches, the next one
-  /// takes over when confirmations from the first stop.
+  /// takes over when confirmations stop.
   std::vector<NodeId> m_store_watchers;
 };
 
--- a/packages/node/banyantrail/node/data_plane.cc
+++ b/packages/node/banyantrail/node/data_plane.cc
@@ -52,21 +52,23 @@
                                       LocalBackendServers& servers,
                                       std::function<void()> on_change,
                                       const DataPlane::Options& options) {
-  return {.hooks = {.count_refusal =
-                        [&metrics](RefusalReason reason) {
-                          metrics.CountRefusal("mesh", ToString(reason));
-                        },
-                    .on_refusal = RejectionLogger(),
-                    .on_unreachable =
-                        [&servers, on_change](const BackendServerId& id) {
-                          if (servers.MarkDown(id)) {
-                            on_change();
-                          }
-                        },
-                    .on_crash = options.on_crash},
-          .dialect = options.dialect,
-          .admission = settings.admission,
-          .link_bytes_per_s = settings.limits.link_mbit_per_s * kBytesPerMbit};
+  return {
+      .hooks = {.count_refusal =
+                    [&metrics](RefusalReason reason) {
+                      metrics.CountRefusal("mesh", ToString(reason));
+                    },
+                .on_refusal = RejectionLogger(),
+                .on_unreachable =
+                    [&servers, on_change](const BackendServerId& id) {
+                      if (servers.MarkDown(id)) {
+                        on_change();
+                      }
+                    },
+                .on_crash = options.on_crash},
+      .dialect = options.dialect,
+      .admission = settings.admission,
+      .max_send_after_departure = settings.shutdown.max_send_after_departure,
+      .link_bytes_per_s = settings.limits.link_mbit_per_s * kBytesPerMbit};
 }
 
 /// A prefix that makes attempt ids unique across restarts of the node.
@@ -217,8 +219,11 @@
 }
 
 bool DataPlane::Deregister(const Departure& departure) {
+  const auto wall_time = std::chrono::system_clock::now().time_since_epoch();
+  const auto wall_ms = std::chrono::duration_cast<milliseconds>(wall_time);
   const bool removed =
-      m_backend_servers.Deregister(departure, SystemClock().Now());
+      m_backend_servers.Deregister(departure, SystemClock().Now(),
+                                   static_cast<std::uint64_t>(wall_ms.count()));
   if (removed) {
     OnBackendServersChanged();
   }
@@ -238,6 +243,7 @@
 void DataPlane::StartDrain() {
   m_backend_servers.DrainAll();
   m_entry_stage.StartDrain();
+  m_owner_stage.StartDrain();
   OnBackendServersChanged();
 }
 
--- a/packages/node/banyantrail/node/distribution_actor.cc
+++ b/packages/node/banyantrail/node/distribution_actor.cc
@@ -30,7 +30,10 @@
 
 void UpdateMembership(DistributionActorState& state,
                       const MembershipView& view) {
-  state.protocol->OnMembership(SelectDistributionPeers(view));
+  if (view.version != state.membership_version) {
+    state.membership_version = view.version;
+    state.protocol->OnMembership(SelectDistributionPeers(view));
+  }
   if (view.joined) {
     state.protocol->OnPreviouslyApplied(view.max_applied_revision);
   }
--- a/packages/node/banyantrail/node/distribution_actor.h
+++ b/packages/node/banyantrail/node/distribution_actor.h
@@ -21,6 +21,8 @@
   std::optional<DistributionProtocol> protocol;
   DistributionActorOptions options;
   DistributionStatus status;
+  /// Version of the membership that the protocol knows.
+  std::uint64_t membership_version = 0;
 };
 
 /// Runs the DistributionProtocol of a node.
--- a/packages/node/banyantrail/node/distribution_peers.cc
+++ b/packages/node/banyantrail/node/distribution_peers.cc
@@ -19,9 +19,9 @@
 
 DistributionPeers SelectDistributionPeers(const MembershipView& view) {
   std::map<DomainId, std::vector<NodeId>> live;
-  for (const MemberRecord& record : view.members) {
-    if (IsLive(record)) {
-      live[record.domain].push_back(record.node);
+  for (const auto& record : view.members) {
+    if (IsLive(*record)) {
+      live[record->domain].push_back(record->node);
     }
   }
   DistributionPeers peers;
--- a/packages/node/banyantrail/node/local_backend_servers.cc
+++ b/packages/node/banyantrail/node/local_backend_servers.cc
@@ -12,7 +12,7 @@
 bool LocalBackendServers::IsOutdated(const Announcement& announcement) const {
   const BackendServerRecord& record = announcement.record;
   const auto departed = m_departed.find(record.id);
-  if (departed != m_departed.end() &&
+  if (announcement.generation != 0 && departed != m_departed.end() &&
       announcement.generation <= departed->second.generation) {
     return true;
   }
@@ -81,9 +81,13 @@
 }
 
 bool LocalBackendServers::Deregister(const Departure& departure,
-                                     TimePoint now) {
+                                     TimePoint now,
+                                     std::uint64_t max_generation) {
   const auto found = m_entries.find(departure.id);
   std::uint64_t generation = departure.generation;
+  if (found == m_entries.end() && generation == 0) {
+    generation = max_generation;
+  }
   if (found != m_entries.end()) {
     if (generation != 0 && generation < found->second.generation) {
       return false;  // Sent by an earlier process.
--- a/packages/node/banyantrail/node/local_backend_servers.h
+++ b/packages/node/banyantrail/node/local_backend_servers.h
@@ -49,7 +49,13 @@
 
   /// Removes a backend server, unless the departure is that of an earlier
   /// process. Returns whether it was removed.
-  bool Deregister(const Departure& departure, TimePoint now);
+  ///
+  /// A node that has just restarted may be told of a departure, without its
+  /// generation, before it knows the backend server. `max_generation` is the
+  /// greatest one that the departed process can have.
+  bool Deregister(const Departure& departure,
+                  TimePoint now,
+                  std::uint64_t max_generation = 0);
 
   /// Backend server processes that have announced a drain or have departed,
   /// ordered by id. Departed ones are kept for some time so that late
--- a/packages/node/banyantrail/node/membership_actor.cc
+++ b/packages/node/banyantrail/node/membership_actor.cc
@@ -5,16 +5,14 @@
 namespace banyantrail {
 namespace {
 
-MembershipView MakeView(const MembershipProtocol& protocol) {
-  MembershipView view{
-      .self = protocol.own_record(),
-      .isolated = protocol.is_isolated(),
-      .joined = protocol.has_joined(),
-      .max_applied_revision = protocol.table().GreatestAppliedRevision()};
-  view.members.reserve(protocol.table().records().size());
-  for (const auto& [node, record] : protocol.table().records()) {
-    view.members.push_back(record);
-  }
+MembershipView MakeView(const MembershipProtocol& protocol,
+                        const MembershipView* previous) {
+  MembershipView view =
+      MakeMembershipView(protocol.table().records(), previous);
+  view.self = protocol.own_record();
+  view.isolated = protocol.is_isolated();
+  view.joined = protocol.has_joined();
+  view.max_applied_revision = protocol.table().GreatestAppliedRevision();
   return view;
 }
 
@@ -35,8 +33,8 @@
     return;
   }
   state.view_is_stale = false;
-  state.view =
-      std::make_shared<const MembershipView>(MakeView(*state.protocol));
+  state.view = std::make_shared<const MembershipView>(
+      MakeView(*state.protocol, state.view.get()));
   state.options.publish(state.view);
 }
 
--- a/packages/node/banyantrail/node/node.cc
+++ b/packages/node/banyantrail/node/node.cc
@@ -171,8 +171,12 @@
           [&components](Revision revision, std::size_t change_bytes) {
             components.control->ConfirmStoreHead(revision, change_bytes);
           },
-      .must_watch_store =
-          [&components] { return components.control->MustWatchStore(); },
+      .on_store_failed =
+          [&components] { components.control->ReportStoreFailure(); },
+      .store_duty =
+          [&components] { return components.control->CurrentStoreDuty(); },
+      .other_node_watches_store =
+          [&components] { return components.control->OtherNodeWatchesStore(); },
       .set_seeds =
           [&components](std::vector<IpEndpoint> seeds) {
             components.control->SetSeeds(std::move(seeds));
--- a/packages/node/banyantrail/node/node_services.h
+++ b/packages/node/banyantrail/node/node_services.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "banyantrail/config/release.h"
+#include "banyantrail/distribution/store_follower.h"
 #include "banyantrail/net/asio.h"
 #include "banyantrail/node/control_messages.h"
 #include "banyantrail/node/local_backend_servers.h"
@@ -39,9 +40,12 @@
   /// The store has confirmed that this is its newest revision. The second
   /// argument is the size in bytes of the change from the preceding one.
   std::function<void(Revision, std::size_t)> on_store_confirmed;
-  /// Whether this node has to watch the store itself because it cannot rely on
-  /// the watch of another node.
-  std::function<bool()> must_watch_store;
+  /// The store did not respond to a read of the configuration.
+  std::function<void()> on_store_failed;
+  /// What this node has to do itself to learn of new configurations.
+  std::function<StoreDuty()> store_duty;
+  /// Whether another node watches the store for this one, or tries to.
+  std::function<bool()> other_node_watches_store;
   /// Sets the addresses of peers used to join the membership.
   std::function<void(std::vector<IpEndpoint>)> set_seeds;
   std::function<std::shared_ptr<const MembershipView>()> membership;
--- a/packages/node/banyantrail/node/platform_tasks.cc
+++ b/packages/node/banyantrail/node/platform_tasks.cc
@@ -89,17 +89,17 @@
 void PlatformTasks::OnMembers(const MembershipView& view) {
   std::vector<NodeId> members;
   std::vector<NodeId> candidates;
-  for (const MemberRecord& record : view.members) {
-    if (record.domain != m_settings.domain) {
+  for (const auto& record : view.members) {
+    if (record->domain != m_settings.domain) {
       continue;
     }
-    if (record.state == MemberState::kLeft) {
-      m_status_summary.OnLeft(record.node);
+    if (record->state == MemberState::kLeft) {
+      m_status_summary.OnLeft(record->node);
     }
-    if (IsLive(record)) {
-      members.push_back(record.node);
-      if (!record.draining) {
-        candidates.push_back(record.node);
+    if (IsLive(*record)) {
+      members.push_back(record->node);
+      if (!record->draining) {
+        candidates.push_back(record->node);
       }
     }
   }
--- a/packages/node/banyantrail/node/settings.h
+++ b/packages/node/banyantrail/node/settings.h
@@ -48,6 +48,10 @@
   /// Maximum duration of the shutdown. Requests that are still in progress
   /// then, including long uploads, are aborted.
   Duration grace_period = std::chrono::minutes(30);
+  /// How long after a backend server has announced its departure a request that
+  /// was admitted before may still be sent to it. Half of the time for which a
+  /// draining backend server may get requests.
+  Duration max_send_after_departure = seconds(1);
 
   friend bool operator==(const ShutdownSettings&,
                          const ShutdownSettings&) = default;
@@ -82,6 +86,9 @@
   /// A configuration whose change from the preceding one is larger is not
   /// pushed to peers; they read it from the store.
   std::size_t max_pushed_bytes = std::numeric_limits<std::size_t>::max();
+  /// Time within which a change of the configuration has to be in force
+  /// everywhere.
+  Duration configuration_bound = seconds(2);
   /// Whether the first configuration that this node reads is pushed to peers.
   bool push_first_release = true;
   /// Whether requests with an idempotency key are claimed on the platform
--- a/packages/wire/banyantrail/wire/peer_messages.h
+++ b/packages/wire/banyantrail/wire/peer_messages.h
@@ -186,7 +186,8 @@
   MSGPACK_DEFINE(node, incarnation, sequence, suspects, subtree)
 };
 
-/// Sent by a node that watches the store: the store's current revision.
+/// Sent by a node that watches the store: the store's current revision, or that
+/// the store does not respond.
 struct StoreHeadMessage {
   Revision revision = 0;
   std::string release_digest;
@@ -194,10 +195,13 @@
   /// that differs too much from the previous one; receivers read such a
   /// revision from the store.
   bool is_pushed = true;
+  /// The store does not respond to the sender; the other fields are not set.
+  /// Earlier versions do not send this field.
+  bool store_failed = false;
 
   friend bool operator==(const StoreHeadMessage&,
                          const StoreHeadMessage&) = default;
-  MSGPACK_DEFINE(revision, release_digest, is_pushed)
+  MSGPACK_DEFINE(revision, release_digest, is_pushed, store_failed)
 };
 
 /// All messages between nodes. The position in the list is the message's type
--- a/tests/node/local_backend_servers_test.cc
+++ b/tests/node/local_backend_servers_test.cc
@@ -91,6 +91,27 @@
       {.record = Record("s1"), .generation = 6, .sequence = 1}, clock.Now()));
 }
 
+// The node has just restarted: the backend server leaves before the node has
+// heard from it, and a heartbeat that it sent earlier arrives afterwards.
+TEST(LocalBackendServers, LateHeartbeatDoesNotRegisterAnUnknownDepartedServer) {
+  constexpr std::uint64_t kNow = 1000;
+  CHECK_FALSE(
+      servers.Deregister({.id = BackendServerId("s1")}, clock.Now(), kNow));
+  CHECK_FALSE(servers.Announce(
+      {.record = Record("s1"), .generation = 400, .sequence = 9}, clock.Now()));
+  CHECK(servers.Records().empty());
+  LONGS_EQUAL(1, servers.Departures().size());
+  CHECK(servers.Announce(
+      {.record = Record("s1"), .generation = kNow + 1, .sequence = 1},
+      clock.Now()));
+}
+
+// Backend servers that do not announce a generation can return at any time.
+TEST(LocalBackendServers, ServerWithoutGenerationReturnsAfterItsDeparture) {
+  servers.Deregister({.id = BackendServerId("s1")}, clock.Now(), 1000);
+  CHECK(servers.Announce({.record = Record("s1")}, clock.Now()));
+}
+
 TEST(LocalBackendServers, IgnoresDepartureOfEarlierProcess) {
   servers.Announce({.record = Record("s1"), .generation = 6, .sequence = 1},
                    clock.Now());
--- a/tests/platform/configuration_store_task_test.cc
+++ b/tests/platform/configuration_store_task_test.cc
@@ -23,6 +23,7 @@
 using banyantrail::Release;
 using banyantrail::Revision;
 using banyantrail::seconds;
+using banyantrail::StoreDuty;
 using banyantrail::SystemClock;
 using banyantrail::TimePoint;
 using banyantrail::platform::ObjectStore;
@@ -60,6 +61,11 @@
   std::vector<std::string> events;
   bool joined = false;
   bool must_watch = true;
+  /// If not 0 and `must_watch` is false, the revision that the node lacks.
+  Revision missing_revision = 0;
+  bool confirmed_by_peer = false;
+  bool reads_at_start = false;
+  int store_failures = 0;
   std::vector<Revision> confirmed;
   std::size_t change_bytes = 0;
   NodeEntry own{.node = NodeId("n1"),
@@ -81,6 +87,15 @@
     return entry;
   }
 
+  StoreDuty CurrentDuty() const {
+    if (must_watch) {
+      return {.kind = StoreDuty::Kind::kWatch};
+    }
+    return missing_revision == 0 ? StoreDuty{}
+                                 : StoreDuty{.kind = StoreDuty::Kind::kCatchUp,
+                                             .revision = missing_revision};
+  }
+
   int Calls(const std::string& call) {
     return stand_in.calls["GET " + call];
   }
@@ -95,12 +110,16 @@
                  ConfigurationStoreTaskOptions{}.watch_wait) {
     ConfigurationStoreTaskOptions options{
         .node = NodeId("n1"),
+        .reads_at_start = reads_at_start,
         .own_entry = [this] { return own; },
         .on_previous_entry =
             [this](const NodeEntry& entry) { previous = entry; },
         .watch_wait = watch_wait,
+        .duty_check_interval = milliseconds(5),
+        .catch_up_wait = milliseconds(20),
         .search_backoff = kFastBackoff,
         .outage_backoff = kFastBackoff,
+        .entry_backoff = kFastBackoff,
         .entry_check_interval = milliseconds(20),
         .on_release =
             [this](std::shared_ptr<const Release> release) {
@@ -112,7 +131,9 @@
               confirmed.push_back(revision);
               change_bytes = bytes;
             },
-        .must_watch = [this] { return must_watch; },
+        .on_store_failed = [this] { ++store_failures; },
+        .store_duty = [this] { return CurrentDuty(); },
+        .other_node_watches = [this] { return confirmed_by_peer; },
         .on_peers = [this](std::vector<IpEndpoint> found) { peers = found; },
         .has_joined = [this] { return joined; },
         .count_event =
@@ -295,3 +316,135 @@
   CHECK(RunUntil([&] { return task->has_read_previous_entry(); }));
   CHECK(previous == own);
 }
+
+// The start of 296 nodes costs the store one full call for each of them.
+TEST(ConfigurationStoreTask, StartCostsOneFullCall) {
+  must_watch = false;
+  stand_in.Write("banyantrail-nodes", "n2",
+                 {{"domain", "a"}, {"peer_address", "10.0.0.2:7600"}});
+  Start();
+  CHECK(RunUntil([&] { return !peers.empty(); }));
+  LONGS_EQUAL(1, stand_in.full_calls);
+
+  joined = true;
+  io.run_for(milliseconds(50));
+  task->Stop();
+  stand_in.full_calls = 0;
+  own.departures = {};
+  Start();
+  CHECK(RunUntil([&] { return task->has_read_previous_entry(); }));
+  io.run_for(milliseconds(50));
+  LONGS_EQUAL(1, stand_in.full_calls);
+}
+
+TEST(ConfigurationStoreTask, CatchesUpFromAStaleCopy) {
+  const Revision first = stand_in.Write("config", "main", Configuration(1));
+  must_watch = false;
+  missing_revision = first;
+  joined = true;
+  Start();
+  CHECK(HasRelease(first));
+  io.run_for(milliseconds(100));
+  io.restart();
+  LONGS_EQUAL(1, ConfigurationReads());
+  LONGS_EQUAL(0, stand_in.full_calls - 1);  // The own entry.
+}
+
+TEST(ConfigurationStoreTask, ReadsAtFullCostWhatTheStaleCopyLacks) {
+  const Revision first = stand_in.Write("config", "main", Configuration(1));
+  must_watch = false;
+  missing_revision = first;
+  joined = true;
+  stand_in.stale_copy_lags = true;
+  Start();
+  CHECK(HasRelease(first));
+  LONGS_EQUAL(2, ConfigurationReads());
+}
+
+// 104 of 296 nodes lose their path to the store for 9 s. A call without a
+// response costs as much as any other.
+TEST(ConfigurationStoreTask, CallsAFailingStoreRarelyWhileAPeerConfirms) {
+  stand_in.Write("config", "main", Configuration(1));
+  joined = true;
+  Start(milliseconds(30));
+  CHECK(RunUntil([&] { return !releases.empty(); }));
+  confirmed_by_peer = true;
+  stand_in.error_status = 503;
+  CHECK(RunUntil([&] { return store_failures == 1; }));
+  io.run_for(milliseconds(500));
+  io.restart();
+  LONGS_EQUAL(1, store_failures);
+}
+
+// Another writer's field of an unexpected type must not end the task.
+TEST(ConfigurationStoreTask, KeepsFollowingAfterAnOddResponse) {
+  const Revision first = stand_in.Write("config", "main", Configuration(1));
+  Start(milliseconds(30));
+  stand_in.odd_paging = true;
+  CHECK(HasRelease(first));
+  io.run_for(milliseconds(50));
+  stand_in.odd_paging = false;
+  stand_in.Write("banyantrail-nodes", "n2",
+                 {{"domain", "a"}, {"peer_address", "10.0.0.2:7600"}});
+  CHECK(RunUntil([&] { return peers.size() == 1; }));
+}
+
+// A departure was acknowledged by a node that stopped before it had stored it,
+// so that its next process took a late heartbeat for a running backend server.
+TEST(ConfigurationStoreTask, AwaitsThatTheOwnEntryIsStored) {
+  Start(milliseconds(30));
+  joined = true;
+  CHECK(RunUntil([&] { return StoredEntry() == own; }));
+  own.departures = {{.id = BackendServerId("s1"), .generation = 5}};
+  task->OnOwnEntryChanged();
+  bool stored = false;
+  asio::co_spawn(io, task->AwaitStoredEntry(),
+                 [&](std::exception_ptr) { stored = true; });
+  CHECK(RunUntil([&] { return stored; }));
+  CHECK(StoredEntry() == own);
+}
+
+TEST(ConfigurationStoreTask, WaitsForAFailingStoreForALimitedTime) {
+  constexpr milliseconds kAcknowledgementBound{1000};
+  stand_in.unresponsive = true;
+  Start(milliseconds(30));
+  const TimePoint started = SystemClock().Now();
+  bool done = false;
+  asio::co_spawn(
+      io,
+      [&]() -> asio::awaitable<void> {
+        co_await task->AwaitPreviousEntry();
+        co_await task->AwaitStoredEntry();
+      },
+      [&](std::exception_ptr) { done = true; });
+  CHECK(RunUntil([&] { return done; }));
+  CHECK(SystemClock().Now() - started < kAcknowledgementBound);
+}
+
+// After a power loss of all nodes each refused all requests until it had joined
+// its peers and one of them had confirmed a configuration.
+TEST(ConfigurationStoreTask, RestartedNodeReadsAConfigurationAtOnce) {
+  const Revision first = stand_in.Write("config", "main", Configuration(1));
+  must_watch = false;
+  joined = true;
+  reads_at_start = true;
+  Start();
+  CHECK(HasRelease(first));
+  io.run_for(milliseconds(50));
+  io.restart();
+  LONGS_EQUAL(1, ConfigurationReads());
+  LONGS_EQUAL(1, stand_in.full_calls);  // The own entry.
+}
+
+// All nodes restart at once: the peers that a list names do not respond yet.
+// Reading the list again does not help.
+TEST(ConfigurationStoreTask, DoesNotRepeatASearchThatFoundPeersAtOnce) {
+  must_watch = false;
+  stand_in.Write("banyantrail-nodes", "n2",
+                 {{"domain", "a"}, {"peer_address", "10.0.0.2:7600"}});
+  Start();
+  CHECK(RunUntil([&] { return !peers.empty(); }));
+  io.run_for(milliseconds(300));
+  io.restart();
+  LONGS_EQUAL(1, Calls("/-/objects/banyantrail-nodes"));
+}
