Stay at home while the answer is in time, and refuse only what cannot be served

Change: an endpoint at home is kept while the expected response, from the service time that its owner node reports for the kind of request and from its utilisation, takes at most half of the time left; another domain is chosen only if it makes it. The usable slots of a band are those that more urgent bands did not hold on average, and their queues are counted as work ahead. Endpoints are drawn from tiers without examining all of them, without copies of names. An endpoint is ejected only if it fails more often than the better third, since failures of a nested service are common to all. Retries that reached no server need no token twice.

EjectsAtMostTheAllowedShareOfTheEndpoints let all four endpoints fail, which ejects none now; it lets two fail and requires that a request that must not leave still finds the second.

--- a/packages/traffic/banyantrail/traffic/admission.cc
+++ b/packages/traffic/banyantrail/traffic/admission.cc
@@ -307,6 +307,12 @@
           .limit = static_cast<std::size_t>(m_limit.value())};
 }
 
+std::optional<Duration> AdmissionQueue::ServiceTime(std::uint64_t kind,
+                                                    TimePoint now) const {
+  const auto found = m_kind_times.find(kind);
+  return found == m_kind_times.end() ? std::nullopt : found->second.Mean(now);
+}
+
 void AdmissionQueue::Advance(TimePoint now) {
   const double elapsed_seconds =
       m_has_advanced ? ToSeconds(now - m_last_advance) : 0.0;
@@ -325,11 +331,13 @@
                                  double elapsed_seconds,
                                  bool contended) {
   const double wanted = static_cast<double>(rank.in_flight + rank.queue.size());
-  rank.demand += (wanted - rank.demand) *
-                 -std::expm1(-elapsed_seconds / kDemandTimeConstantSeconds);
+  const auto held = static_cast<double>(rank.in_flight);
+  const double weight =
+      -std::expm1(-elapsed_seconds / kDemandTimeConstantSeconds);
+  rank.demand += (wanted - rank.demand) * weight;
+  rank.mean_in_flight += (held - rank.mean_in_flight) * weight;
 
   const double guarantee = Guarantee(rank);
-  const auto held = static_cast<double>(rank.in_flight);
   const bool uses_extra_slot = held > std::floor(guarantee);
   if (uses_extra_slot && contended) {
     rank.credit -= (1 - FractionalPart(guarantee)) * elapsed_seconds;
@@ -514,20 +522,36 @@
   return rank.share * m_limit.value();
 }
 
+/// The slots that the band can count on while it waits. More urgent bands keep
+/// the share that they had lately, not every slot that they hold at this
+/// moment: those become free before a waiting request is late.
 double AdmissionQueue::UsableSlots(Band band) const {
   double usable = m_limit.value();
   for (const auto& [other_band, other] : m_ranks) {
-    const auto wanted =
-        static_cast<double>(other.in_flight + other.queue.size());
     if (other_band < band) {
-      usable -= wanted;
+      usable -= other.mean_in_flight;
     } else if (other_band > band) {
+      const auto wanted =
+          static_cast<double>(other.in_flight + other.queue.size());
       usable -= std::min(wanted, Guarantee(other));
     }
   }
   return usable;
 }
 
+/// Time that the queued requests of more urgent bands occupy all slots.
+Duration AdmissionQueue::WaitForMoreUrgentBands(Band band,
+                                                TimePoint now) const {
+  double slot_seconds = 0;
+  for (const auto& [other_band, other] : m_ranks) {
+    if (other_band < band) {
+      slot_seconds += static_cast<double>(other.queue.size()) *
+                      ExpectedSlotSeconds(other, now);
+    }
+  }
+  return FromSeconds(slot_seconds / std::max(m_limit.value(), 1.0));
+}
+
 std::size_t AdmissionQueue::FreeSlots() const {
   const auto limit = static_cast<std::size_t>(m_limit.value());
   return limit > m_in_flight ? limit - m_in_flight : 0;
@@ -573,7 +597,8 @@
   const double slots =
       std::max({UsableSlots(band), Guarantee(rank), kMinUsableSlots});
   const Duration rank_mean = rank.service_time.Mean(now).value_or(*mean);
-  const Duration wait = FromSeconds((ahead + 1) * ToSeconds(rank_mean) / slots);
+  const Duration wait = WaitForMoreUrgentBands(band, now) +
+                        FromSeconds((ahead + 1) * ToSeconds(rank_mean) / slots);
   return deadline < now + wait + UpperServiceTime(rank, kind, now);
 }
 
--- a/packages/traffic/banyantrail/traffic/admission.h
+++ b/packages/traffic/banyantrail/traffic/admission.h
@@ -191,6 +191,8 @@
   double credit = 0;
   /// Moving average of the number of requests in flight or queued.
   double demand = 0;
+  /// Moving average of the number of requests in flight.
+  double mean_in_flight = 0;
   ServiceTimeEstimate service_time;
   /// Sum of the admission times of the requests in flight, in seconds since the
   /// clock's epoch. Used to compute their mean age.
@@ -260,6 +262,9 @@
 
   AdmissionLoad load() const;
 
+  /// How long requests of the kind hold a slot; empty if none ended recently.
+  std::optional<Duration> ServiceTime(std::uint64_t kind, TimePoint now) const;
+
  private:
   using Band = detail::Band;
   using RankMap = std::map<Band, detail::RankState>;
@@ -304,6 +309,7 @@
   double ReservedSlots(Band band, const detail::RankState& rank) const;
   double Guarantee(const detail::RankState& rank) const;
   double UsableSlots(Band band) const;
+  Duration WaitForMoreUrgentBands(Band band, TimePoint now) const;
   std::size_t FreeSlots() const;
   std::size_t MaxQueueLength() const;
   bool WouldMissDeadline(Band band,
--- a/packages/traffic/banyantrail/traffic/choose_endpoint.h
+++ b/packages/traffic/banyantrail/traffic/choose_endpoint.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
+#include <optional>
 #include <vector>
 
 #include "banyantrail/core/clock.h"
@@ -28,9 +30,13 @@
   /// Location of the node that chooses.
   DomainId domain;
   RegionId region;
-  /// Requests spill over to other failure domains, and then to other regions,
-  /// if the utilisation of the endpoint chosen closer by would exceed this.
+  /// Requests of unknown duration or target latency spill over to other failure
+  /// domains, and then to other regions, if the utilisation of the endpoint
+  /// chosen closer by would exceed this.
   double spill_utilisation = 0.8;
+  /// Other requests spill over only if their response is expected to take more
+  /// than this fraction of the time left close by, and less farther away.
+  double spill_time_fraction = 0.5;
   /// Requests with larger bodies leave the local failure domain only if none of
   /// its endpoints is usable or all of them have refused the request: moving
   /// the body between domains costs more than waiting.
@@ -48,12 +54,29 @@
   std::uint64_t body_bytes = 0;
   /// Endpoints that earlier attempts have tried.
   std::vector<EndpointKey> excluded;
+  /// Further endpoints that are not to be chosen. Empty for none.
+  std::function<bool(const ServiceEndpoint&)> is_excluded;
+  /// Time left for the response to be of full use, or until the deadline if
+  /// that is out of reach. Empty if unknown.
+  std::optional<Duration> time_left;
+  /// How long responses on the request's route have taken lately, for endpoints
+  /// whose own service time is not known.
+  std::optional<Duration> expected_duration;
+  /// Kind of the request, see LoadTable::ServiceTime.
+  std::uint64_t kind = 0;
 };
 
-/// Chooses an endpoint for a request. Endpoints of the local failure domain are
-/// preferred, then those of other domains in the local region, then those of
-/// other regions. Ejected outliers are used only if no other endpoint is left,
-/// excluded endpoints never. Returns null if all endpoints are excluded.
+/// Chooses an endpoint for a request. `endpoints` must be ordered as in a
+/// RoutingSnapshot: those of the local failure domain first, then those of
+/// other domains in the local region, then those of other regions.
+///
+/// An endpoint close by is preferred as long as the response is expected in
+/// time there, since bytes between domains cost more than a short wait. Ejected
+/// outliers are used only if no other endpoint is left, excluded endpoints
+/// never. Returns null if all endpoints are excluded.
+///
+/// The cost does not grow with the number of endpoints unless most of a tier is
+/// excluded or ejected.
 const ServiceEndpoint* ChooseEndpoint(
     const std::vector<ServiceEndpoint>& endpoints,
     const LoadTable& loads,
--- a/packages/traffic/banyantrail/traffic/load_table.cc
+++ b/packages/traffic/banyantrail/traffic/load_table.cc
@@ -29,16 +29,34 @@
 }
 
 std::optional<ReportedLoad> ParseReportedLoad(std::string_view value) {
-  const std::size_t slash = value.find('/');
-  if (slash == std::string_view::npos) {
+  const std::size_t first = value.find('/');
+  if (first == std::string_view::npos) {
     return std::nullopt;
   }
-  const auto in_flight = ParseCount(value.substr(0, slash));
-  const auto limit = ParseCount(value.substr(slash + 1));
+  const std::size_t second = value.find('/', first + 1);
+  const auto in_flight = ParseCount(value.substr(0, first));
+  const auto limit = ParseCount(value.substr(first + 1, second - first - 1));
   if (!in_flight || !limit || *limit == 0) {
     return std::nullopt;
   }
-  return ReportedLoad{.in_flight = *in_flight, .limit = *limit};
+  ReportedLoad load{.in_flight = *in_flight, .limit = *limit};
+  if (second != std::string_view::npos) {
+    const auto service_ms = ParseCount(value.substr(second + 1));
+    if (!service_ms) {
+      return std::nullopt;
+    }
+    load.service_time = milliseconds(*service_ms);
+  }
+  return load;
+}
+
+std::string ToString(const ReportedLoad& load) {
+  std::string text =
+      std::to_string(load.in_flight) + "/" + std::to_string(load.limit);
+  if (load.service_time) {
+    text += "/" + std::to_string(load.service_time->count());
+  }
+  return text;
 }
 
 LoadTable::LoadTable(LoadTableOptions options) : m_options(options) {}
@@ -53,7 +71,7 @@
 void LoadTable::OnResult(const ServiceEndpoint& endpoint,
                          const EndpointResult& result,
                          TimePoint now) {
-  const auto found = m_entries.find(KeyOf(endpoint));
+  const auto found = m_entries.find(endpoint);
   if (found == m_entries.end()) {
     return;
   }
@@ -81,20 +99,22 @@
 
 void LoadTable::Retain(const std::vector<RoutedService>& services,
                        TimePoint now) {
-  std::set<EndpointKey> present;
+  std::set<const Entry*> present;
   for (const RoutedService& service : services) {
     for (const ServiceEndpoint& endpoint : service.endpoints) {
-      const EndpointKey key = KeyOf(endpoint);
-      present.insert(key);
-      Entry new_entry{.results_at = now};
-      if (m_endpoints_known) {
-        new_entry.slow_start_since = now;
+      auto found = m_entries.find(endpoint);
+      if (found == m_entries.end()) {
+        Entry new_entry{.results_at = now};
+        if (m_endpoints_known) {
+          new_entry.slow_start_since = now;
+        }
+        found = m_entries.emplace(KeyOf(endpoint), new_entry).first;
       }
-      m_entries.try_emplace(key, new_entry);
+      present.insert(&found->second);
     }
   }
   std::erase_if(m_entries, [&present](const auto& item) {
-    return item.second.outstanding == 0 && !present.contains(item.first);
+    return item.second.outstanding == 0 && !present.contains(&item.second);
   });
   m_endpoints_known = true;
 }
@@ -121,12 +141,32 @@
       std::chrono::duration<double>(std::exp(*entry->log_latency)));
 }
 
+std::optional<Duration> LoadTable::ServiceTime(const ServiceEndpoint& endpoint,
+                                               std::uint64_t kind,
+                                               TimePoint now) const {
+  const Entry* entry = Find(endpoint);
+  if (entry == nullptr) {
+    return std::nullopt;
+  }
+  const auto found = entry->service_times.find(kind);
+  if (found == entry->service_times.end() ||
+      now - found->second.reported_at > m_options.service_time_max_age) {
+    return std::nullopt;
+  }
+  return found->second.value;
+}
+
 bool LoadTable::IsEjected(const ServiceEndpoint& endpoint,
                           TimePoint now) const {
   const Entry* entry = Find(endpoint);
   return entry != nullptr && now < entry->ejected_until;
 }
 
+bool LoadTable::IsUnreachable(const ServiceEndpoint& endpoint) const {
+  const Entry* entry = Find(endpoint);
+  return entry != nullptr && entry->ejected_at_connect;
+}
+
 double LoadTable::FailureShare(const ServiceEndpoint& endpoint,
                                TimePoint /*now*/) const {
   const Entry* entry = Find(endpoint);
@@ -136,7 +176,7 @@
 }
 
 const LoadTable::Entry* LoadTable::Find(const ServiceEndpoint& endpoint) const {
-  const auto found = m_entries.find(KeyOf(endpoint));
+  const auto found = m_entries.find(endpoint);
   return found == m_entries.end() ? nullptr : &found->second;
 }
 
@@ -182,6 +222,10 @@
     }
     entry.reported_at = now;
     entry.outstanding_at_report = entry.outstanding;
+    if (result.load->service_time) {
+      entry.service_times[result.kind] = {.value = *result.load->service_time,
+                                          .reported_at = now};
+    }
   }
 }
 
@@ -214,7 +258,7 @@
       at_connect ? entry.consecutive_connect_failures + 1 : 0;
   if (m_options.ejects_outliers && now >= entry.ejected_until &&
       IsOutlier(entry)) {
-    Eject(entry, now);
+    Eject(entry, at_connect, now);
   }
 }
 
@@ -233,13 +277,14 @@
           entry.failures / entry.results >= m_options.max_failure_share);
 }
 
-void LoadTable::Eject(Entry& entry, TimePoint now) const {
+void LoadTable::Eject(Entry& entry, bool at_connect, TimePoint now) const {
   const std::uint32_t doublings =
       std::min<std::uint32_t>(entry.consecutive_ejections, 10);
   const Duration length = std::min<Duration>(
       m_options.min_ejection * (1U << doublings), m_options.max_ejection);
   ++entry.consecutive_ejections;
   entry.ejected_until = now + length;
+  entry.ejected_at_connect = at_connect;
   entry.slow_start_since = entry.ejected_until;
   // Consecutive failures are counted anew after the ejection.
   entry.consecutive_failures = 0;
--- a/packages/traffic/banyantrail/traffic/load_table.h
+++ b/packages/traffic/banyantrail/traffic/load_table.h
@@ -4,7 +4,9 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 #include "banyantrail/core/clock.h"
@@ -27,18 +29,33 @@
 
 EndpointKey KeyOf(const ServiceEndpoint& endpoint);
 
+/// Orders keys, and finds the key of an endpoint without copying its names.
+struct EndpointKeyLess {
+  using is_transparent = void;
+
+  template <typename Left, typename Right>
+  bool operator()(const Left& left, const Right& right) const {
+    return std::tie(left.owner, left.id) < std::tie(right.owner, right.id);
+  }
+};
+
 /// Load of a backend server, reported by its owner node with each response.
 struct ReportedLoad {
   std::uint32_t in_flight = 0;
   std::uint32_t limit = 0;
+  /// How long requests of the same kind take at the backend server, without
+  /// waiting for a slot. Empty if unknown.
+  std::optional<milliseconds> service_time = std::nullopt;
 
   friend bool operator==(const ReportedLoad&, const ReportedLoad&) = default;
 };
 
-/// Parses the value of kLoadHeader, "in_flight/limit". Returns nothing if it is
-/// malformed or the limit is 0.
+/// Parses "in_flight/limit" or "in_flight/limit/service_time", the last in
+/// milliseconds. Returns nothing if it is malformed or the limit is 0.
 std::optional<ReportedLoad> ParseReportedLoad(std::string_view value);
 
+std::string ToString(const ReportedLoad& load);
+
 /// How a request to an endpoint ended, as it affects load balancing.
 enum class EndpointOutcome : std::uint8_t {
   kSuccess,
@@ -54,6 +71,9 @@
 struct EndpointResult {
   EndpointOutcome outcome = EndpointOutcome::kSuccess;
   std::optional<ReportedLoad> load;
+  /// Kind of the request that the service time in `load` belongs to; 0 if
+  /// unknown.
+  std::uint64_t kind = 0;
   /// Time from sending the request to receiving the response headers. Used only
   /// with kSuccess, so that a server that fails fast does not appear fast.
   std::optional<Duration> latency;
@@ -68,6 +88,8 @@
   /// The mean latency is discarded this long after the last response, so that
   /// an endpoint that was slow gets requests again.
   Duration latency_max_age = seconds(10);
+  /// A reported service time is discarded after this time.
+  Duration service_time_max_age = seconds(30);
   /// Number of consecutive failures after which an endpoint is ejected.
   std::uint32_t max_consecutive_failures = 5;
   std::uint32_t max_consecutive_connect_failures = 2;
@@ -118,21 +140,37 @@
   std::optional<Duration> Latency(const ServiceEndpoint& endpoint,
                                   TimePoint now) const;
 
+  /// How long requests of the kind take at the endpoint, as last reported by
+  /// its owner node. Empty if no report is known.
+  std::optional<Duration> ServiceTime(const ServiceEndpoint& endpoint,
+                                      std::uint64_t kind,
+                                      TimePoint now) const;
+
   /// Whether the endpoint is currently ejected as an outlier.
   bool IsEjected(const ServiceEndpoint& endpoint, TimePoint now) const;
 
+  /// Whether the endpoint was ejected because connections to it failed.
+  bool IsUnreachable(const ServiceEndpoint& endpoint) const;
+
   /// Failure rate of recent requests, weighted by age.
   double FailureShare(const ServiceEndpoint& endpoint, TimePoint now) const;
 
   std::size_t size() const { return m_entries.size(); }
 
  private:
+  struct ReportedServiceTime {
+    Duration value{};
+    TimePoint reported_at;
+  };
+
   struct Entry {
     std::uint32_t outstanding = 0;
     std::optional<ReportedLoad> load;
     TimePoint reported_at;
     /// Requests of this node in flight when the report arrived.
     std::uint32_t outstanding_at_report = 0;
+    /// Reported service times by kind.
+    std::map<std::uint64_t, ReportedServiceTime> service_times;
 
     /// Moving mean of the logarithm of the latency in seconds.
     std::optional<double> log_latency;
@@ -147,6 +185,7 @@
 
     std::uint32_t consecutive_ejections = 0;
     TimePoint ejected_until;
+    bool ejected_at_connect = false;
     /// Start of the slow start; empty if the endpoint never needed one.
     std::optional<TimePoint> slow_start_since;
   };
@@ -161,10 +200,10 @@
   void RecordFailure(Entry& entry, bool at_connect, TimePoint now);
   void AddResult(Entry& entry, double failure, TimePoint now) const;
   bool IsOutlier(const Entry& entry) const;
-  void Eject(Entry& entry, TimePoint now) const;
+  void Eject(Entry& entry, bool at_connect, TimePoint now) const;
 
   LoadTableOptions m_options;
-  std::map<EndpointKey, Entry> m_entries;
+  std::map<EndpointKey, Entry, EndpointKeyLess> m_entries;
   bool m_endpoints_known = false;
 };
 
--- a/packages/traffic/banyantrail/traffic/refusal_cache.cc
+++ b/packages/traffic/banyantrail/traffic/refusal_cache.cc
@@ -13,14 +13,13 @@
   m_refusals.erase(endpoint);
 }
 
-bool RefusalCache::WouldRefuse(const EndpointKey& endpoint,
-                               const RequestUrgency& urgency,
-                               TimePoint now) const {
-  const auto found = m_refusals.find(endpoint);
-  if (found == m_refusals.end() || now >= found->second.expires_at) {
+bool RefusalCache::Applies(const Refusal& refusal,
+                           const RequestUrgency& urgency,
+                           TimePoint now) {
+  if (now >= refusal.expires_at) {
     return false;
   }
-  const RequestUrgency& refused = found->second.urgency;
+  const RequestUrgency& refused = refusal.urgency;
   return urgency.priority >= refused.priority && urgency.slack <= refused.slack;
 }
 
--- a/packages/traffic/banyantrail/traffic/refusal_cache.h
+++ b/packages/traffic/banyantrail/traffic/refusal_cache.h
@@ -40,11 +40,15 @@
   /// The owner node admitted a request, so it has capacity again.
   void OnAdmitted(const EndpointKey& endpoint);
 
-  /// Whether a cached refusal of the endpoint applies to a request of this
-  /// urgency.
-  bool WouldRefuse(const EndpointKey& endpoint,
+  /// Whether a cached refusal of the endpoint, given as EndpointKey or
+  /// ServiceEndpoint, applies to a request of this urgency.
+  template <typename Endpoint>
+  bool WouldRefuse(const Endpoint& endpoint,
                    const RequestUrgency& urgency,
-                   TimePoint now) const;
+                   TimePoint now) const {
+    const auto found = m_refusals.find(endpoint);
+    return found != m_refusals.end() && Applies(found->second, urgency, now);
+  }
 
   /// Removes expired entries.
   void EvictExpired(TimePoint now);
@@ -55,8 +59,12 @@
     TimePoint expires_at;
   };
 
+  static bool Applies(const Refusal& refusal,
+                      const RequestUrgency& urgency,
+                      TimePoint now);
+
   Options m_options;
-  std::map<EndpointKey, Refusal> m_refusals;
+  std::map<EndpointKey, Refusal, EndpointKeyLess> m_refusals;
 };
 
 }  // namespace banyantrail
--- a/packages/traffic/banyantrail/traffic/retry_policy.cc
+++ b/packages/traffic/banyantrail/traffic/retry_policy.cc
@@ -91,7 +91,7 @@
   const RetryDecision decision = DecideWithoutBudget(attempt, now);
   const bool is_free =
       RetryabilityOf(attempt.reason) == Retryability::kElsewhereWithoutToken ||
-      (decision == RetryDecision::kRetryNotRun && attempt.body_unsent);
+      (decision == RetryDecision::kRetryNotRun && attempt.is_free);
   if (!IsRetry(decision) || is_free) {
     return decision;
   }
--- a/packages/traffic/banyantrail/traffic/retry_policy.h
+++ b/packages/traffic/banyantrail/traffic/retry_policy.h
@@ -74,9 +74,9 @@
   std::uint32_t attempts = 1;
   /// Declared by the routing rule; 0 to use that of RetryPolicyOptions.
   std::uint32_t max_attempts = 0;
-  /// The request has a large body of which nothing was sent yet. Asking another
-  /// owner node costs one small message, so the retry needs no token.
-  bool body_unsent = false;
+  /// No backend server received any of the attempt, and asking another owner
+  /// node costs little, so the retry needs no token.
+  bool is_free = false;
   /// Nesting depth of the request, from the depth header; 0 for requests that
   /// are not nested calls.
   std::uint32_t depth = 0;
--- a/packages/traffic/banyantrail/traffic/routing_snapshot.cc
+++ b/packages/traffic/banyantrail/traffic/routing_snapshot.cc
@@ -102,7 +102,7 @@
 
 detail::RouteTable::RouteTable(const CompiledConfig& config,
                                const ProxyIdentity& proxy)
-    : revision(config.revision) {
+    : revision(config.revision), domain(proxy.domain), region(proxy.region) {
   for (const RankObject& rank : config.ranks) {
     ranks.push_back(
         {.priority = rank.priority, .share_percent = rank.share_percent});
@@ -120,37 +120,72 @@
 RoutingSnapshot::RoutingSnapshot(const CompiledConfig& config,
                                  const ProxyIdentity& proxy,
                                  const std::vector<MemberRecord>& members)
+    : m_table(std::make_shared<const detail::RouteTable>(config, proxy)),
+      m_services(m_table->services) {
+  for (const MemberRecord& member : members) {
+    AddEndpointsOf(member);
+  }
+  OrderEndpoints();
+}
+
+RoutingSnapshot::RoutingSnapshot(const CompiledConfig& config,
+                                 const ProxyIdentity& proxy,
+                                 const SharedMembers& members)
     : m_table(std::make_shared<const detail::RouteTable>(config, proxy)) {
   AddEndpoints(members);
 }
 
 RoutingSnapshot::RoutingSnapshot(const RoutingSnapshot& previous,
-                                 const std::vector<MemberRecord>& members)
+                                 const SharedMembers& members)
     : m_table(previous.m_table) {
   AddEndpoints(members);
 }
 
-void RoutingSnapshot::AddEndpoints(const std::vector<MemberRecord>& members) {
+void RoutingSnapshot::AddEndpoints(const SharedMembers& members) {
   m_services = m_table->services;
-  for (const MemberRecord& member : members) {
-    if (!AcceptsRequests(member)) {
+  for (const auto& member : members) {
+    AddEndpointsOf(*member);
+  }
+  OrderEndpoints();
+}
+
+void RoutingSnapshot::AddEndpointsOf(const MemberRecord& member) {
+  if (!AcceptsRequests(member)) {
+    return;
+  }
+  for (const BackendServerRecord& server : member.backend_servers) {
+    const auto found = m_table->service_indexes.find(server.service);
+    if (found == m_table->service_indexes.end() ||
+        server.state != BackendServerState::kServing) {
       continue;
     }
-    for (const BackendServerRecord& server : member.backend_servers) {
-      const auto found = m_table->service_indexes.find(server.service);
-      if (found == m_table->service_indexes.end() ||
-          server.state != BackendServerState::kServing) {
-        continue;
-      }
-      m_services[found->second].endpoints.push_back(
-          {.id = server.id,
-           .owner = member.node,
-           .domain = member.domain,
-           .region = member.region,
-           .mesh_address = member.mesh_address,
-           .slots = server.slots});
-    }
+    m_services[found->second].endpoints.push_back(
+        {.id = server.id,
+         .owner = member.node,
+         .domain = member.domain,
+         .region = member.region,
+         .mesh_address = member.mesh_address,
+         .slots = server.slots,
+         .mesh_version = member.mesh_version});
+  }
+}
+
+void RoutingSnapshot::OrderEndpoints() {
+  for (RoutedService& service : m_services) {
+    std::ranges::stable_sort(
+        service.endpoints, {}, [this](const ServiceEndpoint& endpoint) {
+          return ProximityOf(endpoint, m_table->domain, m_table->region);
+        });
+  }
+}
+
+std::size_t ProximityOf(const ServiceEndpoint& endpoint,
+                        const DomainId& domain,
+                        const RegionId& region) {
+  if (endpoint.domain == domain) {
+    return 0;
   }
+  return endpoint.region == region ? 1 : 2;
 }
 
 const Route* RoutingSnapshot::FindRouteForPrefix(
--- a/packages/traffic/banyantrail/traffic/routing_snapshot.h
+++ b/packages/traffic/banyantrail/traffic/routing_snapshot.h
@@ -28,14 +28,23 @@
   /// Mesh listener of the owner node.
   IpEndpoint mesh_address;
   std::uint32_t slots = 0;
+  /// Version of the messages that the owner node understands, see kMeshVersion.
+  std::uint32_t mesh_version = 0;
 
   friend bool operator==(const ServiceEndpoint&,
                          const ServiceEndpoint&) = default;
 };
 
+/// Distance of an endpoint from a node: 0 within the node's failure domain, 1
+/// in another one of its region, 2 in another region.
+std::size_t ProximityOf(const ServiceEndpoint& endpoint,
+                        const DomainId& domain,
+                        const RegionId& region);
+
 /// A service with the backend servers that accept new requests.
 struct RoutedService {
   ServiceName name;
+  /// Ordered by their distance from this proxy.
   std::vector<ServiceEndpoint> endpoints;
 
   friend bool operator==(const RoutedService&, const RoutedService&) = default;
@@ -132,6 +141,8 @@
   RouteTable(const CompiledConfig& config, const ProxyIdentity& proxy);
 
   Revision revision;
+  DomainId domain;
+  RegionId region;
   std::vector<RoutedRank> ranks;
   /// Without endpoints.
   std::vector<RoutedService> services;
@@ -158,10 +169,17 @@
                   const ProxyIdentity& proxy,
                   const std::vector<MemberRecord>& members);
 
+  /// Members that other objects share.
+  using SharedMembers = std::vector<std::shared_ptr<const MemberRecord>>;
+
+  RoutingSnapshot(const CompiledConfig& config,
+                  const ProxyIdentity& proxy,
+                  const SharedMembers& members);
+
   /// Combines the configuration of `previous` with the backend servers of
   /// `members`.
   RoutingSnapshot(const RoutingSnapshot& previous,
-                  const std::vector<MemberRecord>& members);
+                  const SharedMembers& members);
 
   /// Finds the route that matches the method and has the longest matching
   /// prefix of whole path segments. Routes for the request's host take
@@ -178,7 +196,9 @@
   }
 
  private:
-  void AddEndpoints(const std::vector<MemberRecord>& members);
+  void AddEndpoints(const SharedMembers& members);
+  void AddEndpointsOf(const MemberRecord& member);
+  void OrderEndpoints();
   const Route* FindRouteForHost(std::string_view host,
                                 const RouteQuery& query) const;
   const Route* FindRouteForPrefix(std::string_view host,
--- a/tests/traffic/choose_endpoint_test.cc
+++ b/tests/traffic/choose_endpoint_test.cc
@@ -65,6 +65,10 @@
     return counts;
   }
 
+  const ServiceEndpoint* Choose(const banyantrail::ChoiceRequest& request) {
+    return ChooseEndpoint(endpoints, loads, options, kStart, rng, request);
+  }
+
   void SetLoad(std::size_t endpoint, std::uint32_t in_flight) {
     Record(loads, endpoints[endpoint], EndpointOutcome::kSuccess, kStart,
            ReportedLoad{.in_flight = in_flight, .limit = 10});
@@ -146,13 +150,16 @@
 }
 
 TEST(ChooseEndpoint, EjectsAtMostTheAllowedShareOfTheEndpoints) {
-  for (const ServiceEndpoint& endpoint : endpoints) {
+  for (const std::size_t failing : {0U, 1U}) {
     for (int i = 0; i < 5; ++i) {
-      Record(loads, endpoint, EndpointOutcome::kFailed, kStart);
+      Record(loads, endpoints[failing], EndpointOutcome::kFailed, kStart);
     }
   }
-  // One endpoint of four may be ejected, so that the local domain keeps one.
-  LONGS_EQUAL(1000, CountChoices(kStart)["b"]);
+  // One endpoint of four may be ejected, so that the local domain keeps one for
+  // requests that should not leave it.
+  for (int i = 0; i < 100; ++i) {
+    STRCMP_EQUAL("b", Choose({.body_bytes = 280'000})->id.str().c_str());
+  }
 }
 
 TEST(ChooseEndpoint, ShedRequestIsNoFailureButMarksTheEndpointFull) {
@@ -231,3 +238,66 @@
   CHECK_FALSE(MayTryAnotherEndpoint(
       endpoints, options, {.body_bytes = 280'000, .excluded = local}));
 }
+
+// With 6 slots for each backend server, leaving the domain at a utilisation of
+// 0.8 sends every fifth request away although it would be answered in time.
+TEST(ChooseEndpoint, StaysInTheLocalDomainWhileTheResponseIsInTime) {
+  SetLoad(0, 12);
+  SetLoad(1, 12);
+  const banyantrail::ChoiceRequest request{
+      .time_left = milliseconds(400), .expected_duration = milliseconds(150)};
+  STRCMP_EQUAL("d0", Choose(request)->domain.str().c_str());
+}
+
+TEST(ChooseEndpoint, LeavesADomainThatIsTooSlowForOneThatIsNot) {
+  SetLoad(0, 24);
+  SetLoad(1, 24);
+  const banyantrail::ChoiceRequest request{
+      .time_left = milliseconds(400), .expected_duration = milliseconds(150)};
+  STRCMP_EQUAL("c", Choose(request)->id.str().c_str());
+}
+
+// Moving a request that is late everywhere only loads the link.
+TEST(ChooseEndpoint, StaysInTheLocalDomainIfNoOtherAnswersInTime) {
+  for (std::size_t i = 0; i < endpoints.size(); ++i) {
+    SetLoad(i, i < 2 ? 40 : 30);
+  }
+  const banyantrail::ChoiceRequest request{
+      .time_left = milliseconds(400), .expected_duration = milliseconds(150)};
+  STRCMP_EQUAL("d0", Choose(request)->domain.str().c_str());
+}
+
+// When a nested service is overloaded, every backend server of a service fails
+// some requests. Taking a third of them out makes the overload worse.
+TEST(ChooseEndpoint, FailuresCommonToAllEndpointsEjectNone) {
+  for (const ServiceEndpoint& endpoint : endpoints) {
+    for (int i = 0; i < 20; ++i) {
+      Record(loads, endpoint,
+             i % 3 == 0 ? EndpointOutcome::kFailed : EndpointOutcome::kSuccess,
+             kStart);
+    }
+  }
+  CHECK(loads.IsEjected(endpoints[0], kStart));
+  auto counts = CountChoices(kStart);
+  CHECK(counts["a"] > 300);
+  CHECK(counts["b"] > 300);
+}
+
+TEST(ChooseEndpoint, DrawsFromLargeTiersWithoutExcludedEndpoints) {
+  std::vector<ServiceEndpoint> many;
+  for (int i = 0; i < 500; ++i) {
+    many.push_back(EndpointAt(std::to_string(i), i < 250 ? "d0" : "d1"));
+  }
+  const auto is_odd = [](const ServiceEndpoint& endpoint) {
+    return std::stoi(endpoint.id.str()) % 2 == 1;
+  };
+  std::map<std::string, int> counts;
+  for (int i = 0; i < 2000; ++i) {
+    const ServiceEndpoint* chosen = ChooseEndpoint(
+        many, loads, options, kStart, rng, {.is_excluded = is_odd});
+    CHECK_FALSE(is_odd(*chosen));
+    STRCMP_EQUAL("d0", chosen->domain.str().c_str());
+    ++counts[chosen->id.str()];
+  }
+  LONGS_EQUAL(125, counts.size());
+}
--- a/tests/traffic/retry_policy_test.cc
+++ b/tests/traffic/retry_policy_test.cc
@@ -100,7 +100,7 @@
 TEST(RetryPolicy, RetryOfAnUnsentBodyNeedsNoToken) {
   RetryPolicy policy({.burst = 0});
   FailedAttempt attempt = FailedWith(RefusalReason::kDeadline);
-  attempt.body_unsent = true;
+  attempt.is_free = true;
   CHECK(policy.Decide(attempt, kNow) == RetryDecision::kRetryNotRun);
   // Attempts that may have run always need a token.
   attempt.reason = RefusalReason::kConnectionLost;
--- a/tests/traffic/target_latency_test.cc
+++ b/tests/traffic/target_latency_test.cc
@@ -193,3 +193,26 @@
                                    At({}));
   CHECK(std::holds_alternative<Refused>(result));
 }
+
+// One request after another finds all slots taken and the queue empty. Requests
+// whose service times vary so much that they may miss the target used to be
+// refused with most of their time left, because no slot seemed to become free.
+TEST(TargetLatency, LateRequestWaitsForASlotWhileTheQueueIsShort) {
+  milliseconds now{0};
+  for (std::uint32_t i = 0; i < kSlots; ++i) {
+    Offer({.deadline = At(seconds(9)), .target = At(seconds(9))}, At(now));
+    now += milliseconds(20);
+  }
+  for (RequestId request = 1; request <= kSlots; ++request) {
+    now += milliseconds(20);
+    queue.Release(request,
+                  {.latency = milliseconds(request % 2 == 0 ? 60 : 500)},
+                  At(now));
+    Offer({.deadline = At(now + seconds(9)), .target = At(now + seconds(9))},
+          At(now));
+  }
+  const OfferResult late = Offer({.deadline = At(now + milliseconds(1000)),
+                                  .target = At(now + milliseconds(250))},
+                                 At(now));
+  CHECK_FALSE(std::holds_alternative<Refused>(late));
+}
