--- a/packages/proxy/banyantrail/proxy/admission_gate.h
+++ b/packages/proxy/banyantrail/proxy/admission_gate.h
@@ -38,6 +38,9 @@
   void SetRanks(const std::vector<RankShare>& ranks);
 
   AdmissionLoad load() const { return m_queue.load(); }
+  std::optional<Duration> ServiceTime(std::uint64_t kind) const {
+    return m_queue.ServiceTime(kind, SystemClock().Now());
+  }
 
  private:
   struct Waiter;
--- a/packages/proxy/banyantrail/proxy/attempt.cc
+++ b/packages/proxy/banyantrail/proxy/attempt.cc
@@ -226,7 +226,8 @@
     attempt.must_close_upstream = !monitor.body_sent();
   } else if (!monitor.head_sent()) {
     attempt.result = UpstreamResult::kNotRun;
-    attempt.reason = RefusalReason::kConnectFailed;
+    attempt.reason = monitor.send_refused() ? RefusalReason::kDraining
+                                            : RefusalReason::kConnectFailed;
   } else {
     attempt.result = UpstreamResult::kUnknown;
     attempt.reason = ReasonFor(error);
@@ -237,15 +238,11 @@
 asio::awaitable<void> AwaitResponse(Attempt& attempt,
                                     Downstream& downstream,
                                     InboundRequest& request,
-                                    http::request_header<> head,
-                                    bool head_sent,
                                     ExpectedResponse expected,
-                                    std::function<void()> on_body_received) {
+                                    RequestMonitor::Options monitor_options) {
   const http::verb method = request.head().method();
   RequestMonitor monitor(downstream, *attempt.upstream, request,
-                         {.head = std::move(head),
-                          .head_sent = head_sent,
-                          .on_body_received = std::move(on_body_received)});
+                         std::move(monitor_options));
   const asio::any_io_executor executor = co_await asio::this_coro::executor;
   monitor.Start(executor);
   const boost::system::error_code error =
@@ -334,6 +331,11 @@
     attempt.reason = RefusalReason::kConnectFailed;
     co_return attempt;
   }
+  if (!options.may_send()) {
+    pool.Release(std::move(attempt.upstream));
+    attempt.reason = RefusalReason::kDraining;
+    co_return attempt;
+  }
   attempt.upstream->stream.expires_at(options.deadline);
   attempt.upstream->request_in_flight = true;
 
@@ -356,8 +358,13 @@
     expected.request_id =
         FieldValue(request.head(), expected.dialect->request_id);
   }
-  co_await AwaitResponse(attempt, downstream, request, head, send_head_now,
-                         expected, options.on_body_received);
+  RequestMonitor::Options monitor_options{
+      .head = head,
+      .head_sent = send_head_now,
+      .may_send = std::move(options.may_send),
+      .on_body_received = std::move(options.on_body_received)};
+  co_await AwaitResponse(attempt, downstream, request, expected,
+                         std::move(monitor_options));
   co_return attempt;
 }
 
--- a/packages/proxy/banyantrail/proxy/attempt.h
+++ b/packages/proxy/banyantrail/proxy/attempt.h
@@ -54,6 +54,10 @@
   bool force_new_connection = false;
   /// Called once when the whole body of a streamed request was received.
   std::function<void()> on_body_received = [] {};
+  /// Asked just before the first byte is sent. The wait for a connection or for
+  /// a streamed body can outlast the server's readiness to take the request. If
+  /// it returns false, nothing is sent and the attempt fails with kDraining.
+  std::function<bool()> may_send = [] { return true; };
   /// Names of the headers by which the response is checked. Null between nodes,
   /// whose responses need no check.
   const EdgeDialect* dialect = nullptr;
--- a/packages/proxy/banyantrail/proxy/entry_stage.cc
+++ b/packages/proxy/banyantrail/proxy/entry_stage.cc
@@ -5,7 +5,10 @@
 #include <vector>
 
 #include "banyantrail/core/digest.h"
+#include "banyantrail/proxy/attempt_outcome.h"
+#include "banyantrail/proxy/metadata_fields.h"
 #include "banyantrail/traffic/body_transfers.h"
+#include "banyantrail/traffic/retry_after.h"
 #include "banyantrail/wire/mesh_headers.h"
 
 namespace banyantrail {
@@ -26,78 +29,15 @@
              : RefusalReason::kNoRoute;
 }
 
-/// The outcome header that an owner node sets on its own replies; empty for the
-/// response of a backend server.
-std::string_view OutcomeHeaderOf(const Attempt& attempt) {
-  return FieldValue(attempt.response->get(), kOutcomeHeader);
-}
-
-/// Why an attempt brought no response from a backend server.
-RefusalReason ReasonOf(const Attempt& attempt) {
-  if (attempt.result != UpstreamResult::kResponded) {
-    return attempt.reason;
-  }
-  return ParseRefusalReason(FieldValue(attempt.response->get(), kReasonHeader))
-      .value_or(RefusalReason::kMalformedResponse);
+/// Requests on the same route have similar service times.
+std::uint64_t KindOf(const Route& route) {
+  return Hash64(route.rule.str());
 }
 
 std::uint32_t DepthOf(const http::request_header<>& head) {
   return NumberField(head, kDepthHeader).value_or(0);
 }
 
-/// Whether the owner node sent the response itself.
-bool IsLocalReply(const Attempt& attempt) {
-  return attempt.result == UpstreamResult::kResponded &&
-         !OutcomeHeaderOf(attempt).empty();
-}
-
-bool IsBackendResponse(const Attempt& attempt) {
-  return attempt.result == UpstreamResult::kResponded &&
-         OutcomeHeaderOf(attempt).empty();
-}
-
-/// The endpoint outcome that an owner node's refusal stands for.
-EndpointOutcome RefusalOutcomeOf(const Attempt& attempt) {
-  switch (ReasonOf(attempt)) {
-    case RefusalReason::kQueueFull:
-    case RefusalReason::kDeadline:
-    case RefusalReason::kDraining:
-    case RefusalReason::kShedByBackendServer:
-      return EndpointOutcome::kShed;
-    case RefusalReason::kConnectFailed:
-    case RefusalReason::kBackendServerDown:
-      return EndpointOutcome::kConnectFailed;
-    default:
-      return EndpointOutcome::kFailed;
-  }
-}
-
-EndpointOutcome OutcomeOf(const Attempt& attempt) {
-  switch (attempt.result) {
-    case UpstreamResult::kResponded:
-      if (!OutcomeHeaderOf(attempt).empty()) {
-        return RefusalOutcomeOf(attempt);
-      }
-      return http::to_status_class(attempt.response->get().result()) ==
-                     http::status_class::server_error
-                 ? EndpointOutcome::kFailed
-                 : EndpointOutcome::kSuccess;
-    case UpstreamResult::kNotRun:
-      return EndpointOutcome::kConnectFailed;
-    case UpstreamResult::kUnknown:
-      return EndpointOutcome::kFailed;
-    case UpstreamResult::kCallerDisconnected:
-      return EndpointOutcome::kCancelled;
-  }
-  return EndpointOutcome::kCancelled;
-}
-
-/// Whether the owner node had no capacity before the deadline.
-bool IsOverload(RefusalReason reason) {
-  return reason == RefusalReason::kQueueFull ||
-         reason == RefusalReason::kDeadline;
-}
-
 /// The size of the body, or the minimum size for a chunked body.
 std::uint64_t BodyBytes(const InboundRequest& request) {
   const auto length = request.parser->content_length();
@@ -105,31 +45,6 @@
   return length ? *length : min_size;
 }
 
-/// Whether the owner node may have sent the request on.
-bool MayHaveReachedBackendServer(const Attempt& attempt) {
-  if (attempt.result == UpstreamResult::kNotRun) {
-    return false;
-  }
-  if (IsBackendResponse(attempt) ||
-      attempt.result != UpstreamResult::kResponded) {
-    return true;
-  }
-  const RefusalReason reason = ReasonOf(attempt);
-  return reason == RefusalReason::kShedByBackendServer || !ProvesNotRun(reason);
-}
-
-EndpointResult ResultOf(const Attempt& attempt, Duration latency) {
-  EndpointResult result{.outcome = OutcomeOf(attempt)};
-  if (attempt.result == UpstreamResult::kResponded) {
-    result.load =
-        ParseReportedLoad(FieldValue(attempt.response->get(), kLoadHeader));
-  }
-  if (result.outcome == EndpointOutcome::kSuccess) {
-    result.latency = latency;
-  }
-  return result;
-}
-
 }  // namespace
 
 struct EntryStage::RequestContext {
@@ -151,6 +66,8 @@
   /// Recorded status of an earlier run under the same key; 0 if there is none.
   std::uint32_t recorded_status = 0;
   std::vector<EndpointKey> tried;
+  /// Load of the endpoint that was tried last, as its owner node reported it.
+  std::optional<ReportedLoad> last_load;
   /// Number of attempts that may have reached a backend server.
   std::uint32_t sends = 0;
   /// Reason of the last attempt that may have run.
@@ -172,6 +89,9 @@
   m_snapshot = std::move(snapshot);
   m_loads.Retain(m_snapshot->services(), SystemClock().Now());
   m_refusals.EvictExpired(SystemClock().Now());
+  std::erase_if(m_response_times, [](const auto& entry) {
+    return !entry.second.Mean(SystemClock().Now());
+  });
   m_splitter.Retain(*m_snapshot);
   UpdateRetryBurst();
   const auto& limits = m_snapshot->caller_limits();
@@ -344,30 +264,34 @@
                          .deadline = context.deadline,
                          .expect_continue = true};
   StripInternalFields(options.head, m_options.dialect);
-  SetField(options.head, kDeadlineHeader, RemainingMs(context.deadline));
-  SetField(options.head, kDepthHeader,
-           std::to_string(DepthOf(context.request.head()) + 1));
-  SetField(options.head, kPriorityHeader,
-           std::to_string(context.route->priority));
-  SetField(options.head, kIdempotentHeader,
-           context.route->idempotent ? "1" : "0");
-  SetField(options.head, kServiceHeader, context.service->name.str());
-  SetField(options.head, kRoutingRuleHeader, context.route->rule.str());
-  if (context.is_nested_call) {
-    SetField(options.head, kNestedCallHeader, "1");
-  }
-  if (context.request.body.size() >= kLargeBodyBytes) {
-    SetField(options.head, kBodyHashHeader,
-             std::to_string(Hash64(context.request.body)));
+  if (endpoint.mesh_version > 0) {
+    // The metadata holds both.
+    EraseField(options.head, m_options.dialect.deadline);
+    EraseField(options.head, kDepthHeader);
   }
+  SetRequestMetadata(options.head, MetadataFor(context, endpoint),
+                     endpoint.mesh_version);
+  return options;
+}
+
+RequestMetadata EntryStage::MetadataFor(const RequestContext& context,
+                                        const ServiceEndpoint& endpoint) const {
+  RequestMetadata metadata{.time_left = RemainingTime(context.deadline),
+                           .depth = DepthOf(context.request.head()) + 1,
+                           .priority = context.route->priority,
+                           .is_idempotent = context.route->idempotent,
+                           .is_nested_call = context.is_nested_call,
+                           .kind = KindOf(*context.route),
+                           .service = context.service->name,
+                           .server = endpoint.id,
+                           .caller_service = m_options.local_service};
   if (context.target) {
-    SetField(options.head, kTargetLatencyHeader, RemainingMs(*context.target));
+    metadata.target_left = RemainingTime(*context.target);
   }
-  if (!m_options.local_service.empty()) {
-    SetField(options.head, kCallerServiceHeader, m_options.local_service.str());
+  if (context.request.body.size() >= kLargeBodyBytes) {
+    metadata.body_hash = std::to_string(Hash64(context.request.body));
   }
-  SetField(options.head, kBackendServerHeader, endpoint.id.str());
-  return options;
+  return metadata;
 }
 
 asio::awaitable<void> EntryStage::Forward(Downstream& downstream,
@@ -376,11 +300,7 @@
     RetryPolicyFor(context.service->name).OnFirstAttempt();
   }
   while (true) {
-    const ServiceEndpoint* endpoint =
-        ChooseEndpoint(context.service->endpoints, m_loads, m_options.choice,
-                       SystemClock().Now(), m_rng,
-                       {.body_bytes = BodyBytes(context.request),
-                        .excluded = ExcludedEndpoints(context)});
+    const ServiceEndpoint* endpoint = ChooseEndpointFor(context);
     if (endpoint == nullptr) {
       // Endpoints exist, but none has capacity before the deadline.
       const bool has_endpoints = !context.service->endpoints.empty();
@@ -409,27 +329,35 @@
   }
 }
 
-/// Endpoints that were tried, and those known to have no capacity before the
-/// deadline. Nested calls are still sent to the latter, because the owner node
-/// admits them ahead of new requests.
-std::vector<EndpointKey> EntryStage::ExcludedEndpoints(
-    const RequestContext& context) const {
-  std::vector<EndpointKey> excluded = context.tried;
-  const bool is_large =
-      BodyBytes(context.request) > m_options.choice.max_spill_bytes;
-  if (context.is_nested_call || is_large) {
-    return excluded;
-  }
+/// Chooses among the endpoints that were not tried yet and are not known to
+/// have no capacity before the deadline. Nested calls are still sent to the
+/// latter, because the owner node admits them ahead of new requests.
+const ServiceEndpoint* EntryStage::ChooseEndpointFor(
+    const RequestContext& context) {
   const TimePoint now = SystemClock().Now();
   const RequestUrgency urgency{.priority = context.route->priority,
                                .slack = context.deadline - now};
-  for (const ServiceEndpoint& endpoint : context.service->endpoints) {
-    EndpointKey key = KeyOf(endpoint);
-    if (m_refusals.WouldRefuse(key, urgency, now)) {
-      excluded.push_back(std::move(key));
-    }
+  ChoiceRequest request{
+      .body_bytes = BodyBytes(context.request),
+      .excluded = context.tried,
+      .time_left = TimeLeft(context, now),
+      .expected_duration = m_response_times[context.route->rule].Mean(now),
+      .kind = KindOf(*context.route)};
+  const bool is_large = request.body_bytes > m_options.choice.max_spill_bytes;
+  if (!context.is_nested_call && !is_large) {
+    request.is_excluded = [&](const ServiceEndpoint& endpoint) {
+      return m_refusals.WouldRefuse(endpoint, urgency, now);
+    };
   }
-  return excluded;
+  return ChooseEndpoint(context.service->endpoints, m_loads, m_options.choice,
+                        now, m_rng, request);
+}
+
+/// The time for a response of full use, or until the deadline when the target
+/// has passed or none is declared.
+Duration EntryStage::TimeLeft(const RequestContext& context, TimePoint now) {
+  const bool can_meet_target = context.target && *context.target > now;
+  return (can_meet_target ? *context.target : context.deadline) - now;
 }
 
 void EntryStage::ReportDecision(const RequestContext& context,
@@ -487,7 +415,13 @@
   Attempt attempt = co_await MakeAttempt(m_pool, downstream, context.request,
                                          std::move(options));
   const TimePoint now = SystemClock().Now();
-  m_loads.OnResult(endpoint, ResultOf(attempt, now - started), now);
+  EndpointResult result = ResultOf(attempt, now - started);
+  result.kind = KindOf(*context.route);
+  m_loads.OnResult(endpoint, result, now);
+  if (IsBackendResponse(attempt)) {
+    m_response_times[context.route->rule].Record(now - started, now);
+  }
+  context.last_load = LoadOf(attempt);
   context.sends += MayHaveReachedBackendServer(attempt) ? 1 : 0;
   if (!IsBackendResponse(attempt) && !ProvesNotRun(ReasonOf(attempt))) {
     context.may_have_run = ReasonOf(attempt);
@@ -499,6 +433,20 @@
   co_return attempt;
 }
 
+/// Whether a retry costs no backend server anything and little else: none of
+/// the attempt reached one, and the request is small or was tried only a few
+/// times.
+bool EntryStage::IsFreeRetry(const RequestContext& context,
+                             RefusalReason reason) {
+  constexpr std::size_t kMaxFreeRetries = 2;
+  const bool reached_no_server =
+      IsOverload(reason) || reason == RefusalReason::kConnectFailed;
+  const bool is_body_unsent =
+      IsOverload(reason) && BodyBytes(context.request) >= kLargeBodyBytes;
+  return is_body_unsent ||
+         (reached_no_server && context.tried.size() <= kMaxFreeRetries);
+}
+
 /// Decides whether to try another endpoint, and counts the decision.
 bool EntryStage::ShouldRetry(const RequestContext& context,
                              const Attempt& attempt) {
@@ -520,8 +468,7 @@
       .body_replayable = !context.request.body_consumed,
       .attempts = context.sends,
       .max_attempts = context.route->max_attempts,
-      .body_unsent =
-          IsOverload(reason) && BodyBytes(context.request) >= kLargeBodyBytes,
+      .is_free = IsFreeRetry(context, reason),
       .depth = std::max<std::uint32_t>(DepthOf(context.request.head()),
                                        context.is_nested_call ? 1 : 0),
       .deadline = context.deadline};
@@ -571,7 +518,7 @@
 asio::awaitable<void> EntryStage::ReturnResponse(Downstream& downstream,
                                                  RequestContext& context,
                                                  Attempt& attempt) {
-  const bool is_local_reply = !OutcomeHeaderOf(attempt).empty();
+  const bool is_local_reply = IsLocalReply(attempt);
   if (is_local_reply) {
     // The entry node replaces the refusal with its own reply: it knows the
     // caller's dialect, and must update the ledger before the caller is told.
@@ -615,7 +562,7 @@
   LocalReply reply = RefusalReply(reason, m_options.dialect);
   reply.fractional_retry_after = m_options.dialect.fractional_retry_after;
   if (reply.status == http::status::service_unavailable) {
-    reply.retry_after = RetryAfterDelay();
+    reply.retry_after = RetryAfterDelay(context);
   }
   if (context.needs_claim) {
     const bool not_run = MayReportNotRun(reason, context.claim.has_value());
@@ -640,12 +587,19 @@
   ReportResponse(context, status);
 }
 
-/// Delay for "Retry-After", with jitter so that callers that were refused
-/// together do not retry together.
-Duration EntryStage::RetryAfterDelay() {
-  constexpr milliseconds kMinDelay{100};
-  constexpr std::size_t kJitterMs = 200;
-  return kMinDelay + milliseconds(UniformIndex(m_rng, kJitterMs));
+/// Delay for "Retry-After": long enough for the queue that refused the request
+/// to drain, and spread over the time in which the caller would still return,
+/// so that callers that were refused together do not return together.
+Duration EntryStage::RetryAfterDelay(const RequestContext& context) {
+  const TimePoint now = SystemClock().Now();
+  std::optional<Duration> service_time;
+  if (context.route != nullptr) {
+    service_time = m_response_times[context.route->rule].Mean(now);
+  }
+  return ChooseRetryAfter({.time_left = context.deadline - now,
+                           .load = context.last_load,
+                           .service_time = service_time},
+                          m_rng);
 }
 
 void EntryStage::ReportResponse(const RequestContext& context,
--- a/packages/proxy/banyantrail/proxy/entry_stage.h
+++ b/packages/proxy/banyantrail/proxy/entry_stage.h
@@ -20,8 +20,10 @@
 #include "banyantrail/traffic/retry_policy.h"
 #include "banyantrail/traffic/routing_snapshot.h"
 #include "banyantrail/traffic/running_requests.h"
+#include "banyantrail/traffic/service_time.h"
 #include "banyantrail/traffic/traffic_splitter.h"
 #include "banyantrail/wire/edge_dialect.h"
+#include "banyantrail/wire/request_metadata.h"
 
 namespace banyantrail {
 
@@ -138,13 +140,16 @@
                                        Attempt& attempt);
   AttemptOptions AttemptOptionsFor(const RequestContext& context,
                                    const ServiceEndpoint& endpoint) const;
+  RequestMetadata MetadataFor(const RequestContext& context,
+                              const ServiceEndpoint& endpoint) const;
   asio::awaitable<Attempt> TryEndpoint(Downstream& downstream,
                                        RequestContext& context,
                                        const ServiceEndpoint& endpoint);
   bool ShouldRetry(const RequestContext& context, const Attempt& attempt);
   void UpdateRetryBurst();
-  std::vector<EndpointKey> ExcludedEndpoints(
-      const RequestContext& context) const;
+  const ServiceEndpoint* ChooseEndpointFor(const RequestContext& context);
+  static Duration TimeLeft(const RequestContext& context, TimePoint now);
+  static bool IsFreeRetry(const RequestContext& context, RefusalReason reason);
   void ReportDecision(const RequestContext& context,
                       std::string_view kind,
                       std::string_view reason,
@@ -153,7 +158,7 @@
                        const ServiceEndpoint& endpoint,
                        const Attempt& attempt);
   RetryPolicy& RetryPolicyFor(const ServiceName& service);
-  Duration RetryAfterDelay();
+  Duration RetryAfterDelay(const RequestContext& context);
   void SetDeadlineAndTarget(RequestContext& context);
   void ReportResponse(const RequestContext& context, unsigned status);
 
@@ -167,6 +172,8 @@
   CallerTimeoutEstimator m_caller_timeouts;
   LoadTable m_loads;
   RefusalCache m_refusals{RefusalCache::Options{}};
+  /// How long responses take, by routing rule.
+  std::map<RuleName, ServiceTimeEstimate> m_response_times;
   std::map<ServiceName, RetryPolicy> m_retry_policies;
   std::uint64_t m_last_attempt = 0;
   bool m_draining = false;
--- a/packages/proxy/banyantrail/proxy/header_rules.cc
+++ b/packages/proxy/banyantrail/proxy/header_rules.cc
@@ -107,6 +107,7 @@
 }
 
 void StripInternalFields(http::fields& fields, const EdgeDialect& dialect) {
+  fields.erase(ToBeast(kMetadataHeader));
   EraseFieldsWithPrefix(fields, kInternalHeaderPrefix,
                         [&dialect](std::string_view name) {
                           return EqualsIgnoringCase(name, dialect.deadline) ||
@@ -115,6 +116,7 @@
 }
 
 void StripInternalResponseFields(http::fields& fields, bool is_local_reply) {
+  fields.erase(ToBeast(kMetadataHeader));
   EraseFieldsWithPrefix(
       fields, kInternalHeaderPrefix, [is_local_reply](std::string_view name) {
         return is_local_reply && (EqualsIgnoringCase(name, kOutcomeHeader) ||
--- a/packages/proxy/banyantrail/proxy/local_reply.cc
+++ b/packages/proxy/banyantrail/proxy/local_reply.cc
@@ -39,6 +39,10 @@
   constexpr unsigned kHttp11 = 11;
   const std::string_view outcome = ToHeaderValue(reply.outcome);
   HttpResponse response(reply.status, kHttp11);
+  if (!reply.metadata.empty()) {
+    SetField(response, kMetadataHeader, reply.metadata);
+    return response;
+  }
   response.set(http::field::content_type, "application/json");
   SetField(response, kOutcomeHeader, outcome);
   SetField(response, kReasonHeader, reply.reason);
--- a/packages/proxy/banyantrail/proxy/local_reply.h
+++ b/packages/proxy/banyantrail/proxy/local_reply.h
@@ -26,6 +26,9 @@
   std::string remedy;
   /// Load of the backend server, for the entry node; empty when unknown.
   std::string load;
+  /// Value of kMetadataHeader, for an entry node that understands it. The reply
+  /// then has no other header of the system and no body.
+  std::string metadata;
   /// Recorded HTTP status of an earlier run under the same idempotency key; 0
   /// if there is none.
   unsigned recorded_status = 0;
--- a/packages/proxy/banyantrail/proxy/message_head.cc
+++ b/packages/proxy/banyantrail/proxy/message_head.cc
@@ -58,10 +58,18 @@
              beast::string_view(value.data(), value.size()));
 }
 
+void EraseField(http::fields& fields, std::string_view name) {
+  fields.erase(beast::string_view(name.data(), name.size()));
+}
+
+milliseconds RemainingTime(TimePoint deadline) {
+  return std::max(
+      std::chrono::duration_cast<milliseconds>(deadline - SystemClock().Now()),
+      milliseconds(1));
+}
+
 std::string RemainingMs(TimePoint deadline) {
-  const auto remaining =
-      std::chrono::duration_cast<milliseconds>(deadline - SystemClock().Now());
-  return std::to_string(std::max<milliseconds::rep>(remaining.count(), 1));
+  return std::to_string(RemainingTime(deadline).count());
 }
 
 LocalReply RefusalReply(RefusalReason reason, const EdgeDialect& dialect) {
--- a/packages/proxy/banyantrail/proxy/message_head.h
+++ b/packages/proxy/banyantrail/proxy/message_head.h
@@ -21,7 +21,10 @@
               std::string_view name,
               std::string_view value);
 
-/// Milliseconds from now to the deadline, at least 1.
+void EraseField(http::fields& fields, std::string_view name);
+
+/// Time from now to the deadline, at least 1 ms.
+milliseconds RemainingTime(TimePoint deadline);
 std::string RemainingMs(TimePoint deadline);
 
 /// The reply for a refusal. Status, outcome and remedy follow from the reason.
--- a/packages/proxy/banyantrail/proxy/owner_stage.cc
+++ b/packages/proxy/banyantrail/proxy/owner_stage.cc
@@ -4,39 +4,29 @@
 
 #include "banyantrail/core/digest.h"
 #include "banyantrail/proxy/disconnect_watch.h"
+#include "banyantrail/proxy/metadata_fields.h"
 #include "banyantrail/traffic/body_transfers.h"
 #include "banyantrail/wire/mesh_headers.h"
 
 namespace banyantrail {
 namespace {
 
-/// Time to the deadline of a request without a deadline header.
-constexpr Duration kDefaultDeadline = seconds(30);
-
-/// Priority of a request without a priority header.
-constexpr std::uint32_t kLeastUrgentPriority = 255;
-
-TimePoint DeadlineOf(const http::request_header<>& head) {
-  const auto remaining = NumberField(head, kDeadlineHeader);
-  const TimePoint now = SystemClock().Now();
-  return now +
-         (remaining ? Duration(milliseconds(*remaining)) : kDefaultDeadline);
-}
-
-std::string FormatLoad(const AdmissionLoad& load) {
-  const std::size_t demand = load.in_flight + load.queued;
-  return std::to_string(demand) + "/" + std::to_string(load.limit);
+ReportedLoad LoadReport(const AdmissionGate& gate, std::uint64_t kind) {
+  const AdmissionLoad load = gate.load();
+  ReportedLoad report{
+      .in_flight = static_cast<std::uint32_t>(load.in_flight + load.queued),
+      .limit = static_cast<std::uint32_t>(load.limit)};
+  if (const auto service_time = gate.ServiceTime(kind)) {
+    report.service_time =
+        std::chrono::duration_cast<milliseconds>(*service_time);
+  }
+  return report;
 }
 
-/// Removes the headers from the entry node that are not meant for the backend
-/// server.
-void StripMeshFields(http::fields& head) {
-  for (const std::string_view name :
-       {kDeadlineHeader, kTargetLatencyHeader, kNestedCallHeader,
-        kRoutingRuleHeader, kPriorityHeader, kIdempotentHeader, kServiceHeader,
-        kBackendServerHeader, kCallerServiceHeader, kBodyHashHeader}) {
-    head.erase(beast::string_view(name.data(), name.size()));
-  }
+/// The part of the report that a node of mesh version 0 understands.
+std::string LegacyLoadText(ReportedLoad report) {
+  report.service_time.reset();
+  return ToString(report);
 }
 
 /// Whether the connection comes from a process on this VM.
@@ -50,15 +40,16 @@
 
 /// A fingerprint that recognises the request when it is sent again, from its
 /// idempotency key or else from a hash of its body, if one is available.
-std::optional<RequestFingerprint> FingerprintFor(const InboundRequest& request,
-                                                 const ServiceName& service) {
+std::optional<RequestFingerprint> FingerprintFor(
+    const InboundRequest& request,
+    const RequestMetadata& metadata) {
   const http::request_header<>& head = request.head();
   const std::string_view key = FieldValue(head, kIdempotencyKeyHeader);
-  const std::string digest =
-      request.body.empty() ? std::string(FieldValue(head, kBodyHashHeader))
-                           : std::to_string(Hash64(request.body));
+  const std::string digest = request.body.empty()
+                                 ? metadata.body_hash
+                                 : std::to_string(Hash64(request.body));
   return FingerprintOf(
-      {.service = service,
+      {.service = metadata.service,
        .method = {head.method_string().data(), head.method_string().size()},
        .target = {head.target().data(), head.target().size()},
        .discriminator = key.empty() ? std::string_view(digest) : key,
@@ -108,9 +99,10 @@
 asio::awaitable<void> OwnerStage::Handle(Downstream& downstream,
                                          InboundRequest& request) {
   RequestContext context{.request = request,
-                         .backend = FindBackend(request.head()),
-                         .id = ++m_last_request,
-                         .deadline = DeadlineOf(request.head())};
+                         .metadata = RequestMetadataOf(request.head()),
+                         .id = ++m_last_request};
+  context.backend = FindBackend(context.metadata);
+  context.deadline = SystemClock().Now() + context.metadata.time_left;
   std::optional<RefusalReason> refusal = CheckBackendState(context.backend);
   if (!refusal) {
     refusal = co_await AwaitTransferSlot(downstream, context);
@@ -124,7 +116,7 @@
   if (refusal == RefusalReason::kCancelled) {
     downstream.must_close = true;
   } else if (refusal) {
-    co_await Refuse(downstream, request, context.backend, *refusal);
+    co_await Refuse(downstream, context, *refusal);
   } else if (HasDisconnected(downstream)) {
     context.backend->gate->Cancel(context.id);
     EndIsolation(context);
@@ -167,8 +159,7 @@
 asio::awaitable<std::optional<RefusalReason>> OwnerStage::BeginIsolation(
     RequestContext& context) {
   constexpr Duration kPollInterval = milliseconds(5);
-  context.fingerprint =
-      FingerprintFor(context.request, context.backend->record.service);
+  context.fingerprint = FingerprintFor(context.request, context.metadata);
   if (!context.fingerprint) {
     co_return std::nullopt;
   }
@@ -213,25 +204,67 @@
 }
 
 /// Called when a connection to the backend server broke with a request in
-/// flight. If a new connection fails too, the backend server has crashed, and
-/// one of the requests in flight may be the cause.
+/// flight. If the backend server has crashed, one of the requests in flight may
+/// be the cause.
 asio::awaitable<void> OwnerStage::DetectCrash(RequestContext& context) {
   const BackendPtr backend = context.backend;
-  const UpstreamPtr probe =
+  const std::vector<RequestFingerprint> in_flight(backend->in_flight.begin(),
+                                                  backend->in_flight.end());
+  if (in_flight.empty() || backend->crash_suspected) {
+    co_return;
+  }
+  backend->crash_suspected = true;
+  UpstreamPtr probe =
       co_await m_pool.Connect(backend->record.address, context.deadline);
-  if (probe || backend->in_flight.empty()) {
+  if (probe) {
+    // A process that ends may still accept connections for a moment. The
+    // response to this request does not wait for that.
+    asio::co_spawn(m_executor,
+                   WatchForCrash(backend, in_flight, std::move(probe)),
+                   asio::detached);
     co_return;
   }
-  const std::vector<RequestFingerprint> in_flight(backend->in_flight.begin(),
-                                                  backend->in_flight.end());
+  OnCrash(*backend, in_flight);
+}
+
+/// Watches a new connection to a backend server that has just lost another one.
+/// If this one breaks too and no further one can be opened, the backend server
+/// has crashed.
+asio::awaitable<void> OwnerStage::WatchForCrash(
+    BackendPtr backend,
+    std::vector<RequestFingerprint> in_flight,
+    UpstreamPtr probe) {
+  constexpr Duration kWatchTime = milliseconds(200);
+  probe->stream.expires_after(kWatchTime);
+  boost::system::error_code error;
+  char byte = 0;
+  co_await probe->stream.async_read_some(
+      asio::buffer(&byte, 1), asio::redirect_error(asio::use_awaitable, error));
+  const bool is_alive = !error || error == beast::error::timeout;
+  if (is_alive) {
+    backend->crash_suspected = false;
+    co_return;
+  }
+  const UpstreamPtr next = co_await m_pool.Connect(
+      backend->record.address, SystemClock().Now() + kWatchTime);
+  if (next) {
+    backend->crash_suspected = false;
+  } else {
+    OnCrash(*backend, in_flight);
+  }
+}
+
+void OwnerStage::OnCrash(Backend& backend,
+                         const std::vector<RequestFingerprint>& in_flight) {
+  backend.crash_suspected = false;
   // An empty set keeps the other requests lost in this crash from reporting it
   // again.
-  backend->in_flight.clear();
+  backend.in_flight.clear();
   std::vector<RequestFingerprint> suspects =
       m_quarantine.OnCrash(in_flight, SystemClock().Now());
-  m_options.hooks.on_unreachable(backend->record.id);
+  m_options.hooks.on_unreachable(backend.record.id);
   if (!suspects.empty()) {
-    m_options.hooks.on_crash(backend->record.service, std::move(suspects));
+    m_options.hooks.on_crash(backend.record.service, std::move(suspects));
   }
 }
 
@@ -240,11 +273,10 @@
 }
 
 OwnerStage::BackendPtr OwnerStage::FindBackend(
-    const http::request_header<>& head) const {
-  const BackendServerId id(std::string(FieldValue(head, kBackendServerHeader)));
-  const auto found = m_backends.find(id);
+    const RequestMetadata& metadata) const {
+  const auto found = m_backends.find(metadata.server);
   if (found == m_backends.end() ||
-      found->second->record.service.str() != FieldValue(head, kServiceHeader)) {
+      found->second->record.service != metadata.service) {
     return nullptr;
   }
   return found->second;
@@ -269,53 +301,50 @@
 }
 
 asio::awaitable<void> OwnerStage::Refuse(Downstream& downstream,
-                                         const InboundRequest& request,
-                                         const BackendPtr& backend,
+                                         const RequestContext& context,
                                          RefusalReason reason) {
   m_options.hooks.count_refusal(reason);
-  ReportRefusal(request, backend, reason);
+  ReportRefusal(context, reason);
   // A streamed body stays unread, unless the sender still waits for
   // "100 Continue".
+  const InboundRequest& request = context.request;
   const bool body_unread = request.is_streamed && !request.expects_continue;
   LocalReply reply = RefusalReply(reason);
-  if (backend) {
-    reply.load = FormatLoad(backend->gate->load());
+  ResponseMetadata metadata{.refusal = reason};
+  if (context.backend) {
+    metadata.load = LoadReport(*context.backend->gate, context.metadata.kind);
+    reply.load = LegacyLoadText(*metadata.load);
+  }
+  if (HasCompactMetadata(request.head())) {
+    reply.metadata = FormatResponseMetadata(metadata);
   }
   co_await SendLocalReply(downstream, std::move(reply), !body_unread);
   downstream.must_close = downstream.must_close || body_unread;
 }
 
-void OwnerStage::ReportRefusal(const InboundRequest& request,
-                               const BackendPtr& backend,
+void OwnerStage::ReportRefusal(const RequestContext& context,
                                RefusalReason reason) const {
-  const http::request_header<>& head = request.head();
-  OwnerRefusal refusal{.request = RequestIdOf(request),
-                       .service = FieldValue(head, kServiceHeader),
-                       .server = FieldValue(head, kBackendServerHeader),
+  OwnerRefusal refusal{.request = RequestIdOf(context.request),
+                       .service = context.metadata.service.str(),
+                       .server = context.metadata.server.str(),
                        .reason = reason,
-                       .remaining = milliseconds(
-                           NumberField(head, kDeadlineHeader).value_or(0))};
-  if (backend) {
-    refusal.load = backend->gate->load();
+                       .remaining = context.metadata.time_left};
+  if (context.backend) {
+    refusal.load = context.backend->gate->load();
   }
   m_options.hooks.on_refusal(refusal);
 }
 
 AdmissionRequest OwnerStage::AdmissionRequestFor(
     const RequestContext& context) {
-  const http::request_header<>& head = context.request.head();
-  const std::uint32_t priority =
-      NumberField(head, kPriorityHeader).value_or(kLeastUrgentPriority);
-  const auto target = NumberField(head, kTargetLatencyHeader);
-  const std::string_view rule = FieldValue(head, kRoutingRuleHeader);
-  AdmissionRequest request{
-      .id = context.id,
-      .rank_priority = static_cast<std::uint8_t>(priority),
-      .deadline = context.deadline,
-      .is_nested_call = FieldValue(head, kNestedCallHeader) == "1",
-      .kind = rule.empty() ? 0 : Hash64(rule)};
-  if (target) {
-    request.target = SystemClock().Now() + milliseconds(*target);
+  const RequestMetadata& metadata = context.metadata;
+  AdmissionRequest request{.id = context.id,
+                           .rank_priority = metadata.priority,
+                           .deadline = context.deadline,
+                           .is_nested_call = metadata.is_nested_call,
+                           .kind = metadata.kind};
+  if (metadata.target_left) {
+    request.target = SystemClock().Now() + *metadata.target_left;
   }
   return request;
 }
@@ -360,13 +389,13 @@
                                         http::fields& head) const {
   const EdgeDialect& dialect = m_options.dialect;
   if (!dialect.caller_service.empty()) {
-    const std::string caller(
-        FieldValue(context.request.head(), kCallerServiceHeader));
-    SetField(head, dialect.caller_service, caller);
+    SetField(head, dialect.caller_service,
+             context.metadata.caller_service.str());
   }
-  StripMeshFields(head);
-  if (!dialect.propagates_depth) {
-    head.erase(beast::string_view(kDepthHeader.data(), kDepthHeader.size()));
+  StripRequestMetadata(head);
+  EraseField(head, kDepthHeader);
+  if (dialect.propagates_depth) {
+    SetField(head, kDepthHeader, std::to_string(context.metadata.depth));
   }
   SetField(head, dialect.deadline, RemainingMs(context.deadline));
   if (!dialect.expected_server.empty()) {
@@ -381,6 +410,7 @@
       .head = ForwardedHead(context.request),
       .deadline = context.deadline,
       .on_body_received = [this, &context] { ReleaseTransferSlot(context); },
+      .may_send = [this, &context] { return MaySend(*context.backend); },
       .dialect = &m_options.dialect};
   SetBackendServerFields(context, options.head);
   const std::string request_id(RequestIdOf(context.request));
@@ -411,7 +441,7 @@
       }
       break;
   }
-  co_await Refuse(downstream, context.request, context.backend, attempt.reason);
+  co_await Refuse(downstream, context, attempt.reason);
 }
 
 asio::awaitable<void> OwnerStage::ReturnResponse(Downstream& downstream,
@@ -419,15 +449,20 @@
                                                  Attempt& attempt) {
   if (attempt.reports_not_run) {
     ReleaseSlot(context, AttemptResult::kShed);
-    co_await Refuse(downstream, context.request, context.backend,
-                    RefusalReason::kShedByBackendServer);
+    co_await Refuse(downstream, context, RefusalReason::kShedByBackendServer);
     co_return;
   }
   const std::optional<Duration> keep_alive_timeout =
       KeepAliveTimeout(attempt.response->get());
   http::response_header<> head = ReturnedHead(attempt);
   StripInternalResponseFields(head, false);
-  SetField(head, kLoadHeader, FormatLoad(context.backend->gate->load()));
+  const ReportedLoad load =
+      LoadReport(*context.backend->gate, context.metadata.kind);
+  if (HasCompactMetadata(context.request.head())) {
+    SetField(head, kMetadataHeader, FormatResponseMetadata({.load = load}));
+  } else {
+    SetField(head, kLoadHeader, LegacyLoadText(load));
+  }
   const RelayOutcome outcome =
       co_await RelayResponse(attempt, downstream, std::move(head),
                              !downstream.must_close, context.deadline);
@@ -443,8 +478,7 @@
       break;
     case RelayOutcome::kNothingSent:
       ReleaseSlot(context, AttemptResult::kFailed);
-      co_await Refuse(downstream, context.request, context.backend,
-                      RefusalReason::kResponseTruncated);
+      co_await Refuse(downstream, context, RefusalReason::kResponseTruncated);
       break;
     case RelayOutcome::kTruncated:
       ReleaseSlot(context, AttemptResult::kFailed);
@@ -487,23 +521,56 @@
           m_executor, AdmissionOptionsFor(record));
     } else {
       backend = found->second;
-      const bool was_serving =
-          backend->record.state == BackendServerState::kServing;
-      const bool is_serving = record.state == BackendServerState::kServing;
-      if (was_serving && !is_serving) {
-        backend->gate->Drain();
-      } else if (!was_serving && is_serving) {
-        backend->gate->Restart(record.slots);
-      } else {
-        backend->gate->SetAnnouncedSlots(record.slots);
-      }
+      ApplyState(*backend, record);
     }
     backend->record = record;
     next[record.id] = std::move(backend);
   }
+  for (const auto& [id, backend] : m_backends) {
+    if (!next.contains(id)) {
+      Retire(*backend);
+    }
+  }
   m_backends = std::move(next);
 }
 
+/// Applies the announced state and slots of a known backend server to its gate.
+void OwnerStage::ApplyState(Backend& backend,
+                            const BackendServerRecord& record) {
+  const bool was_serving = backend.record.state == BackendServerState::kServing;
+  const bool is_serving = record.state == BackendServerState::kServing;
+  const bool is_leaving =
+      record.state == BackendServerState::kDraining && !m_draining;
+  if (is_leaving) {
+    Retire(backend);
+  } else if (was_serving && !is_serving) {
+    backend.gate->Drain();
+  } else if (!was_serving && is_serving) {
+    backend.departed_at.reset();
+    backend.gate->Restart(record.slots);
+  } else {
+    backend.gate->SetAnnouncedSlots(record.slots);
+  }
+}
+
+/// Refuses the queued requests of a backend server that is leaving or has been
+/// deregistered. Requests keep a reference to it until they end.
+void OwnerStage::Retire(Backend& backend) {
+  if (!backend.departed_at) {
+    backend.departed_at = SystemClock().Now();
+    backend.gate->Drain();
+  }
+}
+
+/// Whether an admitted request may still be sent. The backend server serves for
+/// some time after it has announced its departure, so a request that is only
+/// slightly late need not fail.
+bool OwnerStage::MaySend(const Backend& backend) const {
+  return !backend.departed_at ||
+         SystemClock().Now() <
+             *backend.departed_at + m_options.max_send_after_departure;
+}
+
 AdmissionOptions OwnerStage::AdmissionOptionsFor(
     const BackendServerRecord& record) const {
   AdmissionOptions options = m_options.admission;
--- a/packages/proxy/banyantrail/proxy/owner_stage.h
+++ b/packages/proxy/banyantrail/proxy/owner_stage.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string_view>
 #include <vector>
@@ -16,6 +17,7 @@
 #include "banyantrail/traffic/running_requests.h"
 #include "banyantrail/wire/edge_dialect.h"
 #include "banyantrail/wire/member_record.h"
+#include "banyantrail/wire/request_metadata.h"
 
 namespace banyantrail {
 
@@ -58,6 +60,9 @@
     EdgeDialect dialect;
     /// Template; slots and ranks are set for each backend server.
     AdmissionOptions admission;
+    /// How long after a backend server has announced its departure a request
+    /// that was admitted before may still be sent to it.
+    Duration max_send_after_departure = seconds(1);
     /// Bandwidth of the VM's network link; 0 when unknown.
     std::uint64_t link_bytes_per_s = 0;
   };
@@ -73,6 +78,9 @@
 
   /// Replaces the set of backend servers that this node owns.
   void SetBackendServers(const std::vector<BackendServerRecord>& records);
+  /// The node drains: its backend servers get no new requests, but they are not
+  /// leaving.
+  void StartDrain() { m_draining = true; }
   /// Applies the ranks of a new configuration.
   void SetRanks(std::vector<RankShare> ranks);
 
@@ -86,18 +94,23 @@
   struct Backend {
     BackendServerRecord record;
     std::unique_ptr<AdmissionGate> gate;
+    /// When the backend server began to drain or was deregistered.
+    std::optional<TimePoint> departed_at;
     unsigned failed_connects = 0;
     /// Fingerprints of the requests in flight, one entry for each request.
     std::multiset<RequestFingerprint> in_flight;
     /// A request suspected of crashing backend servers is running. Other
     /// suspects wait for its end.
     bool suspect_running = false;
+    /// A lost connection is being examined.
+    bool crash_suspected = false;
   };
   using BackendPtr = std::shared_ptr<Backend>;
 
   /// State of one request in this stage.
   struct RequestContext {
     InboundRequest& request;
+    RequestMetadata metadata;
     BackendPtr backend;
     RequestId id = 0;
     std::optional<RequestFingerprint> fingerprint;
@@ -110,12 +123,9 @@
 
   asio::awaitable<void> Handle(Downstream& downstream, InboundRequest& request);
   asio::awaitable<void> Refuse(Downstream& downstream,
-                               const InboundRequest& request,
-                               const BackendPtr& backend,
+                               const RequestContext& context,
                                RefusalReason reason);
-  void ReportRefusal(const InboundRequest& request,
-                     const BackendPtr& backend,
-                     RefusalReason reason) const;
+  void ReportRefusal(const RequestContext& context, RefusalReason reason) const;
   static AdmissionRequest AdmissionRequestFor(const RequestContext& context);
   std::string_view RequestIdOf(const InboundRequest& request) const;
   AdmissionOptions AdmissionOptionsFor(const BackendServerRecord& record) const;
@@ -137,12 +147,20 @@
   asio::awaitable<void> Forward(Downstream& downstream,
                                 RequestContext& context);
   asio::awaitable<void> DetectCrash(RequestContext& context);
+  asio::awaitable<void> WatchForCrash(BackendPtr backend,
+                                      std::vector<RequestFingerprint> in_flight,
+                                      UpstreamPtr probe);
+  void OnCrash(Backend& backend,
+               const std::vector<RequestFingerprint>& in_flight);
   asio::awaitable<void> ReturnResponse(Downstream& downstream,
                                        RequestContext& context,
                                        Attempt& attempt);
+  bool MaySend(const Backend& backend) const;
+  void ApplyState(Backend& backend, const BackendServerRecord& record);
+  static void Retire(Backend& backend);
   void ReleaseSlot(RequestContext& context, AttemptResult result);
   void RecordConnect(const BackendPtr& backend, bool connected);
-  BackendPtr FindBackend(const http::request_header<>& head) const;
+  BackendPtr FindBackend(const RequestMetadata& metadata) const;
   std::optional<RefusalReason> CheckBackendState(
       const BackendPtr& backend) const;
 
@@ -158,6 +176,7 @@
   Quarantine m_quarantine;
   RequestId m_last_request = 0;
   std::size_t m_in_progress = 0;
+  bool m_draining = false;
 };
 
 }  // namespace banyantrail
--- a/packages/proxy/banyantrail/proxy/request_monitor.cc
+++ b/packages/proxy/banyantrail/proxy/request_monitor.cc
@@ -23,6 +23,7 @@
         upstream(up),
         request(inbound),
         head(std::move(options.head)),
+        may_send(std::move(options.may_send)),
         on_body_received(std::move(options.on_body_received)),
         finished(down.stream.get_executor()),
         head_sent(options.head_sent) {}
@@ -31,6 +32,7 @@
   Upstream& upstream;
   InboundRequest& request;
   http::request_header<> head;
+  std::function<bool()> may_send;
   std::function<void()> on_body_received;
   /// Cancelled when the monitor's coroutine has ended.
   asio::steady_timer finished;
@@ -38,6 +40,7 @@
   bool running = false;
   bool stopping = false;
   bool caller_disconnected = false;
+  bool send_refused = false;
   bool body_sent = false;
 };
 
@@ -89,6 +92,11 @@
     if (size == 0 && outgoing.body().more) {
       continue;
     }
+    if (!state.head_sent && !state.may_send()) {
+      state.send_refused = true;
+      state.upstream.stream.cancel();
+      co_return;
+    }
     state.head_sent = true;
     co_await http::async_write(
         state.upstream.stream, serializer,
@@ -205,6 +213,10 @@
   return m_state->head_sent;
 }
 
+bool RequestMonitor::send_refused() const {
+  return m_state->send_refused;
+}
+
 bool RequestMonitor::body_sent() const {
   return m_state->body_sent;
 }
--- a/packages/proxy/banyantrail/proxy/request_monitor.h
+++ b/packages/proxy/banyantrail/proxy/request_monitor.h
@@ -23,6 +23,9 @@
     /// the body, so that nothing has reached the upstream if the sender
     /// disconnects before that.
     bool head_sent = false;
+    /// Asked just before the head is sent with the first part of the body. If
+    /// it returns false, nothing is sent and the wait for the response ends.
+    std::function<bool()> may_send = [] { return true; };
     /// Called once when the whole body of a streamed request was received.
     std::function<void()> on_body_received = [] {};
   };
@@ -46,6 +49,9 @@
   /// The head, or part of it, may have reached the upstream.
   bool head_sent() const;
 
+  /// `may_send` returned false, so that nothing was sent.
+  bool send_refused() const;
+
   /// The whole request body was written to the upstream connection.
   bool body_sent() const;
 
--- a/packages/wire/banyantrail/wire/member_record.h
+++ b/packages/wire/banyantrail/wire/member_record.h
@@ -71,6 +71,8 @@
   /// sequence.
   Revision applied_revision = 0;
   std::vector<BackendServerRecord> backend_servers;
+  /// See kMeshVersion. Builds from before that field do not send it.
+  std::uint32_t mesh_version = 0;
 
   friend bool operator==(const MemberRecord&, const MemberRecord&) = default;
 
@@ -86,7 +88,8 @@
                  mesh_address,
                  admin_address,
                  applied_revision,
-                 backend_servers)
+                 backend_servers,
+                 mesh_version)
 };
 
 /// The version of a member's record, without its content.
--- a/packages/wire/banyantrail/wire/mesh_headers.h
+++ b/packages/wire/banyantrail/wire/mesh_headers.h
@@ -8,6 +8,17 @@
 /// removed from callers' requests, except the deadline and the depth.
 inline constexpr std::string_view kInternalHeaderPrefix = "x-banyantrail-";
 
+/// Entry node to owner node: a RequestMetadata. Owner node to entry node, on
+/// responses to such requests: requests in flight, the current concurrency
+/// limit and the service time in milliseconds, as
+/// "in_flight/limit/service_time", followed by a semicolon and the reason if
+/// the owner node refused the request. Short, because it goes with every
+/// request.
+inline constexpr std::string_view kMetadataHeader = "x-bt";
+
+// Nodes of mesh version 0 use the headers below, up to the body hash, in place
+// of kMetadataHeader.
+
 /// Caller to entry node, entry node to owner node, owner node to backend
 /// server: milliseconds that the sender will still wait. A duration instead of
 /// a point in time, because the clocks of machines differ.
@@ -65,7 +76,8 @@
 /// On each refusal: its reason, as counted in the metrics.
 inline constexpr std::string_view kReasonHeader = "x-banyantrail-reason";
 
-/// Owner node to entry node, on every response: requests in flight and the
+/// Owner node to entry node, on every response to a node of mesh version 0:
+/// requests in flight and the
 /// current concurrency limit, as "in_flight/limit".
 inline constexpr std::string_view kLoadHeader = "x-banyantrail-load";
 
--- a/tests/proxy/request_path.h
+++ b/tests/proxy/request_path.h
@@ -31,6 +31,8 @@
 /// server.
 class RequestPath {
  public:
+  static constexpr Duration kMaxSendAfterDeparture = milliseconds(50);
+
   /// Handles one connection to the backend server.
   using BackendHandler =
       std::function<asio::awaitable<void>(beast::tcp_stream&)>;
@@ -60,6 +62,9 @@
     m_owner.SetBackendServers({Server(state)});
   }
 
+  /// The backend server has left without having announced a drain.
+  void Deregister() { m_owner.SetBackendServers({}); }
+
   void SetRule(Duration deadline, bool idempotent) {
     CompiledConfig config{.revision = 1};
     config.services.push_back({.name = ServiceName("orders")});
@@ -77,7 +82,8 @@
     const MemberRecord member{
         .node = NodeId("n1"),
         .mesh_address = m_mesh,
-        .backend_servers = {Server(BackendServerState::kServing)}};
+        .backend_servers = {Server(BackendServerState::kServing)},
+        .mesh_version = mesh_version};
     m_entry.SetSnapshot(std::make_shared<const RoutingSnapshot>(
         config, ProxyIdentity{}, std::vector<MemberRecord>{member}));
   }
@@ -89,6 +95,14 @@
 
   void StopBackend() { m_listeners.pop_back(); }
 
+  /// Starts to send one request on a new connection. `response` is complete
+  /// once it has been received.
+  void StartSend(std::string head, std::string body, CallerResponse& response) {
+    asio::co_spawn(io,
+                   SendAndReceive(std::move(head), std::move(body), response),
+                   asio::detached);
+  }
+
   /// Sends one request on a new connection and reads the response.
   CallerResponse Send(std::string head, std::string body = {}) {
     CallerResponse response;
@@ -121,6 +135,9 @@
 
   asio::io_context io;
   std::vector<std::string> refusals;
+  int crash_reports = 0;
+  /// Mesh version that the owner node announces, from the next SetRule on.
+  std::uint32_t mesh_version = kMeshVersion;
 
  private:
   OwnerStage::Options OwnerOptions() {
@@ -129,8 +146,10 @@
                             refusals.emplace_back(ToString(reason));
                           },
                       .on_unreachable = [](const BackendServerId&) {},
-                      .on_crash = [](const ServiceName&, auto) {}},
-            .dialect = m_dialect};
+                      .on_crash = [this](const ServiceName&,
+                                         auto) { ++crash_reports; }},
+            .dialect = m_dialect,
+            .max_send_after_departure = kMaxSendAfterDeparture};
   }
 
   EntryStage::Options EntryOptions() {
--- a/tests/proxy/request_path_test.cc
+++ b/tests/proxy/request_path_test.cc
@@ -3,6 +3,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
+#include <array>
 #include <string>
 
 #include "proxy/request_path.h"
@@ -282,6 +284,68 @@
   LONGS_EQUAL(0, received_count);
 }
 
+// A backend server may leave without announcing a drain. Requests that waited
+// for one of its slots were still sent to it when a slot became free.
+TEST(RequestPath, QueuedRequestsAreNotSentToADeregisteredBackendServer) {
+  constexpr int kRequests = 5;
+  int received_count = 0;
+  bool finish = false;
+  RequestPath path([&](tcp_stream& stream) -> asio::awaitable<void> {
+    co_await ReadBackendRequest(stream);
+    ++received_count;
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    while (!finish) {
+      timer.expires_after(milliseconds(5));
+      co_await timer.async_wait(asio::use_awaitable);
+    }
+    co_await WriteText(stream, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  });
+  path.SetRule(seconds(5), false);
+  std::array<CallerResponse, kRequests> responses;
+  for (CallerResponse& response : responses) {
+    path.StartSend("GET /orders HTTP/1.1\r\nHost: mesh\r\n\r\n", "", response);
+  }
+  CHECK(path.RunUntil([&] {
+    return received_count > 0 && path.owner_requests() == kRequests;
+  }));
+  const int running = received_count;
+  CHECK(running < kRequests);
+  path.Deregister();
+  finish = true;
+  CHECK(path.RunUntil([&] {
+    return std::ranges::all_of(responses, &CallerResponse::complete);
+  }));
+  LONGS_EQUAL(running, received_count);
+  const auto refused =
+      std::ranges::count(responses, "draining", &CallerResponse::reason);
+  LONGS_EQUAL(kRequests - running, refused);
+}
+
+// The head of an upload is sent with the first part of its body, which may
+// arrive long after the request was admitted.
+TEST(RequestPath, BodyThatArrivesAfterADepartureIsNotSent) {
+  int received_count = 0;
+  RequestPath path([&](tcp_stream& stream) -> asio::awaitable<void> {
+    co_await ReadBackendRequest(stream);
+    ++received_count;
+  });
+  path.SetRule(seconds(5), false);
+  asio::ip::tcp::socket caller(path.io);
+  caller.connect(banyantrail::ToTcpEndpoint(path.caller_address()));
+  const std::string head =
+      "POST /orders HTTP/1.1\r\nHost: mesh\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n";
+  asio::write(caller, asio::buffer(head));
+  CHECK(path.RunUntil([&] { return path.owner_requests() == 1; }));
+  path.SetState(BackendServerState::kDraining);
+  path.RunUntil([] { return false; }, 2 * RequestPath::kMaxSendAfterDeparture);
+  asio::write(caller, asio::buffer(std::string("3\r\ntwo\r\n0\r\n\r\n")));
+  CHECK(path.RunUntil([&] { return path.owner_requests() == 0; }));
+  path.RunUntil([] { return false; }, milliseconds(50));
+  LONGS_EQUAL(0, received_count);
+  CHECK(std::ranges::count(path.refusals, "draining") == 1);
+}
+
 TEST(RequestPath, RequestShedByBackendServerIsNotRun) {
   RequestPath path(
       RawResponder("HTTP/1.1 503 Busy\r\nx-banyantrail-outcome: not-run\r\n"
@@ -374,3 +438,72 @@
       });
   CHECK(path.RunUntil([&] { return closed; }));
 }
+
+// During a rolling upgrade an entry node of this build forwards to owner nodes
+// of an earlier one, and the reverse: this owner node understands both formats.
+TEST(RequestPath, ServesAndRefusesAcrossMeshVersions) {
+  for (const std::uint32_t version : {0U, banyantrail::kMeshVersion}) {
+    http::request<http::string_body> seen;
+    RequestPath path(
+        [&seen](tcp_stream& stream) -> asio::awaitable<void> {
+          seen = co_await ReadBackendRequest(stream);
+          co_await WriteText(stream,
+                             "HTTP/1.1 200 OK\r\nCall-Name: mine\r\n"
+                             "Proof: p\r\nContent-Length: 3\r\n\r\nown");
+        },
+        kStrictDialect);
+    path.mesh_version = version;
+    path.SetRule(seconds(1), true);
+    const std::string request =
+        "GET /orders HTTP/1.1\r\nHost: mesh\r\nCall-Name: mine\r\n"
+        "Time-Left: 900\r\nx-bt: forged\r\n\r\n";
+    const CallerResponse response = path.Send(request);
+    LONGS_EQUAL(200, response.status);
+    STRCMP_EQUAL("own", response.body.c_str());
+    STRCMP_EQUAL("checkout", std::string(seen["From-Service"]).c_str());
+    STRCMP_EQUAL("s1", std::string(seen["For-Server"]).c_str());
+    const int left = std::stoi(std::string(seen["Time-Left"]));
+    CHECK(left > 700 && left <= 900);
+    LONGS_EQUAL(0, seen.count("x-bt"));
+    path.SetState(BackendServerState::kDraining);
+    const CallerResponse refused = path.Send(request);
+    LONGS_EQUAL(503, refused.status);
+    STRCMP_EQUAL("draining", refused.reason.c_str());
+    STRCMP_EQUAL("not-run", refused.outcome.c_str());
+  }
+}
+
+// A process that ends closes its connections one after the other, so that a new
+// one may still be accepted after the first was lost. Its crash went unnoticed,
+// and the request that had caused it crashed one more backend server.
+TEST(RequestPath, CrashIsReportedAlthoughAConnectionIsStillAccepted) {
+  int connections = 0;
+  RequestPath path([&](tcp_stream& stream) -> asio::awaitable<void> {
+    if (++connections == 1) {
+      co_await ReadBackendRequest(stream);
+    } else {
+      asio::steady_timer timer(co_await asio::this_coro::executor);
+      timer.expires_after(milliseconds(30));
+      co_await timer.async_wait(asio::use_awaitable);
+      path.StopBackend();
+    }
+    stream.close();
+  });
+  ExpectOutcomeUnknown(path.Post("poison"));
+  LONGS_EQUAL(0, path.crash_reports);
+  CHECK(path.RunUntil([&] { return path.crash_reports == 1; }));
+}
+
+TEST(RequestPath, LostConnectionOfALiveServerIsNoCrash) {
+  int connections = 0;
+  RequestPath path([&](tcp_stream& stream) -> asio::awaitable<void> {
+    if (++connections == 1) {
+      co_await ReadBackendRequest(stream);
+      stream.close();
+    }
+  });
+  ExpectOutcomeUnknown(path.Post("x"));
+  path.RunUntil([] { return false; }, milliseconds(400));
+  LONGS_EQUAL(2, connections);
+  LONGS_EQUAL(0, path.crash_reports);
+}
