Take no leftover bytes of a server for an answer

Cause: the client of the store reused a connection without a look at it, so that a second copy of a response would be taken for that to the next request. Beast 1.74 does not know status 103: a response with it was passed on as final. Bytes that are no answer may come without end.

Ruled out by tests with a server that sends until it is closed: an endless head (the limit of 32 KB ends it), an endless body with and without framing (it ends at the deadline, is passed on through a buffer of 64 KB and never looks complete).

Change: the client peeks before it reuses a connection and passes informational responses over; 1xx is recognised by its number; more than 16 of them are no response. PeekNonBlocking moved to the net package.

--- a/packages/net/banyantrail/net/asio.cc
+++ b/packages/net/banyantrail/net/asio.cc
@@ -26,4 +26,15 @@
   socket.set_option(asio::socket_base::keep_alive(true), ignored);
 }
 
+boost::system::error_code PeekNonBlocking(asio::ip::tcp::socket& socket) {
+  boost::system::error_code error;
+  if (!socket.non_blocking()) {
+    socket.non_blocking(true, error);
+  }
+  char byte = 0;
+  socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek,
+                 error);
+  return error;
+}
+
 }  // namespace banyantrail
--- a/packages/net/banyantrail/net/asio.h
+++ b/packages/net/banyantrail/net/asio.h
@@ -37,4 +37,9 @@
 void EnableDeadPeerDetection(asio::ip::tcp::socket& socket,
                              std::chrono::milliseconds user_timeout);
 
+/// Peeks for one byte without blocking. Returns no error if there is one,
+/// would_block if there is none, and another error if the connection is closed
+/// or broken.
+boost::system::error_code PeekNonBlocking(asio::ip::tcp::socket& socket);
+
 }  // namespace banyantrail
--- a/packages/net/banyantrail/net/http_client.cc
+++ b/packages/net/banyantrail/net/http_client.cc
@@ -29,18 +29,25 @@
       m_options(std::move(options)),
       m_idle_connections(std::make_shared<std::deque<ConnectionPtr>>()) {}
 
+/// Whether the server has neither closed the connection nor sent anything
+/// without a request. A second copy of a response would be taken for that to
+/// the next request.
+bool HttpClient::IsReusable(Connection& connection) {
+  return connection.buffer.size() == 0 &&
+         PeekNonBlocking(connection.stream.socket()) ==
+             asio::error::would_block;
+}
+
 HttpClient::ConnectionPtr HttpClient::TakeIdleConnection() {
   const TimePoint oldest = SystemClock().Now() - m_options.max_idle_time;
-  while (!m_idle_connections->empty() &&
-         m_idle_connections->front()->idle_since < oldest) {
-    m_idle_connections->pop_front();
-  }
-  if (m_idle_connections->empty()) {
-    return nullptr;
+  while (!m_idle_connections->empty()) {
+    ConnectionPtr connection = std::move(m_idle_connections->back());
+    m_idle_connections->pop_back();
+    if (connection->idle_since >= oldest && IsReusable(*connection)) {
+      return connection;
+    }
   }
-  ConnectionPtr connection = std::move(m_idle_connections->back());
-  m_idle_connections->pop_back();
-  return connection;
+  return nullptr;
 }
 
 asio::awaitable<HttpClient::ConnectionPtr> HttpClient::Connect(
@@ -70,22 +77,36 @@
   m_idle_connections->push_back(std::move(connection));
 }
 
+std::unique_ptr<HttpClient::ResponseParser> HttpClient::NewParser(
+    http::verb method) const {
+  auto parser = std::make_unique<ResponseParser>();
+  parser->body_limit(m_options.max_body_bytes);
+  if (method == http::verb::head) {
+    parser->skip(true);
+  }
+  return parser;
+}
+
 /// Reads the header before the connection's deadline, then the body within the
-/// time limits for bodies.
+/// time limits for bodies. Informational responses (1xx) are passed over.
 asio::awaitable<boost::system::error_code> HttpClient::ReadResponse(
     Connection& connection,
-    http::response_parser<http::string_body>& parser) const {
+    http::verb method,
+    std::unique_ptr<ResponseParser>& parser) const {
   boost::system::error_code error;
-  co_await http::async_read_header(
-      connection.stream, connection.buffer, parser,
-      asio::redirect_error(asio::use_awaitable, error));
+  do {
+    parser = NewParser(method);
+    co_await http::async_read_header(
+        connection.stream, connection.buffer, *parser,
+        asio::redirect_error(asio::use_awaitable, error));
+  } while (!error && IsInformational(parser->get().result_int()));
   const TimePoint body_deadline = SystemClock().Now() + m_options.body_timeout;
-  while (!error && !parser.is_done()) {
+  while (!error && !parser->is_done()) {
     const TimePoint idle_deadline =
         SystemClock().Now() + m_options.body_idle_timeout;
     connection.stream.expires_at(std::min(idle_deadline, body_deadline));
     co_await http::async_read_some(
-        connection.stream, connection.buffer, parser,
+        connection.stream, connection.buffer, *parser,
         asio::redirect_error(asio::use_awaitable, error));
   }
   co_return error;
@@ -114,23 +135,19 @@
                            .request_sent = written > 0});
   }
 
-  http::response_parser<http::string_body> parser;
-  parser.body_limit(m_options.max_body_bytes);
-  if (request.method() == http::verb::head) {
-    parser.skip(true);
-  }
-  error = co_await ReadResponse(*connection, parser);
+  std::unique_ptr<ResponseParser> parser;
+  error = co_await ReadResponse(*connection, request.method(), parser);
   if (error) {
     throw HttpClientError({.message = "no complete response from " +
                                       ToString(m_options.server) + ": " +
                                       error.message(),
                            .request_sent = true});
   }
-  if (parser.get().keep_alive()) {
+  if (parser->get().keep_alive()) {
     connection->stream.expires_never();
     ReturnToPool(std::move(connection));
   }
-  co_return parser.release();
+  co_return parser->release();
 }
 
 }  // namespace banyantrail
--- a/packages/net/banyantrail/net/http_client.h
+++ b/packages/net/banyantrail/net/http_client.h
@@ -63,12 +63,17 @@
   struct Connection;
   using ConnectionPtr = std::unique_ptr<Connection>;
 
+  static bool IsReusable(Connection& connection);
   ConnectionPtr TakeIdleConnection();
   asio::awaitable<ConnectionPtr> Connect(TimePoint deadline);
   void ReturnToPool(ConnectionPtr connection);
+  using ResponseParser = http::response_parser<http::string_body>;
+
+  std::unique_ptr<ResponseParser> NewParser(http::verb method) const;
   asio::awaitable<boost::system::error_code> ReadResponse(
       Connection& connection,
-      http::response_parser<http::string_body>& parser) const;
+      http::verb method,
+      std::unique_ptr<ResponseParser>& parser) const;
 
   asio::any_io_executor m_executor;
   Options m_options;
--- a/packages/net/banyantrail/net/http_types.h
+++ b/packages/net/banyantrail/net/http_types.h
@@ -11,4 +11,11 @@
 using HttpRequest = http::request<http::string_body>;
 using HttpResponse = http::response<http::string_body>;
 
+/// Whether the status of a response is 1xx. Beast 1.74 does not know all of
+/// these codes, such as 103, and has no class for those.
+inline bool IsInformational(unsigned status) {
+  constexpr unsigned kCodesPerClass = 100;
+  return status / kCodesPerClass == 1;
+}
+
 }  // namespace banyantrail
--- a/packages/proxy/banyantrail/proxy/attempt.cc
+++ b/packages/proxy/banyantrail/proxy/attempt.cc
@@ -41,18 +41,21 @@
 }
 
 bool IsInformational(const Attempt& attempt) {
-  return http::to_status_class(attempt.response->get().result()) ==
-         http::status_class::informational;
+  return banyantrail::IsInformational(attempt.response->get().result_int());
 }
 
 asio::awaitable<boost::system::error_code> ReadFinalResponseHead(
     Attempt& attempt,
     http::verb method) {
+  constexpr int kMaxInformational = 16;
   boost::system::error_code error;
-  do {
+  for (int i = 0; i <= kMaxInformational; ++i) {
     error = co_await ReadResponseHead(attempt, method);
-  } while (!error && IsInformational(attempt));
-  co_return error;
+    if (error || !IsInformational(attempt)) {
+      co_return error;
+    }
+  }
+  co_return http::make_error_code(http::error::bad_status);
 }
 
 /// Reads and discards the rest of a response.
--- a/packages/proxy/banyantrail/proxy/connection.cc
+++ b/packages/proxy/banyantrail/proxy/connection.cc
@@ -28,20 +28,9 @@
                              ignored);
 }
 
-boost::system::error_code PeekNonBlocking(beast::tcp_stream& stream) {
-  asio::ip::tcp::socket& socket = stream.socket();
-  boost::system::error_code error;
-  if (!socket.non_blocking()) {
-    socket.non_blocking(true, error);
-  }
-  char byte = 0;
-  socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek,
-                 error);
-  return error;
-}
-
 bool HasDisconnected(Downstream& downstream) {
-  const boost::system::error_code error = PeekNonBlocking(downstream.stream);
+  const boost::system::error_code error =
+      PeekNonBlocking(downstream.stream.socket());
   return error && error != asio::error::would_block;
 }
 
--- a/packages/proxy/banyantrail/proxy/connection.h
+++ b/packages/proxy/banyantrail/proxy/connection.h
@@ -73,11 +73,6 @@
   asio::steady_timer m_timer;
 };
 
-/// Peeks for one byte without blocking. Returns no error if there is one,
-/// would_block if there is none, and another error if the connection is closed
-/// or broken.
-boost::system::error_code PeekNonBlocking(beast::tcp_stream& stream);
-
 /// Whether the peer has closed or reset the connection, as far as is known
 /// without waiting. A node that is short of CPU time may read requests whose
 /// senders have already disconnected.
--- a/packages/proxy/banyantrail/proxy/upstream_pool.cc
+++ b/packages/proxy/banyantrail/proxy/upstream_pool.cc
@@ -9,7 +9,7 @@
 /// Whether an idle connection is open and has no unexpected data. It becomes
 /// readable if the server closes it or sends data without a request.
 bool IsOpenWithoutData(Upstream& upstream) {
-  return PeekNonBlocking(upstream.stream) == asio::error::would_block;
+  return PeekNonBlocking(upstream.stream.socket()) == asio::error::would_block;
 }
 
 }  // namespace
--- a/tests/net/http_client_test.cc
+++ b/tests/net/http_client_test.cc
@@ -2,6 +2,7 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <boost/beast/http/read.hpp>
 #include <string>
 
 #include "banyantrail/core/clock.h"
@@ -124,3 +125,70 @@
   CHECK(exchange.error.has_value());
   CHECK(exchange.error->request_sent());
 }
+
+namespace {
+
+/// Serves one connection: answers each request with its responses in turn.
+asio::awaitable<void> SendResponses(asio::io_context& io,
+                                    IpEndpoint endpoint,
+                                    std::string responses) {
+  asio::ip::tcp::acceptor acceptor(io, banyantrail::ToTcpEndpoint(endpoint));
+  while (true) {
+    asio::ip::tcp::socket socket =
+        co_await acceptor.async_accept(asio::use_awaitable);
+    boost::beast::flat_buffer buffer;
+    http::request<http::string_body> request;
+    boost::system::error_code error;
+    while (!error) {
+      request = {};
+      co_await http::async_read(
+          socket, buffer, request,
+          asio::redirect_error(asio::use_awaitable, error));
+      const std::string text =
+          responses + "HTTP/1.1 200 OK\r\nContent-Length: " +
+          std::to_string(request.body().size()) + "\r\n\r\n" + request.body();
+      co_await asio::async_write(
+          socket, asio::buffer(text),
+          asio::redirect_error(asio::use_awaitable, error));
+    }
+  }
+}
+
+}  // namespace
+
+TEST(HttpClient, UnexpectedResponseIsNotTakenForThatToTheNextRequest) {
+  asio::co_spawn(io,
+                 SendResponses(io, endpoint,
+                               "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n"
+                               "early"),
+                 asio::detached);
+  HttpClient client(io.get_executor(), {.server = endpoint});
+  Exchange first;
+  Exchange second;
+  asio::co_spawn(
+      io,
+      [&]() -> asio::awaitable<void> {
+        co_await RunExchange(client, "first", first);
+        co_await RunExchange(client, "second", second);
+      },
+      [&](std::exception_ptr) { io.stop(); });
+  RunIo();
+  CHECK(second.response.has_value());
+  // The response to the first request is left over on the first connection.
+  STRCMP_EQUAL("early", second.response->body().c_str());
+}
+
+TEST(HttpClient, InformationalResponsesArePassedOver) {
+  asio::co_spawn(io,
+                 SendResponses(io, endpoint,
+                               "HTTP/1.1 100 Continue\r\n\r\n"
+                               "HTTP/1.1 103 Early Hints\r\n\r\n"),
+                 asio::detached);
+  HttpClient client(io.get_executor(), {.server = endpoint});
+  Exchange exchange;
+  asio::co_spawn(io, RunExchange(client, "own", exchange),
+                 [&](std::exception_ptr) { io.stop(); });
+  RunIo();
+  CHECK(exchange.response.has_value());
+  STRCMP_EQUAL("own", exchange.response->body().c_str());
+}
--- a/tests/proxy/request_path_test.cc
+++ b/tests/proxy/request_path_test.cc
@@ -507,3 +507,61 @@
   LONGS_EQUAL(2, connections);
   LONGS_EQUAL(0, path.crash_reports);
 }
+
+namespace {
+
+/// Reads a request and sends `start`, then `piece` again and again until the
+/// connection is closed.
+RequestPath::BackendHandler EndlessResponder(std::string start,
+                                             std::string piece,
+                                             bool& closed) {
+  return [=, &closed](tcp_stream& stream) -> asio::awaitable<void> {
+    co_await ReadBackendRequest(stream);
+    boost::system::error_code error;
+    co_await asio::async_write(
+        stream, asio::buffer(start),
+        asio::redirect_error(asio::use_awaitable, error));
+    while (!error) {
+      co_await asio::async_write(
+          stream, asio::buffer(piece),
+          asio::redirect_error(asio::use_awaitable, error));
+    }
+    closed = true;
+  };
+}
+
+}  // namespace
+
+// Bytes that are no response may come without end until the connection is
+// closed.
+TEST(RequestPath, EndlessHeadIsNoResponse) {
+  bool closed = false;
+  RequestPath path(EndlessResponder(
+      "HTTP/1.1 200 OK\r\nA: ", std::string(1000, 'a'), closed));
+  path.SetRule(seconds(5), false);
+  ExpectOutcomeUnknown(path.Post("x"));
+  CHECK(path.RunUntil([&] { return closed; }));
+}
+
+TEST(RequestPath, EndlessInformationalResponsesAreNoResponse) {
+  bool closed = false;
+  RequestPath path(
+      EndlessResponder("", "HTTP/1.1 103 Early Hints\r\n\r\n", closed));
+  path.SetRule(seconds(5), false);
+  ExpectOutcomeUnknown(path.Post("x"));
+  CHECK(path.RunUntil([&] { return closed; }));
+}
+
+TEST(RequestPath, EndlessBodyNeverLooksComplete) {
+  for (const std::string framing : {"", "Transfer-Encoding: chunked\r\n"}) {
+    bool closed = false;
+    RequestPath path(EndlessResponder(
+        "HTTP/1.1 200 OK\r\n" + framing + "\r\n",
+        framing.empty() ? std::string(4096, 'b') : "1\r\nb\r\n", closed));
+    const CallerResponse response = path.Post("x");
+    // If nothing was passed on yet, the caller gets a refusal instead.
+    CHECK(!response.complete || response.status >= 502);
+    CHECK(path.RunUntil([&] { return closed; }));
+    CHECK(path.RunUntil([&] { return path.owner_requests() == 0; }));
+  }
+}
--- a/tests/traffic/target_latency_test.cc
+++ b/tests/traffic/target_latency_test.cc
@@ -200,7 +200,10 @@
 TEST(TargetLatency, LateRequestWaitsForASlotWhileTheQueueIsShort) {
   milliseconds now{0};
   for (std::uint32_t i = 0; i < kSlots; ++i) {
-    Offer({.deadline = At(seconds(9)), .target = At(seconds(9))}, At(now));
+    Offer({.deadline = At(seconds(9)),
+           .target = At(seconds(9)),
+           .kind = kLookups},
+          At(now));
     now += milliseconds(20);
   }
   for (RequestId request = 1; request <= kSlots; ++request) {
@@ -208,11 +211,14 @@
     queue.Release(request,
                   {.latency = milliseconds(request % 2 == 0 ? 60 : 500)},
                   At(now));
-    Offer({.deadline = At(now + seconds(9)), .target = At(now + seconds(9))},
+    Offer({.deadline = At(now + seconds(9)),
+           .target = At(now + seconds(9)),
+           .kind = kLookups},
           At(now));
   }
   const OfferResult late = Offer({.deadline = At(now + milliseconds(1000)),
-                                  .target = At(now + milliseconds(250))},
+                                  .target = At(now + milliseconds(250)),
+                                  .kind = kLookups},
                                  At(now));
   CHECK_FALSE(std::holds_alternative<Refused>(late));
 }
