--- a/packages/node/banyantrail/node/membership_view.cc
+++ b/packages/node/banyantrail/node/membership_view.cc
@@ -19,8 +19,8 @@
 
 MembershipView MakeMembershipView(const std::map<NodeId, MemberRecord>& records,
                                   const MembershipView* previous) {
-  static const MembershipView kNone;
-  const MembershipView& known = previous == nullptr ? kNone : *previous;
+  static const MembershipView none;
+  const MembershipView& known = previous == nullptr ? none : *previous;
   MembershipView view;
   view.members.reserve(records.size());
   bool changed = records.size() != known.members.size();
--- a/tests/store/json_array_split_test.cc
+++ b/tests/store/json_array_split_test.cc
@@ -7,7 +7,6 @@
 #include <string>
 #include <vector>
 
-using banyantrail::JsonArraySplit;
 using banyantrail::SplitJsonArray;
 using nlohmann::json;
 
--- a/tests/traffic/choose_endpoint_test.cc
+++ b/tests/traffic/choose_endpoint_test.cc
@@ -284,9 +284,11 @@
 }
 
 TEST(ChooseEndpoint, DrawsFromLargeTiersWithoutExcludedEndpoints) {
+  constexpr int kCount = 500;
   std::vector<ServiceEndpoint> many;
-  for (int i = 0; i < 500; ++i) {
-    many.push_back(EndpointAt(std::to_string(i), i < 250 ? "d0" : "d1"));
+  many.reserve(kCount);
+  for (int i = 0; i < kCount; ++i) {
+    many.push_back(EndpointAt(std::to_string(i), i < kCount / 2 ? "d0" : "d1"));
   }
   const auto is_odd = [](const ServiceEndpoint& endpoint) {
     return std::stoi(endpoint.id.str()) % 2 == 1;
