Bound what a connection holds unparsed

Cause: Beast reads the line of a chunk's size and a trailer as a whole and has no limit for them, and the connection buffers had no maximum size.

Change: each buffer holds at most the limit of a head and 64 KB. Beast then reports buffer_overflow, which is a malformed message: 502 at once and the connection closed. The same for uploads of callers, the client of the store and the HTTP listeners; the client of the store also passes over at most 16 informational responses.

Before the change, on: EndlessChunkHeaderOrTrailerIsCutOff and EndlessChunkHeaderOfAnUploadIsCutOff of RequestPath, EndlessChunkHeaderOrTrailerIsCutOff and EndlessInformationalResponsesAreCutOff of HttpClient and EndlessChunkHeaderIsCutOff of HttpServer failed, the floods having passed 32 MB or not having ended.

--- a/packages/net/banyantrail/net/http_client.cc
+++ b/packages/net/banyantrail/net/http_client.cc
@@ -20,7 +20,7 @@
       : stream(executor) {}
 
   beast::tcp_stream stream;
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer{kMaxUnparsedBytes};
   TimePoint idle_since{};
 };
 
@@ -87,19 +87,33 @@
   return parser;
 }
 
-/// Reads the header before the connection's deadline, then the body within the
-/// time limits for bodies. Informational responses (1xx) are passed over.
-asio::awaitable<boost::system::error_code> HttpClient::ReadResponse(
+/// Reads the header of the response itself. Informational responses (1xx) are
+/// passed over.
+asio::awaitable<boost::system::error_code> HttpClient::ReadFinalHeader(
     Connection& connection,
     http::verb method,
     std::unique_ptr<ResponseParser>& parser) const {
   boost::system::error_code error;
-  do {
+  for (int i = 0; i <= kMaxInformationalResponses; ++i) {
     parser = NewParser(method);
     co_await http::async_read_header(
         connection.stream, connection.buffer, *parser,
         asio::redirect_error(asio::use_awaitable, error));
-  } while (!error && IsInformational(parser->get().result_int()));
+    if (error || !IsInformational(parser->get().result_int())) {
+      co_return error;
+    }
+  }
+  co_return http::make_error_code(http::error::bad_status);
+}
+
+/// Reads the header before the connection's deadline, then the body within the
+/// time limits for bodies.
+asio::awaitable<boost::system::error_code> HttpClient::ReadResponse(
+    Connection& connection,
+    http::verb method,
+    std::unique_ptr<ResponseParser>& parser) const {
+  boost::system::error_code error =
+      co_await ReadFinalHeader(connection, method, parser);
   const TimePoint body_deadline = SystemClock().Now() + m_options.body_timeout;
   while (!error && !parser->is_done()) {
     const TimePoint idle_deadline =
--- a/packages/net/banyantrail/net/http_client.h
+++ b/packages/net/banyantrail/net/http_client.h
@@ -70,6 +70,10 @@
   using ResponseParser = http::response_parser<http::string_body>;
 
   std::unique_ptr<ResponseParser> NewParser(http::verb method) const;
+  asio::awaitable<boost::system::error_code> ReadFinalHeader(
+      Connection& connection,
+      http::verb method,
+      std::unique_ptr<ResponseParser>& parser) const;
   asio::awaitable<boost::system::error_code> ReadResponse(
       Connection& connection,
       http::verb method,
--- a/packages/net/banyantrail/net/http_server.cc
+++ b/packages/net/banyantrail/net/http_server.cc
@@ -54,7 +54,7 @@
 
 asio::awaitable<void> ServeConnection(const HttpServer::Options& options,
                                       beast::tcp_stream stream) {
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer{options.max_header_bytes + kMaxUnparsedBytes};
   bool keep_alive = true;
   while (keep_alive) {
     http::request_parser<http::string_body> parser;
--- a/packages/proxy/banyantrail/proxy/attempt.cc
+++ b/packages/proxy/banyantrail/proxy/attempt.cc
@@ -18,6 +18,7 @@
 namespace {
 
 constexpr std::uint32_t kMaxResponseHeaderBytes = 32U << 10U;
+static_assert(kMaxResponseHeaderBytes < kMaxUnparsedBytes);
 
 std::unique_ptr<Attempt::ResponseParser> NewResponseParser(http::verb method) {
   auto parser = std::make_unique<Attempt::ResponseParser>();
@@ -47,9 +48,8 @@
 asio::awaitable<boost::system::error_code> ReadFinalResponseHead(
     Attempt& attempt,
     http::verb method) {
-  constexpr int kMaxInformational = 16;
   boost::system::error_code error;
-  for (int i = 0; i <= kMaxInformational; ++i) {
+  for (int i = 0; i <= kMaxInformationalResponses; ++i) {
     error = co_await ReadResponseHead(attempt, method);
     if (error || !IsInformational(attempt)) {
       co_return error;
--- a/packages/proxy/banyantrail/proxy/connection.h
+++ b/packages/proxy/banyantrail/proxy/connection.h
@@ -6,6 +6,7 @@
 
 #include "banyantrail/core/clock.h"
 #include "banyantrail/net/asio.h"
+#include "banyantrail/net/http_types.h"
 
 namespace banyantrail {
 
@@ -16,7 +17,8 @@
       : stream(std::move(accepted)) {}
 
   beast::tcp_stream stream;
-  beast::flat_buffer buffer;
+  /// Its maximum size follows the limits of the request that is read.
+  beast::flat_buffer buffer{kMaxUnparsedBytes};
   /// The connection cannot carry another request, for example because part of a
   /// body was left unread.
   bool must_close = false;
@@ -33,7 +35,7 @@
   ~Upstream();
 
   beast::tcp_stream stream;
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer{kMaxUnparsedBytes};
   IpEndpoint server;
   /// The connection comes from the pool and carried an earlier request.
   bool reused = false;
--- a/packages/proxy/banyantrail/proxy/inbound_request.cc
+++ b/packages/proxy/banyantrail/proxy/inbound_request.cc
@@ -117,6 +117,9 @@
 
 asio::awaitable<ReadResult> ReadRequest(Downstream& downstream,
                                         InboundLimits limits) {
+  const std::size_t max_head = limits.max_header_bytes;
+  downstream.buffer.max_size(std::max(downstream.buffer.size(), max_head) +
+                             kMaxUnparsedBytes);
   if (!co_await WaitForFirstByte(downstream, limits.idle_timeout)) {
     co_return ReadResult{};
   }
--- a/tests/net/http_client_test.cc
+++ b/tests/net/http_client_test.cc
@@ -17,8 +17,11 @@
 using banyantrail::IpEndpoint;
 using banyantrail::test::Echo;
 using banyantrail::test::Exchange;
+using banyantrail::test::FloodResult;
 using banyantrail::test::FreeEndpoint;
+using banyantrail::test::kMaxFloodBytes;
 using banyantrail::test::RunExchange;
+using banyantrail::test::SendFlood;
 
 TEST_GROUP(HttpClient) {
   asio::io_context io;
@@ -192,3 +195,75 @@
   CHECK(exchange.response.has_value());
   STRCMP_EQUAL("own", exchange.response->body().c_str());
 }
+
+namespace {
+
+/// Accepts one connection and responds with a chunked body that never ends.
+asio::awaitable<void> RespondWithFlood(asio::io_context& io,
+                                       IpEndpoint endpoint,
+                                       std::string start,
+                                       FloodResult& flood) {
+  asio::ip::tcp::acceptor acceptor(io, banyantrail::ToTcpEndpoint(endpoint));
+  banyantrail::beast::tcp_stream stream(
+      co_await acceptor.async_accept(asio::use_awaitable));
+  co_await SendFlood(
+      stream, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + start,
+      flood);
+}
+
+}  // namespace
+
+// A store whose response never ended took the node's memory for as long as a
+// body may take.
+TEST(HttpClient, EndlessChunkHeaderOrTrailerIsCutOff) {
+  for (const std::string start : {"", "0\r\nA: "}) {
+    HttpClient client(io.get_executor(), {.server = endpoint});
+    FloodResult flood;
+    asio::co_spawn(io, RespondWithFlood(io, endpoint, start, flood),
+                   asio::detached);
+    Exchange exchange;
+    asio::co_spawn(io, RunExchange(client, "x", exchange), asio::detached);
+    io.restart();
+    RunIo();
+    CHECK(exchange.error.has_value());
+    CHECK(exchange.error->request_sent());
+    CHECK(flood.ended);
+    CHECK(flood.sent_bytes < kMaxFloodBytes);
+  }
+}
+
+TEST(HttpClient, EndlessInformationalResponsesAreCutOff) {
+  bool ended = false;
+  asio::co_spawn(
+      io,
+      [&]() -> asio::awaitable<void> {
+        asio::ip::tcp::acceptor acceptor(io,
+                                         banyantrail::ToTcpEndpoint(endpoint));
+        auto socket = co_await acceptor.async_accept(asio::use_awaitable);
+        const std::string text = "HTTP/1.1 103 Early Hints\r\n\r\n";
+        boost::system::error_code error;
+        while (!error) {
+          co_await asio::async_write(
+              socket, asio::buffer(text),
+              asio::redirect_error(asio::use_awaitable, error));
+        }
+        ended = true;
+      },
+      asio::detached);
+  HttpClient client(io.get_executor(), {.server = endpoint});
+  Exchange exchange;
+  asio::co_spawn(
+      io,
+      [&]() -> asio::awaitable<void> {
+        HttpRequest request(http::verb::get, "/", 11);
+        try {
+          co_await client.Request(request, banyantrail::seconds(60));
+        } catch (const banyantrail::HttpClientError& error) {
+          exchange.error = error;
+        }
+      },
+      asio::detached);
+  RunIo();
+  CHECK(exchange.error.has_value());
+  CHECK(ended);
+}
--- a/tests/net/http_exchange.h
+++ b/tests/net/http_exchange.h
@@ -68,4 +68,30 @@
   status_line.resize(status_line.find('\r'));
 }
 
+/// What a peer took in of bytes that never end.
+struct FloodResult {
+  std::size_t sent_bytes = 0;
+  bool ended = false;
+};
+
+/// More than the sockets of a connection hold, and less than a node may use.
+inline constexpr std::size_t kMaxFloodBytes = 32U << 20U;
+
+/// Sends `start` and then bytes without a line end until
+/// the peer closes the connection or has taken twice kMaxFloodBytes.
+inline asio::awaitable<void> SendFlood(beast::tcp_stream& stream,
+                                       std::string start,
+                                       FloodResult& result) {
+  const std::string piece(64U << 10U, 'a');
+  boost::system::error_code error;
+  co_await asio::async_write(stream, asio::buffer(start),
+                             asio::redirect_error(asio::use_awaitable, error));
+  while (!error && result.sent_bytes < 2 * kMaxFloodBytes) {
+    result.sent_bytes += co_await asio::async_write(
+        stream, asio::buffer(piece),
+        asio::redirect_error(asio::use_awaitable, error));
+  }
+  result.ended = true;
+}
+
 }  // namespace banyantrail::test
--- a/tests/net/http_server_test.cc
+++ b/tests/net/http_server_test.cc
@@ -10,7 +10,10 @@
 using banyantrail::HttpServer;
 using banyantrail::IpEndpoint;
 using banyantrail::test::Echo;
+using banyantrail::test::FloodResult;
 using banyantrail::test::FreeEndpoint;
+using banyantrail::test::kMaxFloodBytes;
+using banyantrail::test::SendFlood;
 using banyantrail::test::SendRawRequest;
 
 TEST_GROUP(HttpServer) {
@@ -54,6 +57,23 @@
                    .c_str());
 }
 
+// Anyone on the VM may send to the listeners of a node.
+TEST(HttpServer, EndlessChunkHeaderIsCutOff) {
+  HttpServer server(io, {.endpoint = endpoint, .handler = Echo});
+  banyantrail::beast::tcp_stream caller(io);
+  caller.socket().connect(banyantrail::ToTcpEndpoint(endpoint));
+  FloodResult flood;
+  asio::co_spawn(io,
+                 SendFlood(caller,
+                           "POST / HTTP/1.1\r\n"
+                           "Transfer-Encoding: chunked\r\n\r\n",
+                           flood),
+                 asio::detached);
+  RunIo();
+  CHECK(flood.ended);
+  CHECK(flood.sent_bytes < kMaxFloodBytes);
+}
+
 TEST(HttpServer, PortInUseThrowsError) {
   HttpServer first(io, {.endpoint = endpoint, .handler = Echo});
   CHECK_THROWS(banyantrail::Error,
--- a/tests/proxy/request_path_test.cc
+++ b/tests/proxy/request_path_test.cc
@@ -16,8 +16,11 @@
 using banyantrail::seconds;
 using banyantrail::beast::tcp_stream;
 using banyantrail::test::CallerResponse;
+using banyantrail::test::FloodResult;
+using banyantrail::test::kMaxFloodBytes;
 using banyantrail::test::ReadBackendRequest;
 using banyantrail::test::RequestPath;
+using banyantrail::test::SendFlood;
 using banyantrail::test::WriteText;
 
 namespace {
@@ -565,3 +568,43 @@
     CHECK(path.RunUntil([&] { return path.owner_requests() == 0; }));
   }
 }
+
+// A response of which the size of a chunk or a trailer never ended took the
+// memory of both nodes until the deadline. The platform killed the process, and
+// with it ended the requests of other callers.
+TEST(RequestPath, EndlessChunkHeaderOrTrailerIsCutOff) {
+  for (const std::string start : {"", "0\r\nA: ", "1;a="}) {
+    FloodResult flood;
+    RequestPath path([&flood, start](tcp_stream& stream) {
+      return SendFlood(
+          stream,
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + start,
+          flood);
+    });
+    path.SetRule(seconds(5), false);
+    ExpectOutcomeUnknown(path.Post("x"));
+    CHECK(path.RunUntil([&] { return flood.ended; }));
+    CHECK(flood.sent_bytes < kMaxFloodBytes);
+    LONGS_EQUAL(0, path.owner_requests());
+  }
+}
+
+// The same of an upload, whose sender is a caller.
+TEST(RequestPath, EndlessChunkHeaderOfAnUploadIsCutOff) {
+  RequestPath path([](tcp_stream& stream) -> asio::awaitable<void> {
+    co_await ReadBackendRequest(stream);
+  });
+  path.SetRule(seconds(5), false);
+  FloodResult flood;
+  tcp_stream caller(path.io);
+  caller.socket().connect(banyantrail::ToTcpEndpoint(path.caller_address()));
+  asio::co_spawn(path.io,
+                 SendFlood(caller,
+                           "POST /orders HTTP/1.1\r\nHost: mesh\r\n"
+                           "Transfer-Encoding: chunked\r\n\r\n",
+                           flood),
+                 asio::detached);
+  CHECK(path.RunUntil([&] { return flood.ended; }));
+  CHECK(flood.sent_bytes < kMaxFloodBytes);
+  CHECK(path.RunUntil([&] { return path.owner_requests() == 0; }));
+}
