Close a connection whose request body was not read to its end

Cause: RequestMonitor::Stop marked the caller's connection only if it had to end the forwarding itself. If the write to the server had failed first, as it does when the response and a reset behind it are seen at once, the forwarding had ended by itself with the body half read.

Change: a connection cannot be reused while the parser has not received the whole body, however the forwarding ended. Both places of the entry stage that write a head ask the same, so that the close is announced; a refusal after the whole body no longer closes without that.

--- a/packages/proxy/banyantrail/proxy/entry_stage.cc
+++ b/packages/proxy/banyantrail/proxy/entry_stage.cc
@@ -525,7 +525,8 @@
     co_await Refuse(downstream, context, ReasonOf(attempt));
     co_return;
   }
-  const bool keep_alive = !downstream.must_close && !m_draining &&
+  const bool keep_alive = !downstream.must_close &&
+                          !context.request.has_unread_body() && !m_draining &&
                           context.request.parser->keep_alive();
   const unsigned status = attempt.response->get().result_int();
   RecordResult(context, status);
@@ -578,10 +579,9 @@
   }
   const unsigned status = static_cast<unsigned>(reply.status);
   ReportDecision(context, "refused", ToString(reason), status);
-  const bool body_unread =
-      context.request.is_streamed && !context.request.parser->is_done();
-  const bool keep_alive =
-      !body_unread && !m_draining && context.request.parser->keep_alive();
+  const bool keep_alive = !downstream.must_close &&
+                          !context.request.has_unread_body() && !m_draining &&
+                          context.request.parser->keep_alive();
   co_await SendLocalReply(downstream, std::move(reply), keep_alive);
   downstream.must_close = downstream.must_close || !keep_alive;
   ReportResponse(context, status);
--- a/packages/proxy/banyantrail/proxy/inbound_request.h
+++ b/packages/proxy/banyantrail/proxy/inbound_request.h
@@ -34,6 +34,10 @@
   bool expects_continue = false;
 
   const http::request_header<>& head() const { return parser->get(); }
+
+  /// Part of the body is not received yet. What follows on the connection is
+  /// the rest of it and no further request.
+  bool has_unread_body() const { return is_streamed && !parser->is_done(); }
 };
 
 /// Limits for the requests on one connection.
--- a/packages/proxy/banyantrail/proxy/request_monitor.cc
+++ b/packages/proxy/banyantrail/proxy/request_monitor.cc
@@ -192,8 +192,6 @@
   }
   if (m_state->running) {
     if (!m_state->body_sent) {
-      // Part of the body stays unread, so the connection cannot be reused.
-      m_state->downstream.must_close = true;
       m_state->upstream.stream.cancel();
     }
     m_state->downstream.stream.cancel();
@@ -203,6 +201,11 @@
     co_await m_state->finished.async_wait(
         asio::redirect_error(asio::use_awaitable, ignored));
   }
+  // Also when forwarding had ended by itself, as after an early response with a
+  // reset behind it.
+  if (m_state->request.has_unread_body()) {
+    m_state->downstream.must_close = true;
+  }
 }
 
 bool RequestMonitor::caller_disconnected() const {
--- a/tests/proxy/request_path.h
+++ b/tests/proxy/request_path.h
@@ -95,6 +95,13 @@
 
   void StopBackend() { m_listeners.pop_back(); }
 
+  /// Another program takes the place of the owner node.
+  void ReplaceOwner(BackendHandler handler) {
+    m_listeners.front()->Stop();
+    m_handler = std::move(handler);
+    ListenForBackendHandler(m_mesh);
+  }
+
   /// Starts to send one request on a new connection. `response` is complete
   /// once it has been received.
   void StartSend(std::string head, std::string body, CallerResponse& response) {
@@ -178,15 +185,16 @@
         std::make_unique<TcpListener>(io, std::move(options)));
   }
 
-  void StartBackend() {
-    Listen(m_backend,
-           [this](beast::tcp_stream stream) -> asio::awaitable<void> {
-             const auto connection =
-                 std::make_shared<beast::tcp_stream>(std::move(stream));
-             co_await m_handler(*connection);
-             // Keeps the connection open unless the handler closes it.
-             m_backend_connections.push_back(connection);
-           });
+  void StartBackend() { ListenForBackendHandler(m_backend); }
+
+  void ListenForBackendHandler(const IpEndpoint& endpoint) {
+    Listen(endpoint, [this](beast::tcp_stream stream) -> asio::awaitable<void> {
+      const auto connection =
+          std::make_shared<beast::tcp_stream>(std::move(stream));
+      co_await m_handler(*connection);
+      // Keeps the connection open unless the handler closes it.
+      m_backend_connections.push_back(connection);
+    });
   }
 
   asio::awaitable<void> SendAndReceive(std::string head,
--- a/tests/proxy/request_path_test.cc
+++ b/tests/proxy/request_path_test.cc
@@ -5,11 +5,14 @@
 
 #include <algorithm>
 #include <array>
+#include <boost/beast/http/empty_body.hpp>
 #include <string>
+#include <string_view>
 
 #include "proxy/request_path.h"
 
 namespace asio = boost::asio;
+namespace beast = boost::beast;
 namespace http = boost::beast::http;
 using banyantrail::BackendServerState;
 using banyantrail::milliseconds;
@@ -608,3 +611,122 @@
   CHECK(flood.sent_bytes < kMaxFloodBytes);
   CHECK(path.RunUntil([&] { return path.owner_requests() == 0; }));
 }
+
+namespace {
+
+/// Appends to `received` all that arrives until the connection is closed or
+/// stays silent.
+asio::awaitable<void> ReadAll(tcp_stream& stream, std::string& received) {
+  constexpr auto kMaxSilence = milliseconds(200);
+  std::array<char, 65536> bytes{};
+  boost::system::error_code error;
+  while (!error) {
+    stream.expires_after(kMaxSilence);
+    const std::size_t size = co_await stream.async_read_some(
+        asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, error));
+    received.append(bytes.data(), size);
+  }
+}
+
+int CountOf(const std::string& text, const std::string& part) {
+  int count = 0;
+  for (std::size_t at = text.find(part); at != std::string::npos;
+       at = text.find(part, at + part.size())) {
+    ++count;
+  }
+  return count;
+}
+
+constexpr std::string_view kSmuggledRequest =
+    "POST /orders/smuggled HTTP/1.1\r\nHost: mesh\r\nContent-Length: 0\r\n"
+    "x-banyantrail-service: orders\r\nx-banyantrail-backend-server: s1\r\n"
+    "x-banyantrail-deadline-ms: 1000\r\n\r\n";
+
+/// Counts the requests that a backend server reads beyond the head of the
+/// first one, which it answers early with a reset behind the response.
+struct EarlyResponder {
+  /// Sent before the response.
+  std::string first;
+  int uploads = 0;
+  int other_requests = 0;
+
+  asio::awaitable<void> Serve(tcp_stream& stream) {
+    beast::flat_buffer buffer;
+    http::request_parser<http::empty_body> parser;
+    parser.body_limit(banyantrail::kNoBodyLimit);
+    co_await http::async_read_header(stream, buffer, parser,
+                                     asio::use_awaitable);
+    if (parser.get().target() != "/orders/upload") {
+      ++other_requests;
+      co_await WriteText(stream,
+                         "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+      co_return;
+    }
+    ++uploads;
+    co_await WriteText(stream, first);
+    // Until the buffers of the connections are full.
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    timer.expires_after(milliseconds(50));
+    co_await timer.async_wait(asio::use_awaitable);
+    // Both in one step, so that a node sees the response and the reset at once.
+    asio::write(stream.socket(),
+                asio::buffer(std::string("HTTP/1.1 413 Payload Too Large\r\n"
+                                         "Content-Length: 8\r\n\r\ntoo long")));
+    stream.socket().set_option(asio::socket_base::linger(true, 0));
+    stream.close();
+  }
+};
+
+/// Uploads again and again a body whose parts have the form of requests, and
+/// checks that each caller gets at most one response, which closes.
+void CheckEarlyAnsweredUploads(RequestPath& path, int rounds) {
+  constexpr std::size_t kBodyBytes = 16U << 20U;
+  std::string body;
+  while (body.size() < kBodyBytes) {
+    body += kSmuggledRequest;
+  }
+  const std::string request =
+      "POST /orders/upload HTTP/1.1\r\nHost: mesh\r\nContent-Length: " +
+      std::to_string(body.size()) + "\r\n\r\n" + body;
+  path.SetRule(seconds(5), false);
+  for (int round = 0; round < rounds; ++round) {
+    tcp_stream caller(path.io);
+    caller.socket().connect(banyantrail::ToTcpEndpoint(path.caller_address()));
+    std::string received;
+    bool done = false;
+    asio::async_write(caller.socket(), asio::buffer(request),
+                      [](const boost::system::error_code&, std::size_t) {});
+    asio::co_spawn(path.io, ReadAll(caller, received),
+                   [&done](std::exception_ptr) { done = true; });
+    CHECK(path.RunUntil([&] { return done; }));
+    CHECK(CountOf(received, "HTTP/1.1 ") <= 1);
+    CHECK(received.empty() || CountOf(received, "Connection: close") == 1);
+  }
+}
+
+constexpr int kEarlyAnswers = 20;
+
+}  // namespace
+
+// A backend server answered an upload early and closed its connection. When the
+// owner node saw both at once, it took the rest of the body for requests.
+TEST(RequestPath, OwnerNodeTakesNoRestOfAnUploadForRequests) {
+  EarlyResponder responder;
+  RequestPath path([&](tcp_stream& stream) { return responder.Serve(stream); });
+  CheckEarlyAnsweredUploads(path, kEarlyAnswers);
+  LONGS_EQUAL(kEarlyAnswers, responder.uploads);
+  LONGS_EQUAL(0, responder.other_requests);
+  LONGS_EQUAL(0, std::ranges::count(path.refusals, "malformed_request"));
+}
+
+// The same of the entry node, which sees an owner node close behind each early
+// response.
+TEST(RequestPath, EntryNodeTakesNoRestOfAnUploadForRequests) {
+  EarlyResponder responder{.first = "HTTP/1.1 100 Continue\r\n\r\n"};
+  RequestPath path(EchoHandler);
+  path.ReplaceOwner(
+      [&](tcp_stream& stream) { return responder.Serve(stream); });
+  CheckEarlyAnsweredUploads(path, kEarlyAnswers);
+  LONGS_EQUAL(kEarlyAnswers, responder.uploads);
+  LONGS_EQUAL(0, responder.other_requests);
+}
