Act on a change whatever bytes the ids hold

Cause: the report was stored, and the log line for each known server then threw in json::dump, before the stages and the other nodes were told, at each later change again. A repeated report is no change and was acknowledged. The housekeeping ended by the same exception without a line.

Change: log lines replace such bytes; ids and services are checked before they are stored; a change is applied before it is logged, and a change that failed on its way stays pending, is tried again by the next report and the housekeeping, and is not acknowledged before; the housekeeping outlives a failure. On related paths: a refusal whose request id was no text ended with the caller's connection closed and the request counted as in progress for ever; an exception from a handler ended the process; detached tasks of the node ended silently.

After: core_test, net_test, node_test and platform_test pass.

--- a/packages/core/banyantrail/core/logging.cc
+++ b/packages/core/banyantrail/core/logging.cc
@@ -14,6 +14,7 @@
 #include <utility>
 
 #include "banyantrail/core/errors.h"
+#include "banyantrail/core/text.h"
 #include "banyantrail/core/wall_time.h"
 
 namespace banyantrail {
@@ -49,7 +50,7 @@
     if (m_dropped_lines > 0) {
       const nlohmann::json notice = {{"event", "log_lines_lost"},
                                      {"count", m_dropped_lines}};
-      if (!Write(notice.dump() + "\n")) {
+      if (!Write(ToJsonText(notice) + "\n")) {
         ++m_dropped_lines;
         return;
       }
@@ -77,7 +78,7 @@
     } else {
       line["message"] = message;
     }
-    return line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    return ToJsonText(line);
   }
 
   /// A pipe that polls as writable accepts PIPE_BUF bytes without blocking;
@@ -147,7 +148,7 @@
 }
 
 void ComponentLogger::Event(const nlohmann::json& fields) const {
-  LOG4CXX_INFO(log4cxx::Logger::getLogger(m_component), fields.dump());
+  LOG4CXX_INFO(log4cxx::Logger::getLogger(m_component), ToJsonText(fields));
 }
 
 }  // namespace banyantrail
--- a/packages/core/banyantrail/core/logging.h
+++ b/packages/core/banyantrail/core/logging.h
@@ -30,7 +30,8 @@
   void Warn(const std::string& message) const;
   void Error(const std::string& message) const;
 
-  /// Writes a structured line with the given fields at level info.
+  /// Writes a structured line with the given fields at level info. The fields
+  /// may hold any bytes; those that are not UTF-8 are replaced.
   void Event(const nlohmann::json& fields) const;
 
  private:
--- a/packages/node/banyantrail/node/admin_api.cc
+++ b/packages/node/banyantrail/node/admin_api.cc
@@ -15,6 +15,7 @@
 #include "banyantrail/config/release_json.h"
 #include "banyantrail/config/release_loader.h"
 #include "banyantrail/config/release_publisher.h"
+#include "banyantrail/core/text.h"
 #include "banyantrail/core/wall_time.h"
 #include "banyantrail/net/http_server.h"
 
@@ -27,7 +28,7 @@
 constexpr std::string_view kReleasesPath = "/v1/releases/";
 
 HttpResponse MakeResponse(http::status status, const json& body) {
-  return JsonResponse(status, body.dump());
+  return JsonResponse(status, ToJsonText(body));
 }
 
 HttpResponse ErrorResponse(http::status status,
--- a/packages/node/banyantrail/node/control_plane.cc
+++ b/packages/node/banyantrail/node/control_plane.cc
@@ -10,6 +10,7 @@
 #include "banyantrail/core/digest.h"
 #include "banyantrail/core/logging.h"
 #include "banyantrail/distribution/relay_lease.h"
+#include "banyantrail/net/log_failure.h"
 #include "banyantrail/node/distribution_actor.h"
 #include "banyantrail/node/membership_actor.h"
 #include "banyantrail/node/routing_actor.h"
@@ -128,7 +129,7 @@
       m_tick_timer(io),
       m_store_follower(FollowerOptions(settings), SystemClock().Now()) {
   SpawnActors(settings);
-  asio::co_spawn(io, RunTicks(), asio::detached);
+  asio::co_spawn(io, RunTicks(), LogFailure("ticks"));
 }
 
 ControlPlane::~ControlPlane() {
--- a/packages/node/banyantrail/node/data_plane.cc
+++ b/packages/node/banyantrail/node/data_plane.cc
@@ -7,6 +7,7 @@
 #include "banyantrail/core/digest.h"
 #include "banyantrail/core/log_rate_limiter.h"
 #include "banyantrail/core/logging.h"
+#include "banyantrail/net/log_failure.h"
 
 namespace banyantrail {
 namespace {
@@ -197,7 +198,7 @@
       .on_refused =
           [&metrics] { metrics.CountRefusal("mesh", "too_many_connections"); }};
   m_mesh_listener = std::make_unique<TcpListener>(io, std::move(mesh));
-  asio::co_spawn(io, RunHousekeeping(), asio::detached);
+  asio::co_spawn(io, RunHousekeeping(), LogFailure("housekeeping"));
 }
 
 void DataPlane::SetSnapshot(std::shared_ptr<const RoutingSnapshot> snapshot) {
@@ -213,7 +214,8 @@
 
 void DataPlane::Announce(Announcement announcement) {
   const TimePoint now = SystemClock().Now();
-  if (m_backend_servers.Announce(std::move(announcement), now)) {
+  const bool changed = m_backend_servers.Announce(std::move(announcement), now);
+  if (changed || m_has_pending_change) {
     OnBackendServersChanged();
   }
 }
@@ -224,7 +226,7 @@
   const bool removed =
       m_backend_servers.Deregister(departure, SystemClock().Now(),
                                    static_cast<std::uint64_t>(wall_ms.count()));
-  if (removed) {
+  if (removed || m_has_pending_change) {
     OnBackendServersChanged();
   }
   return removed;
@@ -259,7 +261,11 @@
 }
 
 void DataPlane::OnBackendServersChanged() {
-  std::vector<BackendServerRecord> records = m_backend_servers.Records();
+  m_has_pending_change = true;
+  const std::vector<BackendServerRecord> records = m_backend_servers.Records();
+  m_owner_stage.SetBackendServers(records);
+  m_options.on_backend_servers_changed(records);
+  m_has_pending_change = false;
   for (const BackendServerRecord& record : records) {
     kLog.Event({{"event", "backend_server"},
                 {"id", record.id.str()},
@@ -267,8 +273,6 @@
                 {"state", static_cast<int>(record.state)},
                 {"slots", record.slots}});
   }
-  m_owner_stage.SetBackendServers(records);
-  m_options.on_backend_servers_changed(std::move(records));
 }
 
 asio::awaitable<void> DataPlane::RunHousekeeping() {
@@ -277,11 +281,21 @@
     m_housekeeping_timer.expires_after(kHousekeepingInterval);
     co_await m_housekeeping_timer.async_wait(
         asio::redirect_error(asio::use_awaitable, error));
-    m_upstream_pool.CloseExpired();
-    if (m_backend_servers.Expire(SystemClock().Now())) {
-      OnBackendServersChanged();
+    try {
+      DoHousekeeping();
+    } catch (const std::exception& failure) {
+      kLog.Error("Housekeeping failed and is repeated: " +
+                 std::string(failure.what()) + ".");
     }
   }
 }
 
+void DataPlane::DoHousekeeping() {
+  m_upstream_pool.CloseExpired();
+  const bool expired = m_backend_servers.Expire(SystemClock().Now());
+  if (expired || m_has_pending_change) {
+    OnBackendServersChanged();
+  }
+}
+
 }  // namespace banyantrail
--- a/packages/node/banyantrail/node/data_plane.h
+++ b/packages/node/banyantrail/node/data_plane.h
@@ -72,10 +72,14 @@
  private:
   void OnBackendServersChanged();
   asio::awaitable<void> RunHousekeeping();
+  void DoHousekeeping();
 
   Metrics& m_metrics;
   Options m_options;
   LocalBackendServers m_backend_servers;
+  /// The last change is not yet in force at the stages and the other nodes,
+  /// because it failed on the way. It is repeated.
+  bool m_has_pending_change = false;
   UpstreamPool m_upstream_pool;
   RunningRequests m_running_requests;
   OwnerStage m_owner_stage;
--- a/packages/node/banyantrail/node/local_backend_servers.cc
+++ b/packages/node/banyantrail/node/local_backend_servers.cc
@@ -4,8 +4,23 @@
 #include <utility>
 
 #include "banyantrail/core/errors.h"
+#include "banyantrail/core/text.h"
 
 namespace banyantrail {
+namespace {
+
+void CheckNames(const BackendServerRecord& record) {
+  if (IsPrintableId(record.id.str()) && IsPrintableId(record.service.str())) {
+    return;
+  }
+  throw Error({.kind = ErrorKind::kInvalidDeclaration,
+               .message = "the id or the service of a backend server is empty, "
+                          "longer than " +
+                          std::to_string(kMaxIdBytes) + " bytes or no text",
+               .remedy = "use printable UTF-8"});
+}
+
+}  // namespace
 
 /// Whether a later announcement from the backend server, or from its successor
 /// at the same address, has already been processed.
@@ -43,6 +58,7 @@
   if (IsOutdated(announcement)) {
     return false;
   }
+  CheckNames(announcement.record);
   RemovePredecessors(announcement);
   BackendServerRecord record = announcement.record;
   if (m_draining) {
--- a/packages/node/banyantrail/node/local_backend_servers.h
+++ b/packages/node/banyantrail/node/local_backend_servers.h
@@ -44,7 +44,8 @@
 
   /// Registers a backend server or processes its heartbeat. Returns whether
   /// anything except the time of the last heartbeat changed. Throws
-  /// Error{kInvalidDeclaration} when Options::max_servers is exceeded.
+  /// Error{kInvalidDeclaration} when Options::max_servers is exceeded or a name
+  /// is not one, and then changes nothing.
   bool Announce(Announcement announcement, TimePoint now);
 
   /// Removes a backend server, unless the departure is that of an earlier
--- a/packages/node/banyantrail/node/node.cc
+++ b/packages/node/banyantrail/node/node.cc
@@ -6,6 +6,7 @@
 
 #include "banyantrail/core/logging.h"
 #include "banyantrail/net/http_server.h"
+#include "banyantrail/net/log_failure.h"
 #include "banyantrail/node/admin_api.h"
 #include "banyantrail/node/control_plane.h"
 #include "banyantrail/node/data_plane.h"
@@ -135,8 +136,8 @@
   if (options.make_environment) {
     components.environment = options.make_environment(MakeServices());
   }
-  asio::co_spawn(m_io, WaitForSignal(), asio::detached);
-  asio::co_spawn(m_io, WaitForReload(), asio::detached);
+  asio::co_spawn(m_io, WaitForSignal(), LogFailure("wait for a stop"));
+  asio::co_spawn(m_io, WaitForReload(), LogFailure("wait for a reload"));
 }
 
 NodeServices Node::MakeServices() {
@@ -189,7 +190,7 @@
 void Node::Run() {
   kLog.Info("Node " + m_settings.node.str() + " is listening for callers on " +
             ToString(m_settings.listen.caller) + ".");
-  m_io.run();
+  RunLoggingFailures(m_io);
   kLog.Info("Node " + m_settings.node.str() + " has stopped.");
 }
 
@@ -221,7 +222,7 @@
   kLog.Info("Graceful shutdown started.");
   m_components->data->StartDrain();
   m_components->control->StartDrain();
-  asio::co_spawn(m_io, DrainAndStop(), asio::detached);
+  asio::co_spawn(m_io, DrainAndStop(), LogFailure("graceful shutdown"));
 }
 
 asio::awaitable<void> Node::DrainAndStop() {
--- a/packages/node/banyantrail/node/platform_tasks.cc
+++ b/packages/node/banyantrail/node/platform_tasks.cc
@@ -3,6 +3,8 @@
 #include <chrono>
 #include <utility>
 
+#include "banyantrail/net/log_failure.h"
+
 namespace banyantrail {
 namespace {
 
@@ -39,10 +41,10 @@
     return;
   }
   StartRelayTask();
-  asio::co_spawn(m_io, DiscoverPeers(), asio::detached);
-  asio::co_spawn(m_io, RunMetricsExport(), asio::detached);
+  asio::co_spawn(m_io, DiscoverPeers(), LogFailure("discovery of peers"));
+  asio::co_spawn(m_io, RunMetricsExport(), LogFailure("export of metrics"));
   if (settings.distribution_mode == DistributionMode::kPlatformWatch) {
-    asio::co_spawn(m_io, WatchPlatform(), asio::detached);
+    asio::co_spawn(m_io, WatchPlatform(), LogFailure("watch of the platform"));
   }
 }
 
--- a/packages/proxy/banyantrail/proxy/connection.h
+++ b/packages/proxy/banyantrail/proxy/connection.h
@@ -48,6 +48,19 @@
 
 using UpstreamPtr = std::unique_ptr<Upstream>;
 
+/// Counts a request as in progress while it exists, also if it ends with an
+/// exception.
+class CountInProgress {
+ public:
+  explicit CountInProgress(std::size_t& count) : m_count(count) { ++m_count; }
+  CountInProgress(const CountInProgress&) = delete;
+  CountInProgress& operator=(const CountInProgress&) = delete;
+  ~CountInProgress() { --m_count; }
+
+ private:
+  std::size_t& m_count;
+};
+
 /// Body limit for messages of any size. Boost 1.74 treats an unset limit as
 /// zero.
 inline constexpr std::uint64_t kNoBodyLimit =
--- a/packages/proxy/banyantrail/proxy/entry_stage.cc
+++ b/packages/proxy/banyantrail/proxy/entry_stage.cc
@@ -116,9 +116,8 @@
       co_await RefuseMalformed(downstream, read.refusal);
       break;
     }
-    ++m_in_progress;
+    const CountInProgress in_progress(m_in_progress);
     co_await Handle(downstream, read.request);
-    --m_in_progress;
     downstream.must_close = downstream.must_close || m_draining ||
                             !read.request.parser->keep_alive();
   }
--- a/packages/proxy/banyantrail/proxy/owner_stage.cc
+++ b/packages/proxy/banyantrail/proxy/owner_stage.cc
@@ -89,9 +89,8 @@
     if (read.outcome != ReadOutcome::kRequest) {
       break;
     }
-    ++m_in_progress;
+    const CountInProgress in_progress(m_in_progress);
     co_await Handle(downstream, read.request);
-    --m_in_progress;
   }
   Close(downstream.stream);
 }
--- a/tests/node/local_backend_servers_test.cc
+++ b/tests/node/local_backend_servers_test.cc
@@ -175,3 +175,16 @@
   servers.Expire(clock.Now());
   CHECK(servers.Departures().empty());
 }
+
+// A report whose id was no text stayed, and each later change failed on it.
+TEST(LocalBackendServers, AnAnnouncementWithoutAProperNameChangesNothing) {
+  for (const char* id : {"", "i-7f\xff\xfe"}) {
+    CHECK_THROWS(banyantrail::Error,
+                 servers.Announce({.record = Record(id)}, clock.Now()));
+  }
+  BackendServerRecord record = Record("s1");
+  record.service = ServiceName("stock\xff");
+  CHECK_THROWS(banyantrail::Error,
+               servers.Announce({.record = record}, clock.Now()));
+  CHECK(servers.Records().empty());
+}
--- a/tests/platform/announcements_test.cc
+++ b/tests/platform/announcements_test.cc
@@ -88,6 +88,16 @@
   CHECK_FALSE(announced.has_value());
 }
 
+// The id stands in the path, which may hold any bytes.
+TEST(Announcements, RejectsAnIdThatIsNoText) {
+  for (const char* target : {"/-/instances/i-7f\xff\xfe", "/-/instances/"}) {
+    LONGS_EQUAL(400, Send(http::verb::put, target, kHeartbeat));
+    LONGS_EQUAL(400, Send(http::verb::delete_, target));
+  }
+  CHECK_FALSE(announced.has_value());
+  CHECK_FALSE(departed.has_value());
+}
+
 TEST(Announcements, DepartureMayContainGeneration) {
   LONGS_EQUAL(200, Send(http::verb::delete_, "/-/instances/i-7"));
   CHECK(departed->generation == 0);
