End a chunked body once

Cause: the last chunk, which mostly arrives on its own, was passed to the serializer as an empty part. Beast writes it as a chunk of size 0 and then ends the body again. The owner node answered the second end with 400, and the entry node gave that to the next request on the connection.

Change: an empty last part is left out. Responses whose length is a multiple of the relay buffer of 64 KB had the same fault towards the caller.

Before the change: ChunkedBodyEndsOnce failed, and ChunkedResponseEndsOnce with the former response_relay.cc.

--- a/packages/proxy/banyantrail/proxy/request_monitor.cc
+++ b/packages/proxy/banyantrail/proxy/request_monitor.cc
@@ -6,6 +6,8 @@
 #include <boost/beast/http/write.hpp>
 #include <utility>
 
+#include "banyantrail/proxy/body_part.h"
+
 namespace banyantrail {
 namespace {
 
@@ -83,15 +85,12 @@
       co_return;
     }
     const std::size_t size = buffer.size() - parser.get().body().size;
-    outgoing.body().data = buffer.data();
-    outgoing.body().size = size;
-    outgoing.body().more = !parser.is_done();
     if (parser.is_done()) {
       state.on_body_received();
-    }
-    if (size == 0 && outgoing.body().more) {
+    } else if (size == 0) {
       continue;
     }
+    SetBodyPart(outgoing.body(), buffer.data(), size, parser.is_done());
     if (!state.head_sent && !state.may_send()) {
       state.send_refused = true;
       state.upstream.stream.cancel();
--- a/packages/proxy/banyantrail/proxy/response_relay.cc
+++ b/packages/proxy/banyantrail/proxy/response_relay.cc
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "banyantrail/proxy/body_part.h"
 #include "banyantrail/proxy/serialize_head.h"
 
 namespace banyantrail {
@@ -132,9 +133,8 @@
   }
   http::response_serializer<http::buffer_body> serializer(message);
   while (true) {
-    message.body().data = buffer.bytes.data();
-    message.body().size = buffer.size;
-    message.body().more = !parser.is_done();
+    SetBodyPart(message.body(), buffer.bytes.data(), buffer.size,
+                parser.is_done());
     co_await http::async_write(
         downstream.stream, serializer,
         asio::redirect_error(asio::use_awaitable, error));
--- a/tests/proxy/request_path_test.cc
+++ b/tests/proxy/request_path_test.cc
@@ -730,3 +730,65 @@
   LONGS_EQUAL(kEarlyAnswers, responder.uploads);
   LONGS_EQUAL(0, responder.other_requests);
 }
+
+// The end of a chunked body that arrived on its own was written twice. The
+// second one stood where the next request was due, which was answered 400.
+TEST(RequestPath, ChunkedBodyEndsOnce) {
+  std::string seen;
+  RequestPath path([&seen](tcp_stream& stream) -> asio::awaitable<void> {
+    co_await ReadAll(stream, seen);
+    co_await WriteText(stream, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  });
+  path.SetRule(seconds(5), false);
+  asio::ip::tcp::socket caller(path.io);
+  caller.connect(banyantrail::ToTcpEndpoint(path.caller_address()));
+  asio::write(caller,
+              asio::buffer(std::string("POST /orders HTTP/1.1\r\nHost: mesh\r\n"
+                                       "Transfer-Encoding: chunked\r\n\r\n"
+                                       "3\r\ntwo\r\n")));
+  CHECK(path.RunUntil([&] { return seen.ends_with("two\r\n"); }));
+  asio::write(caller, asio::buffer(std::string("0\r\n\r\n")));
+  CHECK(path.RunUntil([&] { return path.owner_requests() == 0; }));
+  CHECK(seen.ends_with("two\r\n0\r\n\r\n"));
+  LONGS_EQUAL(0, std::ranges::count(path.refusals, "malformed_request"));
+}
+
+// The same of a response: the second end is bytes that are no response.
+TEST(RequestPath, ChunkedResponseEndsOnce) {
+  // As much as is relayed in one part, so that the end is a part of its own.
+  const std::string chunk(64U << 10U, 'b');
+  RequestPath path([&chunk](tcp_stream& stream) -> asio::awaitable<void> {
+    co_await ReadBackendRequest(stream);
+    co_await WriteText(stream,
+                       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                       "10000\r\n" +
+                           chunk + "\r\n");
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    timer.expires_after(milliseconds(50));
+    co_await timer.async_wait(asio::use_awaitable);
+    co_await WriteText(stream, "0\r\n\r\n");
+  });
+  path.SetRule(seconds(5), false);
+  tcp_stream caller(path.io);
+  caller.socket().connect(banyantrail::ToTcpEndpoint(path.caller_address()));
+  asio::write(
+      caller.socket(),
+      asio::buffer(std::string("GET /orders HTTP/1.1\r\nHost: mesh\r\n\r\n")));
+  std::string received;
+  bool done = false;
+  asio::co_spawn(path.io, ReadAll(caller, received),
+                 [&done](std::exception_ptr) { done = true; });
+  CHECK(path.RunUntil([&] { return done; }));
+  CHECK(received.ends_with("b\r\n0\r\n\r\n"));
+}
+
+TEST(RequestPath, EmptyChunkedBodyArrivesComplete) {
+  RequestPath path(EchoHandler);
+  const CallerResponse response = path.Send(
+      "POST /orders HTTP/1.1\r\nHost: mesh\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n",
+      "0\r\n\r\n");
+  CHECK(response.complete);
+  LONGS_EQUAL(200, response.status);
+  STRCMP_EQUAL("", response.body.c_str());
+}
