Answer uploads that outlast their deadline

Cause: the caller's stream had the deadline of the stream to the server, and a time-out of a Beast stream closes it. Whichever fired first decided.

Change: no time-out on the caller's stream while a body is forwarded; the wait for the response ends at the deadline and stops the forwarding. Beside it: a connection whose body was not read to its end is read for up to 0.5 s and 4 MB after the response, since closing with unread bytes resets it and can lose the response.

--- a/packages/proxy/banyantrail/proxy/attempt.cc
+++ b/packages/proxy/banyantrail/proxy/attempt.cc
@@ -353,8 +353,10 @@
     }
   }
   if (request.is_streamed) {
+    // The wait for the response bounds the forwarding of the body. A time-out
+    // of the caller's own stream would close it, and the caller would get no
+    // answer.
     co_await SendContinue(downstream, request);
-    downstream.stream.expires_at(options.deadline);
   }
   ExpectedResponse expected{.dialect = options.dialect};
   if (expected.dialect != nullptr && !expected.dialect->request_id.empty()) {
--- a/packages/proxy/banyantrail/proxy/connection.cc
+++ b/packages/proxy/banyantrail/proxy/connection.cc
@@ -1,5 +1,7 @@
 #include "banyantrail/proxy/connection.h"
 
+#include <vector>
+
 namespace banyantrail {
 
 CancelTimer::CancelTimer(beast::tcp_stream& stream, Duration timeout)
@@ -40,4 +42,26 @@
   stream.close();
 }
 
+asio::awaitable<void> CloseAfterResponse(Downstream& downstream) {
+  constexpr Duration kMaxTime = milliseconds(500);
+  constexpr std::size_t kMaxBytes = 4U << 20U;
+  constexpr std::size_t kReadBytes = 16U << 10U;
+  beast::tcp_stream& stream = downstream.stream;
+  boost::system::error_code error;
+  if (!downstream.has_unread_body) {
+    Close(stream);
+    co_return;
+  }
+  stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, error);
+  stream.expires_after(kMaxTime);
+  std::vector<char> discarded(kReadBytes);
+  std::size_t total = 0;
+  while (!error && total < kMaxBytes) {
+    total += co_await stream.async_read_some(
+        asio::buffer(discarded),
+        asio::redirect_error(asio::use_awaitable, error));
+  }
+  Close(stream);
+}
+
 }  // namespace banyantrail
--- a/packages/proxy/banyantrail/proxy/connection.h
+++ b/packages/proxy/banyantrail/proxy/connection.h
@@ -22,6 +22,8 @@
   /// The connection cannot carry another request, for example because part of a
   /// body was left unread.
   bool must_close = false;
+  /// The rest of a request body is still due on the connection.
+  bool has_unread_body = false;
 };
 
 /// A connection on which this node sends requests to another node or a backend
@@ -96,4 +98,9 @@
 /// Shuts down both directions and closes the stream, ignoring errors.
 void Close(beast::tcp_stream& stream);
 
+/// Closes a connection after its last response. If the peer may still be
+/// sending the rest of a body, reads on for a limited time first: closing with
+/// unread bytes resets the connection, and the peer could lose the response.
+asio::awaitable<void> CloseAfterResponse(Downstream& downstream);
+
 }  // namespace banyantrail
--- a/packages/proxy/banyantrail/proxy/entry_stage.cc
+++ b/packages/proxy/banyantrail/proxy/entry_stage.cc
@@ -118,10 +118,11 @@
     }
     const CountInProgress in_progress(m_in_progress);
     co_await Handle(downstream, read.request);
+    downstream.has_unread_body = read.request.has_unread_body();
     downstream.must_close = downstream.must_close || m_draining ||
                             !read.request.parser->keep_alive();
   }
-  Close(downstream.stream);
+  co_await CloseAfterResponse(downstream);
 }
 
 void EntryStage::CloseIdle() {
--- a/packages/proxy/banyantrail/proxy/owner_stage.cc
+++ b/packages/proxy/banyantrail/proxy/owner_stage.cc
@@ -91,8 +91,9 @@
     }
     const CountInProgress in_progress(m_in_progress);
     co_await Handle(downstream, read.request);
+    downstream.has_unread_body = read.request.has_unread_body();
   }
-  Close(downstream.stream);
+  co_await CloseAfterResponse(downstream);
 }
 
 asio::awaitable<void> OwnerStage::Handle(Downstream& downstream,
--- a/tests/proxy/request_path_test.cc
+++ b/tests/proxy/request_path_test.cc
@@ -792,3 +792,46 @@
   LONGS_EQUAL(200, response.status);
   STRCMP_EQUAL("", response.body.c_str());
 }
+
+// The timer of the caller's stream closed the connection of an upload that
+// lasted longer than its route allows. The caller got no answer.
+TEST(RequestPath, UploadThatOutlastsTheDeadlineGetsAnAnswer) {
+  RequestPath path(EchoHandler);
+  const std::string head =
+      "POST /orders HTTP/1.1\r\nHost: mesh\r\nContent-Length: 200000\r\n\r\n";
+  const CallerResponse begun = path.Send(head, std::string(100'000, 'b'));
+  CHECK(begun.complete);
+  CHECK(begun.status == 502 || begun.status == 504);
+  STRCMP_EQUAL("outcome-unknown", begun.outcome.c_str());
+  const CallerResponse not_begun = path.Send(head);
+  // The owner node knows that nothing was sent, if its timer fires first.
+  CHECK(not_begun.complete);
+  CHECK(not_begun.status >= 502);
+  CHECK(not_begun.status != 503 || not_begun.outcome == "not-run");
+}
+
+// Closing with unread bytes reset the connection behind an early response, and
+// the sender could lose it.
+TEST(RequestPath, SenderOfARefusedUploadIsNotReset) {
+  RequestPath path(EchoHandler);
+  tcp_stream caller(path.io);
+  caller.socket().connect(banyantrail::ToTcpEndpoint(path.caller_address()));
+  const std::string request =
+      "POST /other HTTP/1.1\r\nHost: mesh\r\nContent-Length: 2000000\r\n\r\n" +
+      std::string(1'000'000, 'b');
+  boost::system::error_code error;
+  bool written = false;
+  asio::async_write(caller.socket(), asio::buffer(request),
+                    [&](const boost::system::error_code& result, std::size_t) {
+                      error = result;
+                      written = true;
+                    });
+  CHECK(path.RunUntil([&] { return written; }));
+  CHECK(!error);
+  std::string received;
+  bool done = false;
+  asio::co_spawn(path.io, ReadAll(caller, received),
+                 [&done](std::exception_ptr) { done = true; });
+  CHECK(path.RunUntil([&] { return done; }));
+  CHECK(received.starts_with("HTTP/1.1 404 "));
+}
