Check the deadline between two reads of a response

The time-out of a Beast stream does not fire while each read completes at once.

Change: the relay checks the deadline between two reads; at most 1 MB of an unwanted response is discarded and at most 16 responses to other requests are passed over.

--- a/packages/proxy/banyantrail/proxy/attempt.cc
+++ b/packages/proxy/banyantrail/proxy/attempt.cc
@@ -62,7 +62,10 @@
 asio::awaitable<boost::system::error_code> DiscardResponseBody(
     Attempt& attempt) {
   constexpr std::size_t kDiscardBufferBytes = 4096;
+  // The time-out of a stream does not fire while data is always there.
+  constexpr std::size_t kMaxDiscardedBytes = 1U << 20U;
   std::array<char, kDiscardBufferBytes> discarded{};
+  std::size_t total = 0;
   boost::system::error_code error;
   Attempt::ResponseParser& parser = *attempt.response;
   if (parser.need_eof()) {
@@ -77,6 +80,10 @@
     if (error == http::error::need_buffer) {
       error = {};
     }
+    total += discarded.size() - parser.get().body().size;
+    if (total > kMaxDiscardedBytes) {
+      error = http::make_error_code(http::error::body_limit);
+    }
   }
   co_return error;
 }
@@ -87,13 +94,14 @@
   const EdgeDialect* dialect = nullptr;
 };
 
-/// Reads responses until one matches the request. A server may have sent a
-/// duplicate response to an earlier request on the connection.
+/// Reads responses until one matches the request. A server may have sent
+/// duplicate responses to earlier requests on the connection.
 asio::awaitable<boost::system::error_code> ReadMatchingResponseHead(
     Attempt& attempt,
     http::verb method,
     ExpectedResponse expected) {
-  while (true) {
+  constexpr int kMaxOtherResponses = 16;
+  for (int i = 0; i <= kMaxOtherResponses; ++i) {
     boost::system::error_code error =
         co_await ReadFinalResponseHead(attempt, method);
     if (error || expected.dialect == nullptr) {
@@ -114,6 +122,7 @@
       co_return error;
     }
   }
+  co_return http::make_error_code(http::error::bad_value);
 }
 
 /// Whether the body is sent only after the server has admitted the request.
--- a/packages/proxy/banyantrail/proxy/response_relay.cc
+++ b/packages/proxy/banyantrail/proxy/response_relay.cc
@@ -26,9 +26,12 @@
   std::size_t size = 0;
 };
 
-/// Reads until the buffer is full or the body has ended.
+/// Reads until the buffer is full or the body has ended. Fails with a time-out
+/// after the deadline: that of the stream does not fire while data is always
+/// there.
 asio::awaitable<boost::system::error_code> FillBuffer(Attempt& attempt,
-                                                      BodyBuffer& buffer) {
+                                                      BodyBuffer& buffer,
+                                                      TimePoint deadline) {
   Attempt::ResponseParser& parser = *attempt.response;
   constexpr std::size_t kInitialBytes = 4096;
   boost::system::error_code error;
@@ -49,6 +52,9 @@
       co_return error;
     }
     error = {};
+    if (!parser.is_done() && SystemClock().Now() >= deadline) {
+      co_return beast::error::timeout;
+    }
   }
   co_return error;
 }
@@ -113,7 +119,8 @@
   Attempt::ResponseParser& parser = *attempt.response;
   const bool delimited_by_close = parser.need_eof();
   BodyBuffer buffer;
-  boost::system::error_code error = co_await FillBuffer(attempt, buffer);
+  boost::system::error_code error =
+      co_await FillBuffer(attempt, buffer, deadline);
   if (error) {
     co_return RelayOutcome::kNothingSent;
   }
@@ -145,7 +152,7 @@
     if (serializer.is_done()) {
       break;
     }
-    error = co_await FillBuffer(attempt, buffer);
+    error = co_await FillBuffer(attempt, buffer, deadline);
     if (error) {
       Close(downstream.stream);
       downstream.must_close = true;
--- a/tests/proxy/request_path_test.cc
+++ b/tests/proxy/request_path_test.cc
@@ -8,6 +8,7 @@
 #include <boost/beast/http/empty_body.hpp>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "proxy/request_path.h"
 
@@ -835,3 +836,23 @@
   CHECK(path.RunUntil([&] { return done; }));
   CHECK(received.starts_with("HTTP/1.1 404 "));
 }
+
+// The time-out of a connection does not fire while data is always there, so
+// that a response without end went on after the deadline.
+TEST(RequestPath, EndlessResponsesToOtherRequestsAreCutOff) {
+  const std::string other =
+      "HTTP/1.1 200 OK\r\nCall-Name: earlier\r\nProof: p\r\n";
+  const std::string chunked = other + "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string whole = other + "Content-Length: 0\r\n\r\n";
+  for (const auto& [start, piece] :
+       {std::pair{chunked, "1000\r\n" + std::string(4096, 'b') + "\r\n"},
+        std::pair{std::string(), whole}}) {
+    bool closed = false;
+    RequestPath path(EndlessResponder(start, piece, closed), kStrictDialect);
+    path.SetRule(seconds(5), false);
+    const CallerResponse response = path.Send(
+        "GET /orders HTTP/1.1\r\nHost: mesh\r\nCall-Name: mine\r\n\r\n");
+    LONGS_EQUAL(502, response.status);
+    CHECK(path.RunUntil([&] { return closed; }));
+  }
+}
