Answer every request before a planned stop ends

Change: while a node drains, a request gets no more time than the node has, which the server is told; one that is not expected to finish is refused at once as not run; what still runs 0.1 s before the end is given up and answered.

--- a/packages/node/banyantrail/node/data_plane.cc
+++ b/packages/node/banyantrail/node/data_plane.cc
@@ -242,9 +242,9 @@
   OnBackendServersChanged();
 }
 
-void DataPlane::StartDrain() {
+void DataPlane::StartDrain(TimePoint end) {
   m_backend_servers.DrainAll();
-  m_entry_stage.StartDrain();
+  m_entry_stage.StartDrain(end);
   m_owner_stage.StartDrain();
   OnBackendServersChanged();
 }
--- a/packages/node/banyantrail/node/data_plane.h
+++ b/packages/node/banyantrail/node/data_plane.h
@@ -64,7 +64,10 @@
   /// First step of a graceful shutdown: marks this node's backend servers as
   /// draining and asks callers to reconnect to other nodes. Requests in
   /// progress continue.
-  void StartDrain();
+  /// The node stops at `end`.
+  void StartDrain(TimePoint end);
+  /// See EntryStage::EndRequests.
+  void EndRequests() { m_entry_stage.EndRequests(); }
   /// Stops accepting connections and closes idle ones.
   void StopListening();
   std::size_t requests_in_progress() const;
--- a/packages/node/banyantrail/node/node.cc
+++ b/packages/node/banyantrail/node/node.cc
@@ -26,6 +26,9 @@
 /// Part of the shutdown time that is reserved for the steps after draining.
 constexpr Duration kShutdownReserve = kLeaveTimeout + milliseconds(200);
 
+/// Time to answer the requests that have to be given up at the end.
+constexpr Duration kAnswerTime = milliseconds(100);
+
 constexpr Duration kPollInterval = milliseconds(20);
 
 /// Returns empty hooks if the feature is off or if the settings name no
@@ -220,20 +223,27 @@
   }
   m_draining = true;
   kLog.Info("Graceful shutdown started.");
-  m_components->data->StartDrain();
+  const TimePoint end =
+      SystemClock().Now() + m_settings.shutdown.grace_period - kShutdownReserve;
+  m_components->data->StartDrain(end - kAnswerTime);
   m_components->control->StartDrain();
-  asio::co_spawn(m_io, DrainAndStop(), LogFailure("graceful shutdown"));
+  asio::co_spawn(m_io, DrainAndStop(end), LogFailure("graceful shutdown"));
 }
 
-asio::awaitable<void> Node::DrainAndStop() {
-  const TimePoint drain_deadline =
-      SystemClock().Now() + m_settings.shutdown.grace_period - kShutdownReserve;
-  co_await Sleep(m_settings.shutdown.drain_delay);
-  m_components->data->StopListening();
+/// Waits until no request is in progress, or until `end`.
+asio::awaitable<void> Node::AwaitRequests(TimePoint end) {
   while (m_components->data->requests_in_progress() > 0 &&
-         SystemClock().Now() < drain_deadline) {
+         SystemClock().Now() < end) {
     co_await Sleep(kPollInterval);
   }
+}
+
+asio::awaitable<void> Node::DrainAndStop(TimePoint end) {
+  co_await Sleep(m_settings.shutdown.drain_delay);
+  m_components->data->StopListening();
+  co_await AwaitRequests(end - kAnswerTime);
+  m_components->data->EndRequests();
+  co_await AwaitRequests(end);
   m_components->environment.stop();
   co_await m_components->platform_tasks->ReleaseLease();
   m_components->control->Leave();
--- a/packages/node/banyantrail/node/node.h
+++ b/packages/node/banyantrail/node/node.h
@@ -31,7 +31,8 @@
   void StartDrain();
   asio::awaitable<void> WaitForSignal();
   asio::awaitable<void> WaitForReload();
-  asio::awaitable<void> DrainAndStop();
+  asio::awaitable<void> DrainAndStop(TimePoint end);
+  asio::awaitable<void> AwaitRequests(TimePoint end);
   asio::awaitable<void> Sleep(Duration duration);
 
   NodeSettings m_settings;
--- a/packages/proxy/banyantrail/proxy/attempt.cc
+++ b/packages/proxy/banyantrail/proxy/attempt.cc
@@ -308,6 +308,26 @@
   co_return false;
 }
 
+/// Sets a pointer to the connection of an attempt for as long as it runs.
+class MarkInUse {
+ public:
+  MarkInUse(Upstream** target, Upstream& upstream) : m_target(target) {
+    if (m_target != nullptr) {
+      *m_target = &upstream;
+    }
+  }
+  MarkInUse(const MarkInUse&) = delete;
+  MarkInUse& operator=(const MarkInUse&) = delete;
+  ~MarkInUse() {
+    if (m_target != nullptr) {
+      *m_target = nullptr;
+    }
+  }
+
+ private:
+  Upstream** m_target;
+};
+
 asio::awaitable<UpstreamPtr> AcquireConnection(UpstreamPool& pool,
                                                const AttemptOptions& options) {
   UpstreamPtr upstream;
@@ -350,6 +370,7 @@
   }
   attempt.upstream->stream.expires_at(options.deadline);
   attempt.upstream->request_in_flight = true;
+  const MarkInUse mark(options.in_use, *attempt.upstream);
 
   const http::request_header<> head = WithFraming(
       std::move(options.head), request, ShouldExpectContinue(request, options));
--- a/packages/proxy/banyantrail/proxy/attempt.h
+++ b/packages/proxy/banyantrail/proxy/attempt.h
@@ -58,6 +58,9 @@
   /// a streamed body can outlast the server's readiness to take the request. If
   /// it returns false, nothing is sent and the attempt fails with kDraining.
   std::function<bool()> may_send = [] { return true; };
+  /// Points to the connection while it is in use, so that the sender can cancel
+  /// the attempt.
+  Upstream** in_use = nullptr;
   /// Names of the headers by which the response is checked. Null between nodes,
   /// whose responses need no check.
   const EdgeDialect* dialect = nullptr;
--- a/packages/proxy/banyantrail/proxy/entry_stage.cc
+++ b/packages/proxy/banyantrail/proxy/entry_stage.cc
@@ -68,12 +68,30 @@
   std::vector<EndpointKey> tried;
   /// Load of the endpoint that was tried last, as its owner node reported it.
   std::optional<ReportedLoad> last_load;
+  /// Connection of the attempt that is running; null while there is none.
+  Upstream* upstream = nullptr;
   /// Number of attempts that may have reached a backend server.
   std::uint32_t sends = 0;
   /// Reason of the last attempt that may have run.
   std::optional<RefusalReason> may_have_run;
 };
 
+/// Keeps a request in a set while it exists, also if it ends with an exception.
+class EntryStage::Registration {
+ public:
+  Registration(std::set<RequestContext*>& requests, RequestContext& context)
+      : m_requests(requests), m_context(context) {
+    m_requests.insert(&m_context);
+  }
+  Registration(const Registration&) = delete;
+  Registration& operator=(const Registration&) = delete;
+  ~Registration() { m_requests.erase(&m_context); }
+
+ private:
+  std::set<RequestContext*>& m_requests;
+  RequestContext& m_context;
+};
+
 EntryStage::EntryStage(asio::any_io_executor executor,
                        UpstreamPool& pool,
                        const RunningRequests& running,
@@ -125,6 +143,21 @@
   co_await CloseAfterResponse(downstream);
 }
 
+void EntryStage::StartDrain(TimePoint end) {
+  m_draining = true;
+  m_drain_end = end;
+}
+
+void EntryStage::EndRequests() {
+  const TimePoint now = SystemClock().Now();
+  for (RequestContext* context : m_requests) {
+    context->deadline = std::min(context->deadline, now);  // No retries.
+    if (context->upstream != nullptr) {
+      context->upstream->stream.cancel();
+    }
+  }
+}
+
 void EntryStage::CloseIdle() {
   for (Downstream* downstream : m_awaiting_request) {
     downstream->must_close = true;
@@ -158,12 +191,30 @@
     downstream.must_close = true;
     co_return;
   }
+  if (!CanFinishBeforeStop(context)) {
+    co_await Refuse(downstream, context, RefusalReason::kDraining);
+    co_return;
+  }
   const bool may_run = co_await ClaimIdempotencyKey(downstream, context);
   if (may_run) {
+    const Registration registration(m_requests, context);
     co_await Forward(downstream, context);
   }
 }
 
+/// Whether the node stops late enough for the time that requests of the route
+/// take.
+bool EntryStage::CanFinishBeforeStop(const RequestContext& context) {
+  if (!m_draining) {
+    return true;
+  }
+  const TimePoint now = SystemClock().Now();
+  const Duration expected =
+      m_response_times[context.route->rule].Mean(now).value_or(
+          Duration::zero());
+  return now + expected < m_drain_end;
+}
+
 /// Determines the route, service, deadline and latency target of a request.
 /// Returns a reason if it cannot be routed.
 std::optional<RefusalReason> EntryStage::ResolveRoute(RequestContext& context) {
@@ -197,7 +248,7 @@
       caller_timeout
           ? std::min<Duration>(milliseconds(*caller_timeout), route.deadline)
           : route.deadline;
-  context.deadline = context.started + timeout;
+  context.deadline = std::min(context.started + timeout, m_drain_end);
   context.is_nested_call =
       !dialect.request_id.empty() &&
       m_running.IsNestedCall(FieldValue(head, dialect.request_id));
@@ -412,6 +463,7 @@
   const TimePoint started = SystemClock().Now();
   m_loads.OnStart(endpoint, started);
   AttemptOptions options = AttemptOptionsFor(context, endpoint);
+  options.in_use = &context.upstream;
   Attempt attempt = co_await MakeAttempt(m_pool, downstream, context.request,
                                          std::move(options));
   const TimePoint now = SystemClock().Now();
--- a/packages/proxy/banyantrail/proxy/entry_stage.h
+++ b/packages/proxy/banyantrail/proxy/entry_stage.h
@@ -110,8 +110,14 @@
   void SetSnapshot(std::shared_ptr<const RoutingSnapshot> snapshot);
 
   /// Sends "Connection: close" with every response from now on, so that callers
-  /// move to other nodes while this one drains.
-  void StartDrain() { m_draining = true; }
+  /// move to other nodes while this one drains. New requests get no more time
+  /// than until `end`, and are refused if they cannot be expected to finish
+  /// before it.
+  void StartDrain(TimePoint end);
+
+  /// Gives up waiting for backend servers, so that each request in progress is
+  /// answered before the node stops.
+  void EndRequests();
 
   /// Closes the connections without a request in progress. If a caller has just
   /// sent one, the close shows that it was not processed.
@@ -122,6 +128,7 @@
  private:
   /// State of one request in this stage.
   struct RequestContext;
+  class Registration;
 
   asio::awaitable<void> Handle(Downstream& downstream, InboundRequest& request);
   std::optional<RefusalReason> ResolveRoute(RequestContext& context);
@@ -160,6 +167,7 @@
   RetryPolicy& RetryPolicyFor(const ServiceName& service);
   Duration RetryAfterDelay(const RequestContext& context);
   void SetDeadlineAndTarget(RequestContext& context);
+  bool CanFinishBeforeStop(const RequestContext& context);
   void ReportResponse(const RequestContext& context, unsigned status);
 
   asio::any_io_executor m_executor;
@@ -177,7 +185,11 @@
   std::map<ServiceName, RetryPolicy> m_retry_policies;
   std::uint64_t m_last_attempt = 0;
   bool m_draining = false;
+  /// When the node stops, if it drains.
+  TimePoint m_drain_end = TimePoint::max();
   std::size_t m_in_progress = 0;
+  /// Requests that are being forwarded.
+  std::set<RequestContext*> m_requests;
   /// Connections whose next request has not been read completely.
   std::set<Downstream*> m_awaiting_request;
 };
--- a/tests/proxy/request_path.h
+++ b/tests/proxy/request_path.h
@@ -88,11 +88,13 @@
         config, ProxyIdentity{}, std::vector<MemberRecord>{member}));
   }
 
-  void StartShutdown() {
-    m_entry.StartDrain();
+  void StartShutdown(Duration time_left = seconds(5)) {
+    m_entry.StartDrain(SystemClock().Now() + time_left);
     m_entry.CloseIdle();
   }
 
+  void EndRequests() { m_entry.EndRequests(); }
+
   void StopBackend() { m_listeners.pop_back(); }
 
   /// Another program takes the place of the owner node.
--- a/tests/proxy/request_path_test.cc
+++ b/tests/proxy/request_path_test.cc
@@ -837,6 +837,57 @@
   CHECK(received.starts_with("HTTP/1.1 404 "));
 }
 
+// At the end of a planned stop, requests that were still running were cut
+// without an answer.
+TEST(RequestPath, RequestsAreAnsweredBeforeTheNodeStops) {
+  bool received = false;
+  RequestPath path([&received](tcp_stream& stream) -> asio::awaitable<void> {
+    co_await ReadBackendRequest(stream);
+    received = true;
+  });
+  path.SetRule(seconds(5), true);
+  CallerResponse response;
+  path.StartSend("GET /orders HTTP/1.1\r\nHost: mesh\r\n\r\n", "", response);
+  CHECK(path.RunUntil([&] { return received; }));
+  path.StartShutdown();
+  path.EndRequests();
+  CHECK(path.RunUntil([&] { return response.complete; }, milliseconds(500)));
+  ExpectOutcomeUnknown(response);
+}
+
+TEST(RequestPath, LateRequestGetsNoMoreTimeThanTheNodeHas) {
+  RequestPath path([](tcp_stream& stream) -> asio::awaitable<void> {
+    co_await ReadBackendRequest(stream);
+  });
+  path.SetRule(seconds(5), false);
+  path.StartShutdown(milliseconds(200));
+  CallerResponse response;
+  path.StartSend("GET /orders HTTP/1.1\r\nHost: mesh\r\n\r\n", "", response);
+  CHECK(path.RunUntil([&] { return response.complete; }, milliseconds(500)));
+  LONGS_EQUAL(504, response.status);
+}
+
+TEST(RequestPath, LateRequestThatCannotFinishIsRefusedAtOnce) {
+  int requests = 0;
+  RequestPath path([&requests](tcp_stream& stream) -> asio::awaitable<void> {
+    co_await ReadBackendRequest(stream);
+    ++requests;
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    timer.expires_after(milliseconds(400));
+    co_await timer.async_wait(asio::use_awaitable);
+    co_await WriteText(stream, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  });
+  path.SetRule(seconds(5), false);
+  LONGS_EQUAL(200, path.Post("x").status);
+  path.StartShutdown(milliseconds(200));
+  CallerResponse response;
+  path.StartSend("GET /orders HTTP/1.1\r\nHost: mesh\r\n\r\n", "", response);
+  CHECK(path.RunUntil([&] { return response.complete; }, milliseconds(100)));
+  LONGS_EQUAL(503, response.status);
+  STRCMP_EQUAL("not-run", response.outcome.c_str());
+  LONGS_EQUAL(1, requests);
+}
+
 // The time-out of a connection does not fire while data is always there, so
 // that a response without end went on after the deadline.
 TEST(RequestPath, EndlessResponsesToOtherRequestsAreCutOff) {
