--- a/cmake/BanyantrailTargets.cmake
+++ b/cmake/BanyantrailTargets.cmake
@@ -4,6 +4,8 @@
 set(CMAKE_CXX_STANDARD_REQUIRED ON)
 set(CMAKE_CXX_EXTENSIONS OFF)
 set(CMAKE_EXPORT_COMPILE_COMMANDS ON)
+# The daemon is a shared library, see packages/node/banyantrail/node/main.cc.
+set(CMAKE_POSITION_INDEPENDENT_CODE ON)
 if(NOT CMAKE_BUILD_TYPE)
   set(CMAKE_BUILD_TYPE RelWithDebInfo)
 endif()
--- a/packages/net/banyantrail/net/tcp_listener.cc
+++ b/packages/net/banyantrail/net/tcp_listener.cc
@@ -20,7 +20,8 @@
 
 const ComponentLogger kLog("net");
 
-void Bind(asio::ip::tcp::acceptor& acceptor, const IpEndpoint& endpoint) {
+boost::system::error_code Bind(asio::ip::tcp::acceptor& acceptor,
+                               const IpEndpoint& endpoint) {
   boost::system::error_code error;
   const asio::ip::tcp::endpoint tcp_endpoint = ToTcpEndpoint(endpoint);
   acceptor.open(tcp_endpoint.protocol(), error);
@@ -33,19 +34,37 @@
   if (!error) {
     acceptor.listen(asio::socket_base::max_listen_connections, error);
   }
-  if (error) {
-    throw Error({.kind = ErrorKind::kInvalidSettings,
-                 .message = "cannot listen on " + ToString(endpoint) + ": " +
-                            error.message(),
-                 .remedy = "choose a free port on an address of this VM"});
-  }
+  return error;
+}
+
+Error BindError(const IpEndpoint& endpoint,
+                const boost::system::error_code& error) {
+  return Error({.kind = ErrorKind::kInvalidSettings,
+                .message = "cannot listen on " + ToString(endpoint) + ": " +
+                           error.message(),
+                .remedy = "choose a free port on an address of this VM"});
 }
 
 }  // namespace
 
+bool IsPortInUse(const IpEndpoint& endpoint) {
+  asio::io_context io;
+  asio::ip::tcp::acceptor probe(io);
+  const boost::system::error_code error = Bind(probe, endpoint);
+  if (error && error != asio::error::address_in_use) {
+    throw BindError(endpoint, error);
+  }
+  return error == asio::error::address_in_use;
+}
+
 TcpListener::TcpListener(asio::io_context& io, Options options)
     : m_state(std::make_shared<State>(io, std::move(options))) {
-  Bind(m_state->acceptor, m_state->options.endpoint);
+  const IpEndpoint& endpoint = m_state->options.endpoint;
+  const boost::system::error_code bind_error =
+      Bind(m_state->acceptor, endpoint);
+  if (bind_error) {
+    throw BindError(endpoint, bind_error);
+  }
 
   auto run_session = [](std::shared_ptr<State> state,
                         beast::tcp_stream stream) -> asio::awaitable<void> {
--- a/packages/net/banyantrail/net/tcp_listener.h
+++ b/packages/net/banyantrail/net/tcp_listener.h
@@ -39,4 +39,8 @@
   std::shared_ptr<State> m_state;
 };
 
+/// Whether another socket keeps this process from listening on the endpoint.
+/// Throws Error{kInvalidSettings} when it is not an address of this VM.
+bool IsPortInUse(const IpEndpoint& endpoint);
+
 }  // namespace banyantrail
--- a/packages/node/banyantrail/node/main.cc
+++ b/packages/node/banyantrail/node/main.cc
@@ -1,100 +1,41 @@
-// The node daemon. One process runs on each backend server VM.
+// The program of the node daemon. One process runs on each backend server VM.
+//
+// Loading the libraries of the daemon takes milliseconds, and much more on a
+// part of a core. A signal in that time would end the process, so this program
+// needs no library but that of C: it holds the signals back and then loads the
+// daemon.
 
-#include <tclap/CmdLine.h>
+#include <dlfcn.h>
 
-#include <iostream>
-#include <string>
-#include <utility>
+#include <bit>
+#include <cstdio>
 
-#include "banyantrail/core/errors.h"
-#include "banyantrail/core/logging.h"
-#include "banyantrail/node/node.h"
-#include "banyantrail/node/settings.h"
-#include "banyantrail/platform/deployment.h"
-#include "banyantrail/platform/environment.h"
-#include "banyantrail/platform/wire_values.h"
+#include "banyantrail/node/daemon.h"
+#include "banyantrail/node/held_signals.h"
 
 namespace {
 
-constexpr int kExitOk = 0;
 constexpr int kExitFailure = 1;
-constexpr int kExitUsage = 2;
 
-struct CommandLine {
-  /// Path of a settings file in the native format, or empty.
-  std::string settings;
-  /// Path of a settings file in the format of the deployment platform, or
-  /// empty.
-  std::string deployment;
-};
-
-/// Parses the command line. TCLAP exits the process for --help and --version.
-CommandLine ParseCommandLine(int argc, char** argv) {
-  TCLAP::CmdLine command(
-      "banyantraild routes requests from callers to backend servers according "
-      "to the configuration declared by operators.",
-      ' ', BANYANTRAIL_VERSION);
-  TCLAP::ValueArg<std::string> settings(
-      "s", "settings", "JSON file with the settings of the node", true, "",
-      "file");
-  TCLAP::ValueArg<std::string> deployment(
-      "d", "deployment",
-      "JSON file with settings in the format of the deployment platform", true,
-      "", "file");
-  command.xorAdd(settings, deployment);
-  command.parse(argc, argv);
-  return {.settings = settings.getValue(), .deployment = deployment.getValue()};
-}
-
-int RunWithSettings(const std::string& path) {
-  const banyantrail::NodeSettings settings =
-      banyantrail::LoadNodeSettings(path);
-  banyantrail::ConfigureLogging(settings.log_level, settings.node.str());
-  banyantrail::Node node(settings);
-  node.Run();
-  return kExitOk;
-}
-
-int RunWithDeployment(const std::string& path) {
-  const banyantrail::platform::Deployment deployment =
-      banyantrail::platform::LoadDeployment(path);
-  banyantrail::ConfigureLogging(deployment.node.log_level,
-                                deployment.node.node.str());
-  banyantrail::Node node(
-      deployment.node,
-      {.dialect = banyantrail::platform::PlatformDialect(),
-       .make_environment = [&](banyantrail::NodeServices services) {
-         return banyantrail::platform::MakeEnvironment(std::move(services),
-                                                       deployment, path);
-       }});
-  node.Run();
-  return kExitOk;
-}
-
-int RunNode(const CommandLine& command_line) {
-  return command_line.deployment.empty()
-             ? RunWithSettings(command_line.settings)
-             : RunWithDeployment(command_line.deployment);
-}
-
-int ReportError(const banyantrail::Error& error) {
-  std::cerr << "banyantraild: " << error.what() << std::endl;
-  return error.kind() == banyantrail::ErrorKind::kInvalidSettings
-             ? kExitUsage
-             : kExitFailure;
+int ReportLoadError() {
+  std::fprintf(stderr,
+               "banyantraild: cannot load the daemon: %s; keep its library "
+               "beside the program\n",
+               dlerror());
+  return kExitFailure;
 }
 
 }  // namespace
 
 int main(int argc, char** argv) {
-  try {
-    return RunNode(ParseCommandLine(argc, argv));
-  } catch (const TCLAP::ExitException& exit) {
-    return exit.getExitStatus() == 0 ? kExitOk : kExitUsage;
-  } catch (const banyantrail::Error& error) {
-    return ReportError(error);
-  } catch (const std::exception& error) {
-    std::cerr << "banyantraild: " << error.what() << std::endl;
-    return kExitFailure;
+  banyantrail::HoldSignals();
+  void* const library = dlopen(BANYANTRAIL_DAEMON_LIBRARY, RTLD_NOW);
+  if (library == nullptr) {
+    return ReportLoadError();
+  }
+  void* const symbol = dlsym(library, "BanyantrailDaemon");
+  if (symbol == nullptr) {
+    return ReportLoadError();
   }
+  return std::bit_cast<decltype(&BanyantrailDaemon)>(symbol)(argc, argv);
 }
