--- a/tests/node/data_plane_test.cc
+++ b/tests/node/data_plane_test.cc
@@ -2,6 +2,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <memory>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -9,7 +11,6 @@
 #include "net/http_exchange.h"
 
 namespace asio = boost::asio;
-using banyantrail::Announcement;
 using banyantrail::BackendServerId;
 using banyantrail::BackendServerRecord;
 using banyantrail::BackendServerState;
