--- a/packages/config/banyantrail/config/compile.cc
+++ b/packages/config/banyantrail/config/compile.cc
@@ -39,6 +39,8 @@
     config.alert_rules.push_back(std::move(*alert));
   } else if (auto* limits = std::get_if<CallerLimitsObject>(&object)) {
     config.caller_limits.push_back(std::move(*limits));
+  } else if (auto* team = std::get_if<TeamObject>(&object)) {
+    config.teams.push_back(std::move(*team));
   }
 }
 
@@ -163,6 +165,15 @@
   }
 }
 
+void CheckRankReference(const ConfigObject& from,
+                        const RankName& name,
+                        const ReferenceIndex& index,
+                        Faults& faults) {
+  if (!IsDeclared("rank", name, index.ranks, index)) {
+    faults.push_back(UnresolvedReferenceFault(from, "rank", name.str()));
+  }
+}
+
 void CheckReferences(const CompiledConfig& config,
                      const ReferenceIndex& index,
                      Faults& faults) {
@@ -174,13 +185,16 @@
     for (const WeightedService& target : rule.split) {
       CheckServiceReference(rule, target.service, index, faults);
     }
-    if (!IsDeclared("rank", rule.rank, index.ranks, index)) {
-      faults.push_back(UnresolvedReferenceFault(rule, "rank", rule.rank.str()));
-    }
+    CheckRankReference(rule, rule.rank, index, faults);
   }
   for (const AlertRuleObject& rule : config.alert_rules) {
     CheckSelectorReference(rule, rule.selector, index, faults);
   }
+  for (const TeamObject& team : config.teams) {
+    if (!team.rank.empty()) {
+      CheckRankReference(team, team.rank, index, faults);
+    }
+  }
 }
 
 void CheckSelectors(const CompiledConfig& config, Faults& faults) {
@@ -230,6 +244,22 @@
   }
 }
 
+/// A key identifies one team, so no two teams may share it.
+void CheckTeamKeys(const CompiledConfig& config, Faults& faults) {
+  std::map<std::string_view, const TeamObject*> by_digest;
+  for (const TeamObject& team : config.teams) {
+    for (const std::string& digest : team.key_digests) {
+      const auto [existing, is_new] = by_digest.emplace(digest, &team);
+      if (!is_new) {
+        faults.push_back({.place = PlaceOf(team, "key_digests"),
+                          .message = "shares a key with team/" +
+                                     existing->second->name.str(),
+                          .remedy = "give each team keys of its own"});
+      }
+    }
+  }
+}
+
 bool MethodsOverlap(const RoutingRuleObject& left,
                     const RoutingRuleObject& right) {
   if (left.methods.empty() || right.methods.empty()) {
@@ -317,6 +347,7 @@
   CheckShares(config, result.faults);
   CheckPriorities(config, result.faults);
   CheckCallerLimits(config, result.faults);
+  CheckTeamKeys(config, result.faults);
   CheckAmbiguousRules(config, index, result.faults);
   if (result.faults.empty()) {
     result.config = std::move(config);
--- a/packages/config/banyantrail/config/object_json.cc
+++ b/packages/config/banyantrail/config/object_json.cc
@@ -25,6 +25,8 @@
 constexpr std::uint64_t kMaxCallerHeaderBytes = 1U << 20U;
 constexpr std::uint64_t kMaxCallerBodyBytes = 1ULL << 40U;
 constexpr std::uint64_t kMaxCallerTimeoutMs = 60ULL * 60 * 1000;
+constexpr std::size_t kMaxTeamKeys = 64;
+constexpr std::uint64_t kMaxRequestsPerS = 10'000'000;
 constexpr std::uint64_t kMaxHoldForS = 31ULL * 24 * 60 * 60;
 
 struct OperatorName {
@@ -157,6 +159,8 @@
       reader.OptionalInteger("target_latency_ms", {.max = kMaxDeadlineMs}, 0));
   rule.max_attempts = static_cast<std::uint32_t>(
       reader.OptionalInteger("max_attempts", {.max = kMaxAttempts}, 0));
+  rule.allow_anonymous = reader.OptionalBool("allow_anonymous", false);
+  rule.disabled = reader.OptionalBool("disabled", false);
   return rule;
 }
 
@@ -188,6 +192,20 @@
   return limits;
 }
 
+TeamObject ReadTeam(JsonObjectReader& reader) {
+  TeamObject team;
+  team.key_digests =
+      reader.OptionalStringSet("key_digests", kDigestRule, kMaxTeamKeys);
+  if (!reader.OptionalString("rank", kFreeTextRule, "").empty()) {
+    team.rank = RankName(reader.RequiredString("rank", kNameRule));
+  }
+  team.requests_per_s = static_cast<std::uint32_t>(
+      reader.OptionalInteger("requests_per_s", {.max = kMaxRequestsPerS}, 0));
+  team.burst = static_cast<std::uint32_t>(
+      reader.OptionalInteger("burst", {.max = kMaxRequestsPerS}, 0));
+  return team;
+}
+
 std::optional<ConfigObject> ReadObjectOfKind(std::string_view kind,
                                              JsonObjectReader& reader,
                                              std::vector<Fault>& faults) {
@@ -209,18 +227,22 @@
   if (kind == "caller_limits") {
     return ReadCallerLimits(reader);
   }
+  if (kind == "team") {
+    return ReadTeam(reader);
+  }
   return std::nullopt;
 }
 
 bool IsKind(std::string_view text) {
   return text == "service" || text == "selector" || text == "rank" ||
          text == "routing_rule" || text == "alert_rule" ||
-         text == "caller_limits";
+         text == "caller_limits" || text == "team";
 }
 
 constexpr TextRule kKindRule{
     IsKind,
-    "service, selector, rank, routing_rule, alert_rule or caller_limits"};
+    "service, selector, rank, routing_rule, alert_rule, caller_limits or "
+    "team"};
 
 void SetName(ConfigObject& object, const std::string& name) {
   std::visit(
@@ -306,6 +328,23 @@
   if (rule.max_attempts > 0) {
     out["max_attempts"] = rule.max_attempts;
   }
+  if (rule.allow_anonymous) {
+    out["allow_anonymous"] = true;
+  }
+  if (rule.disabled) {
+    out["disabled"] = true;
+  }
+}
+
+void AddFields(const TeamObject& team, json& out) {
+  out["key_digests"] = team.key_digests;
+  if (!team.rank.empty()) {
+    out["rank"] = team.rank.str();
+  }
+  if (team.requests_per_s > 0) {
+    out["requests_per_s"] = team.requests_per_s;
+    out["burst"] = team.burst;
+  }
 }
 
 void AddFields(const CallerLimitsObject& limits, json& out) {
--- a/packages/config/banyantrail/config/objects.cc
+++ b/packages/config/banyantrail/config/objects.cc
@@ -21,6 +21,9 @@
 std::string_view KindOf(const CallerLimitsObject&) {
   return "caller_limits";
 }
+std::string_view KindOf(const TeamObject&) {
+  return "team";
+}
 
 }  // namespace
 
--- a/packages/config/banyantrail/config/objects.h
+++ b/packages/config/banyantrail/config/objects.h
@@ -95,6 +95,12 @@
   /// Maximum number of backend servers tried for one request, the first
   /// included. 0 leaves it to the retry policy.
   std::uint32_t max_attempts = 0;
+  /// Whether requests without a team's key are accepted. Has no effect if no
+  /// teams are declared.
+  bool allow_anonymous = false;
+  /// If true, matching requests are refused. Shorter prefixes do not match them
+  /// instead, so they cannot reach another service.
+  bool disabled = false;
 
   friend bool operator==(const RoutingRuleObject&,
                          const RoutingRuleObject&) = default;
@@ -128,17 +134,35 @@
                          const CallerLimitsObject&) = default;
 };
 
+/// A team that sends requests, identified by the key that each request carries.
+struct TeamObject {
+  TeamName name;
+  /// SHA-256 of each key, in lower-case hexadecimal. The keys themselves are
+  /// not part of the configuration.
+  std::vector<std::string> key_digests;
+  /// Takes precedence over the rank of the routing rule. Empty if not declared.
+  RankName rank;
+  /// Requests per second that the team may send through all nodes together. 0
+  /// is no limit.
+  std::uint32_t requests_per_s = 0;
+  /// Number of requests that the team may send at once above that rate.
+  std::uint32_t burst = 0;
+
+  friend bool operator==(const TeamObject&, const TeamObject&) = default;
+};
+
 using ConfigObject = std::variant<ServiceObject,
                                   SelectorObject,
                                   RankObject,
                                   RoutingRuleObject,
                                   AlertRuleObject,
-                                  CallerLimitsObject>;
+                                  CallerLimitsObject,
+                                  TeamObject>;
 
 /// Kind and name, which identify an object in the configuration.
 struct ObjectKey {
-  /// "service", "selector", "rank", "routing_rule", "alert_rule" or
-  /// "caller_limits".
+  /// "service", "selector", "rank", "routing_rule", "alert_rule",
+  /// "caller_limits" or "team".
   std::string kind;
   std::string name;
 
--- a/packages/config/banyantrail/config/release.h
+++ b/packages/config/banyantrail/config/release.h
@@ -36,6 +36,7 @@
   std::vector<AlertRuleObject> alert_rules;
   /// At most one.
   std::vector<CallerLimitsObject> caller_limits;
+  std::vector<TeamObject> teams;
 
   friend bool operator==(const CompiledConfig&,
                          const CompiledConfig&) = default;
--- a/packages/core/banyantrail/core/ids.h
+++ b/packages/core/banyantrail/core/ids.h
@@ -43,6 +43,7 @@
 using SelectorName = Id<struct SelectorNameTag>;
 using RankName = Id<struct RankNameTag>;
 using CallerLimitsName = Id<struct CallerLimitsNameTag>;
+using TeamName = Id<struct TeamNameTag>;
 using ChangeId = Id<struct ChangeIdTag>;
 
 /// Position in the linear history of accepted configurations, without gaps. The
--- a/packages/proxy/banyantrail/proxy/entry_stage.cc
+++ b/packages/proxy/banyantrail/proxy/entry_stage.cc
@@ -6,6 +6,7 @@
 
 #include "banyantrail/core/digest.h"
 #include "banyantrail/proxy/attempt_outcome.h"
+#include "banyantrail/proxy/caller_team.h"
 #include "banyantrail/proxy/metadata_fields.h"
 #include "banyantrail/traffic/body_transfers.h"
 #include "banyantrail/traffic/retry_after.h"
@@ -24,9 +25,14 @@
 }
 
 RefusalReason ReasonOf(LookupFailure failure) {
-  return failure == LookupFailure::kNoBackendServer
-             ? RefusalReason::kNoBackendServer
-             : RefusalReason::kNoRoute;
+  switch (failure) {
+    case LookupFailure::kNoBackendServer:
+      return RefusalReason::kNoBackendServer;
+    case LookupFailure::kRouteDisabled:
+      return RefusalReason::kRouteDisabled;
+    default:
+      return RefusalReason::kNoRoute;
+  }
 }
 
 /// Requests on the same route have similar service times.
@@ -52,6 +58,10 @@
   std::shared_ptr<const RoutingSnapshot> snapshot;
   const Route* route = nullptr;
   const RoutedService* service = nullptr;
+  /// Null if the request carries no key of a team.
+  const RoutedTeam* team = nullptr;
+  /// The priority of the team, or that of the route.
+  std::uint8_t priority = 0;
   TimePoint started;
   TimePoint deadline;
   /// Latency target: a response after this time has reduced value to the
@@ -227,6 +237,12 @@
                                    .path = PathOf(head),
                                    .host = FieldValue(head, "host")});
   context.route = lookup.route;
+  if (lookup.route != nullptr) {
+    const std::optional<RefusalReason> refusal = ResolveTeam(context);
+    if (refusal) {
+      return refusal;
+    }
+  }
   if (lookup.failure != LookupFailure::kNone) {
     return ReasonOf(lookup.failure);
   }
@@ -236,6 +252,30 @@
   return std::nullopt;
 }
 
+/// Determines the team and the priority of a request. Returns a reason if it
+/// lacks a team's key.
+std::optional<RefusalReason> EntryStage::ResolveTeam(RequestContext& context) {
+  context.priority = context.route->priority;
+  const std::string& request_id = m_options.dialect.request_id;
+  context.is_nested_call =
+      !request_id.empty() &&
+      m_running.IsNestedCall(FieldValue(context.request.head(), request_id));
+  if (context.snapshot->teams().empty()) {
+    return std::nullopt;
+  }
+  const CallerTeam caller =
+      FindCallerTeam(context.request.head(), *context.snapshot);
+  if (caller.has_unknown_key ||
+      IsKeyMissing(caller, *context.route, context.is_nested_call)) {
+    return RefusalReason::kUnknownKey;
+  }
+  context.team = caller.team;
+  if (context.team != nullptr) {
+    context.priority = context.team->priority.value_or(context.priority);
+  }
+  return std::nullopt;
+}
+
 /// The deadline is that of the routing rule, or the caller's if that is
 /// earlier. The latency target counts from the time when the caller first sent
 /// the request.
@@ -249,9 +289,6 @@
           ? std::min<Duration>(milliseconds(*caller_timeout), route.deadline)
           : route.deadline;
   context.deadline = std::min(context.started + timeout, m_drain_end);
-  context.is_nested_call =
-      !dialect.request_id.empty() &&
-      m_running.IsNestedCall(FieldValue(head, dialect.request_id));
   if (route.target_latency > Duration::zero()) {
     const Duration already_waited =
         caller_timeout && !context.is_nested_call
@@ -315,6 +352,7 @@
                          .deadline = context.deadline,
                          .expect_continue = true};
   StripInternalFields(options.head, m_options.dialect);
+  SetTeamField(context, options.head);
   if (endpoint.mesh_version > 0) {
     // The metadata holds both.
     EraseField(options.head, m_options.dialect.deadline);
@@ -325,11 +363,24 @@
   return options;
 }
 
+/// Replaces the key, which backend servers must not see, by the team's name.
+void EntryStage::SetTeamField(const RequestContext& context,
+                              http::fields& head) const {
+  if (context.snapshot->teams().empty()) {
+    return;
+  }
+  head.erase(http::field::authorization);
+  EraseField(head, m_options.dialect.team);
+  if (context.team != nullptr) {
+    SetField(head, m_options.dialect.team, context.team->name.str());
+  }
+}
+
 RequestMetadata EntryStage::MetadataFor(const RequestContext& context,
                                         const ServiceEndpoint& endpoint) const {
   RequestMetadata metadata{.time_left = RemainingTime(context.deadline),
                            .depth = DepthOf(context.request.head()) + 1,
-                           .priority = context.route->priority,
+                           .priority = context.priority,
                            .is_idempotent = context.route->idempotent,
                            .is_nested_call = context.is_nested_call,
                            .kind = KindOf(*context.route),
@@ -386,7 +437,7 @@
 const ServiceEndpoint* EntryStage::ChooseEndpointFor(
     const RequestContext& context) {
   const TimePoint now = SystemClock().Now();
-  const RequestUrgency urgency{.priority = context.route->priority,
+  const RequestUrgency urgency{.priority = context.priority,
                                .slack = context.deadline - now};
   ChoiceRequest request{
       .body_bytes = BodyBytes(context.request),
@@ -450,8 +501,7 @@
     const TimePoint now = SystemClock().Now();
     m_refusals.OnRefused(
         KeyOf(endpoint),
-        {.priority = context.route->priority, .slack = context.deadline - now},
-        now);
+        {.priority = context.priority, .slack = context.deadline - now}, now);
   }
 }
 
@@ -656,9 +706,7 @@
 
 void EntryStage::ReportResponse(const RequestContext& context,
                                 unsigned status) {
-  const unsigned priority =
-      context.route == nullptr ? 0 : context.route->priority;
-  m_options.hooks.on_response(priority, status,
+  m_options.hooks.on_response(context.priority, status,
                               SystemClock().Now() - context.started);
 }
 
--- a/packages/proxy/banyantrail/proxy/entry_stage.h
+++ b/packages/proxy/banyantrail/proxy/entry_stage.h
@@ -147,6 +147,7 @@
                                        Attempt& attempt);
   AttemptOptions AttemptOptionsFor(const RequestContext& context,
                                    const ServiceEndpoint& endpoint) const;
+  void SetTeamField(const RequestContext& context, http::fields& head) const;
   RequestMetadata MetadataFor(const RequestContext& context,
                               const ServiceEndpoint& endpoint) const;
   asio::awaitable<Attempt> TryEndpoint(Downstream& downstream,
@@ -166,6 +167,7 @@
                        const Attempt& attempt);
   RetryPolicy& RetryPolicyFor(const ServiceName& service);
   Duration RetryAfterDelay(const RequestContext& context);
+  std::optional<RefusalReason> ResolveTeam(RequestContext& context);
   void SetDeadlineAndTarget(RequestContext& context);
   bool CanFinishBeforeStop(const RequestContext& context);
   void ReportResponse(const RequestContext& context, unsigned status);
--- a/packages/proxy/banyantrail/proxy/local_reply.cc
+++ b/packages/proxy/banyantrail/proxy/local_reply.cc
@@ -49,6 +49,9 @@
   if (!reply.load.empty()) {
     SetField(response, kLoadHeader, reply.load);
   }
+  if (reply.status == http::status::unauthorized) {
+    response.set(http::field::www_authenticate, "Bearer");
+  }
   if (reply.retry_after > Duration::zero()) {
     response.set(http::field::retry_after, RetryAfterText(reply));
   }
--- a/packages/proxy/banyantrail/proxy/message_head.cc
+++ b/packages/proxy/banyantrail/proxy/message_head.cc
@@ -19,6 +19,8 @@
       return http::status::request_timeout;
     case RefusalReason::kNoRoute:
       return http::status::not_found;
+    case RefusalReason::kUnknownKey:
+      return http::status::unauthorized;
     case RefusalReason::kDeadline:
     case RefusalReason::kResponseTimeout:
       return http::status::gateway_timeout;
--- a/packages/traffic/banyantrail/traffic/refusal_reason.cc
+++ b/packages/traffic/banyantrail/traffic/refusal_reason.cc
@@ -28,6 +28,8 @@
     {"no_configuration", true, kResendLater},
     {"no_route", true, "Declare a routing rule for this path and method."},
     {"no_backend_server", true, kResendLater},
+    {"route_disabled", true, kResendLater},
+    {"unknown_key", true, "Send a key of a declared team."},
     {"queue_full", true, kResendLater},
     {"deadline", true, "Allow a longer deadline, or send it again later."},
     {"draining", true, "Send the request to another node."},
--- a/packages/traffic/banyantrail/traffic/refusal_reason.h
+++ b/packages/traffic/banyantrail/traffic/refusal_reason.h
@@ -19,6 +19,8 @@
   kNoConfiguration,
   kNoRoute,
   kNoBackendServer,
+  kRouteDisabled,
+  kUnknownKey,
   // Refused by the node that owns the backend server.
   kQueueFull,
   kDeadline,
--- a/packages/traffic/banyantrail/traffic/routing_snapshot.cc
+++ b/packages/traffic/banyantrail/traffic/routing_snapshot.cc
@@ -87,7 +87,9 @@
                             .idempotent = rule.idempotent,
                             .deadline = rule.deadline,
                             .target_latency = rule.target_latency,
-                            .max_attempts = rule.max_attempts});
+                            .max_attempts = rule.max_attempts,
+                            .allow_anonymous = rule.allow_anonymous,
+                            .disabled = rule.disabled});
   }
   std::ranges::stable_sort(
       table.routes, std::ranges::greater{},
@@ -98,6 +100,22 @@
   }
 }
 
+void AddTeams(const CompiledConfig& config, detail::RouteTable& table) {
+  for (const TeamObject& team : config.teams) {
+    RoutedTeam routed{.name = team.name,
+                      .requests_per_s = team.requests_per_s,
+                      .burst = team.burst};
+    const RankObject* rank = FindByName(config.ranks, team.rank);
+    if (rank != nullptr) {
+      routed.priority = rank->priority;
+    }
+    for (const std::string& digest : team.key_digests) {
+      table.team_indexes[digest] = table.teams.size();
+    }
+    table.teams.push_back(std::move(routed));
+  }
+}
+
 }  // namespace
 
 detail::RouteTable::RouteTable(const CompiledConfig& config,
@@ -112,6 +130,7 @@
     services.push_back({.name = service.name});
   }
   AddRoutes(config, proxy, *this);
+  AddTeams(config, *this);
   if (!config.caller_limits.empty()) {
     caller_limits = config.caller_limits.front();
   }
@@ -226,6 +245,12 @@
   });
 }
 
+const RoutedTeam* RoutingSnapshot::FindTeam(std::string_view key_digest) const {
+  const auto found = m_table->team_indexes.find(key_digest);
+  return found == m_table->team_indexes.end() ? nullptr
+                                              : &m_table->teams[found->second];
+}
+
 RouteLookup RoutingSnapshot::FindRoute(const RouteQuery& query) const {
   const Route* route = FindRouteForHost(NormalizedHost(query.host), query);
   if (route == nullptr) {
@@ -234,6 +259,9 @@
   if (route == nullptr) {
     return {.failure = LookupFailure::kNoRoute};
   }
+  if (route->disabled) {
+    return {.route = route, .failure = LookupFailure::kRouteDisabled};
+  }
   return {.route = route,
           .failure = HasBackendServer(*route)
                          ? LookupFailure::kNone
--- a/packages/traffic/banyantrail/traffic/routing_snapshot.h
+++ b/packages/traffic/banyantrail/traffic/routing_snapshot.h
@@ -76,10 +76,24 @@
   Duration target_latency{};
   /// 0 if not declared.
   std::uint32_t max_attempts = 0;
+  bool allow_anonymous = false;
+  bool disabled = false;
 
   friend bool operator==(const Route&, const Route&) = default;
 };
 
+/// A team as requests refer to it.
+struct RoutedTeam {
+  TeamName name;
+  /// Takes precedence over the priority of the route. Empty if not declared.
+  std::optional<std::uint8_t> priority;
+  /// Limit over all nodes; 0 is no limit.
+  std::uint32_t requests_per_s = 0;
+  std::uint32_t burst = 0;
+
+  friend bool operator==(const RoutedTeam&, const RoutedTeam&) = default;
+};
+
 /// The priority and the guaranteed share of a rank.
 struct RoutedRank {
   std::uint8_t priority = 0;
@@ -104,6 +118,8 @@
   kNoRoute,
   /// A routing rule matches, but its services have no backend server.
   kNoBackendServer,
+  /// The matching routing rule is disabled.
+  kRouteDisabled,
 };
 
 struct RouteLookup {
@@ -152,6 +168,9 @@
   /// Indexes into `routes` by host and path prefix, in ascending order.
   StringMap<StringMap<std::vector<std::size_t>>> route_indexes;
   std::optional<CallerLimitsObject> caller_limits;
+  std::vector<RoutedTeam> teams;
+  /// Indexes into `teams` by the SHA-256 of their keys.
+  StringMap<std::size_t> team_indexes;
 };
 
 }  // namespace detail
@@ -194,6 +213,11 @@
   const std::optional<CallerLimitsObject>& caller_limits() const {
     return m_table->caller_limits;
   }
+  /// The declared teams. If there are any, requests need a team's key.
+  const std::vector<RoutedTeam>& teams() const { return m_table->teams; }
+  /// The team that has the key with this SHA-256 in lower-case hexadecimal;
+  /// null if there is none.
+  const RoutedTeam* FindTeam(std::string_view key_digest) const;
 
  private:
   void AddEndpoints(const SharedMembers& members);
--- a/packages/wire/banyantrail/wire/edge_dialect.h
+++ b/packages/wire/banyantrail/wire/edge_dialect.h
@@ -23,6 +23,9 @@
   /// Service of the VM where the request originated. Always set by the mesh,
   /// whatever the caller sent.
   std::string caller_service;
+  /// Team whose key the request carries. If teams are declared, it is always
+  /// set by the mesh, whatever the caller sent.
+  std::string team = "x-banyantrail-team";
   /// Marks the refusal of a request that the backend server did not run.
   std::string not_run = "x-banyantrail-outcome";
   /// The value that `not_run` must have; any value when empty.
--- a/tests/proxy/request_path_test.cc
+++ b/tests/proxy/request_path_test.cc
@@ -10,6 +10,7 @@
 #include <string_view>
 #include <utility>
 
+#include "banyantrail/core/digest.h"
 #include "proxy/request_path.h"
 
 namespace asio = boost::asio;
@@ -55,12 +56,17 @@
                                               .response_stamp = "Proof",
                                               .expected_server = "For-Server",
                                               .caller_service = "From-Service",
+                                              .team = "From-Team",
                                               .not_run = "Not-Run",
                                               .not_run_value = "",
                                               .propagates_depth = false,
                                               .fractional_retry_after = true,
                                               .refuses_with_503 = true};
 
+const banyantrail::TeamObject kTeam{
+    .name = banyantrail::TeamName("surveyors"),
+    .key_digests = {banyantrail::Sha256Hex("secret-1")}};
+
 void ExpectOutcomeUnknown(const CallerResponse& response) {
   LONGS_EQUAL(502, response.status);
   STRCMP_EQUAL("outcome-unknown", response.outcome.c_str());
@@ -225,6 +231,60 @@
   }
 }
 
+// Guards against a team's key reaching a backend server, and against a caller
+// that names another team.
+TEST(RequestPath, ReplacesKeyByNameOfItsTeam) {
+  http::request<http::string_body> seen;
+  RequestPath path(
+      [&seen](tcp_stream& stream) -> asio::awaitable<void> {
+        seen = co_await ReadBackendRequest(stream);
+        stream.close();
+      },
+      kStrictDialect);
+  path.teams = {kTeam};
+  path.SetRule(milliseconds(300), false);
+  path.Send(
+      "GET /orders HTTP/1.1\r\nHost: mesh\r\nCall-Name: mine\r\n"
+      "Authorization: bearer secret-1\r\nFrom-Team: another\r\n"
+      "from-team: second\r\n\r\n");
+  LONGS_EQUAL(1, seen.count("From-Team"));
+  STRCMP_EQUAL("surveyors", std::string(seen["From-Team"]).c_str());
+  LONGS_EQUAL(0, seen.count("Authorization"));
+}
+
+TEST(RequestPath, RequestWithoutKeyOfATeamIsUnauthorized) {
+  RequestPath path(EchoHandler);
+  path.teams = {kTeam};
+  path.SetRule(milliseconds(300), false);
+  const std::string head = "GET /orders HTTP/1.1\r\nHost: mesh\r\n";
+  LONGS_EQUAL(401, path.Send(head + "\r\n").status);
+  LONGS_EQUAL(401,
+              path.Send(head + "Authorization: Bearer other\r\n\r\n").status);
+  LONGS_EQUAL(401,
+              path.Send(head + "Authorization: Basic secret-1\r\n\r\n").status);
+  LONGS_EQUAL(401, path.Send(head + "Authorization: Bearer secret-1\r\n"
+                                    "Authorization: Bearer other\r\n\r\n")
+                       .status);
+  LONGS_EQUAL(
+      200, path.Send(head + "Authorization: Bearer secret-1\r\n\r\n").status);
+}
+
+TEST(RequestPath, AnonymousRouteAcceptsRequestsWithoutKey) {
+  http::request<http::string_body> seen;
+  RequestPath path([&seen](tcp_stream& stream) -> asio::awaitable<void> {
+    seen = co_await ReadBackendRequest(stream);
+    stream.close();
+  });
+  path.teams = {kTeam};
+  path.allow_anonymous = true;
+  path.SetRule(milliseconds(300), false);
+  path.Send(
+      "GET /orders HTTP/1.1\r\nHost: mesh\r\n"
+      "x-banyantrail-team: surveyors\r\n\r\n");
+  STRCMP_EQUAL("/orders", std::string(seen.target()).c_str());
+  LONGS_EQUAL(0, seen.count("x-banyantrail-team"));
+}
+
 TEST(RequestPath, UnreachableBackendServerProvesNotRun) {
   RequestPath path(EchoHandler);
   path.StopBackend();
