Let responses set the pace of a backend server that starts or fails

Cause: an entry node raised the weight of a new or readmitted endpoint by time, from 0.1 to 1 over 5 s, whatever its owner node reported, so the server was left nearly idle; and a backend server that stopped responding kept all its slots, because a lost connection did not change the limit. Each entry node had to fail ten requests of its own before it ejected a server that fails part of them.

Change: with response_based_slow_start the limit of the owner node grows with each response in time, starts again when three requests in a row get no response, and entry nodes follow the reported limit.

Ruled out: lowering the limit at each failure (a service of which every server fails half of its requests would keep one slot each), see docs/design/SERVER-PACE.md.

The effect on callers is not measured yet.

--- a/packages/node/banyantrail/node/data_plane.cc
+++ b/packages/node/banyantrail/node/data_plane.cc
@@ -48,6 +48,12 @@
 
 constexpr std::uint64_t kBytesPerMbit = 125'000;
 
+AdmissionOptions AdmissionOptionsFrom(const NodeSettings& settings) {
+  AdmissionOptions options = settings.admission;
+  options.limit.per_response_slow_start = settings.response_based_slow_start;
+  return options;
+}
+
 OwnerStage::Options OwnerStageOptions(Metrics& metrics,
                                       const NodeSettings& settings,
                                       LocalBackendServers& servers,
@@ -67,8 +73,9 @@
                     },
                 .on_crash = options.on_crash},
       .dialect = options.dialect,
-      .admission = settings.admission,
+      .admission = AdmissionOptionsFrom(settings),
       .max_send_after_departure = settings.shutdown.max_send_after_departure,
+      .report_failures = settings.response_based_slow_start,
       .link_bytes_per_s = settings.limits.link_mbit_per_s * kBytesPerMbit};
 }
 
@@ -125,6 +132,7 @@
                                       const DataPlane::Options& options) {
   return {
       .choice = {.domain = settings.domain, .region = settings.region},
+      .loads = {.slow_start_follows_limit = settings.response_based_slow_start},
       .retries = RetryPolicyFor(settings.retry_budget),
       .fleet_retry_burst = kUsableBudgetShare * settings.retry_budget.burst,
       .limits = {.max_header_bytes = settings.limits.max_header_bytes},
--- a/packages/node/banyantrail/node/settings.cc
+++ b/packages/node/banyantrail/node/settings.cc
@@ -153,6 +153,8 @@
       reader.OptionalString("distribution", kFreeTextRule, "tree"),
       ParseDistributionMode);
   settings.claim_idempotency_keys = reader.OptionalBool("once_only", true);
+  settings.response_based_slow_start =
+      reader.OptionalBool("response_based_slow_start", false);
   settings.limits = ReadLimits(reader.OptionalObject("limits", kMaxLabels),
                                place + ": limits", faults);
   reader.Finish();
--- a/packages/node/banyantrail/node/settings.h
+++ b/packages/node/banyantrail/node/settings.h
@@ -101,6 +101,9 @@
   RetryBudgetSettings retry_budget;
   /// Admission control for the backend servers of this node.
   AdmissionOptions admission;
+  /// Whether the pace at which a backend server gets requests after a start or
+  /// a failure follows its responses instead of time.
+  bool response_based_slow_start = false;
   /// Interval at which backend servers send heartbeats.
   Duration heartbeat_interval = seconds(1);
 
--- a/packages/proxy/banyantrail/proxy/attempt_outcome.cc
+++ b/packages/proxy/banyantrail/proxy/attempt_outcome.cc
@@ -1,6 +1,8 @@
 #include "banyantrail/proxy/attempt_outcome.h"
 
+#include "banyantrail/proxy/header_rules.h"
 #include "banyantrail/proxy/metadata_fields.h"
+#include "banyantrail/wire/mesh_headers.h"
 
 namespace banyantrail {
 namespace {
@@ -89,8 +91,20 @@
   return MetadataOf(attempt).load;
 }
 
+std::optional<double> FailureShareOf(const Attempt& attempt) {
+  constexpr double kPercent = 100;
+  if (!IsBackendResponse(attempt)) {
+    return std::nullopt;
+  }
+  const auto percent =
+      NumberField(attempt.response->get(), kFailurePercentHeader);
+  return percent ? *percent / kPercent : 0;
+}
+
 EndpointResult ResultOf(const Attempt& attempt, Duration latency) {
-  EndpointResult result{.outcome = OutcomeOf(attempt), .load = LoadOf(attempt)};
+  EndpointResult result{.outcome = OutcomeOf(attempt),
+                        .load = LoadOf(attempt),
+                        .failure_share = FailureShareOf(attempt)};
   if (result.outcome == EndpointOutcome::kSuccess) {
     result.latency = latency;
   }
--- a/packages/proxy/banyantrail/proxy/attempt_outcome.h
+++ b/packages/proxy/banyantrail/proxy/attempt_outcome.h
@@ -27,6 +27,11 @@
 /// The load that the owner node reported with its response.
 std::optional<ReportedLoad> LoadOf(const Attempt& attempt);
 
+/// The share of requests that the backend server fails, as its owner node
+/// reports it: 0 if it reports none. Empty if the response is not that of a
+/// backend server.
+std::optional<double> FailureShareOf(const Attempt& attempt);
+
 /// The result for the statistics of the endpoint. `latency` is the duration of
 /// the attempt.
 EndpointResult ResultOf(const Attempt& attempt, Duration latency);
--- a/packages/proxy/banyantrail/proxy/owner_stage.cc
+++ b/packages/proxy/banyantrail/proxy/owner_stage.cc
@@ -1,5 +1,6 @@
 #include "banyantrail/proxy/owner_stage.h"
 
+#include <cmath>
 #include <utility>
 
 #include "banyantrail/core/digest.h"
@@ -432,6 +433,7 @@
       ReleaseSlot(context, AttemptResult::kFailed);
       break;
     case UpstreamResult::kUnknown:
+      context.backend->failures.Record(true, SystemClock().Now());
       ReleaseSlot(context, attempt.reason == RefusalReason::kResponseTimeout
                                ? AttemptResult::kTimedOut
                                : AttemptResult::kFailed);
@@ -463,6 +465,10 @@
   } else {
     SetField(head, kLoadHeader, LegacyLoadText(load));
   }
+  const bool failed =
+      http::to_status_class(head.result()) == http::status_class::server_error;
+  context.backend->failures.Record(failed, SystemClock().Now());
+  SetFailureField(*context.backend, head);
   const RelayOutcome outcome =
       co_await RelayResponse(attempt, downstream, std::move(head),
                              !downstream.must_close, context.deadline);
@@ -490,6 +496,20 @@
   }
 }
 
+void OwnerStage::SetFailureField(const Backend& backend,
+                                 http::fields& head) const {
+  constexpr double kMinReportedShare = 0.1;
+  constexpr double kPercent = 100;
+  if (!m_options.report_failures) {
+    return;
+  }
+  const double share = backend.failures.Value(SystemClock().Now()).value_or(0);
+  if (share >= kMinReportedShare) {
+    SetField(head, kFailurePercentHeader,
+             std::to_string(std::lround(share * kPercent)));
+  }
+}
+
 void OwnerStage::ReleaseSlot(RequestContext& context, AttemptResult result) {
   context.backend->gate->Release(
       context.id,
--- a/packages/proxy/banyantrail/proxy/owner_stage.h
+++ b/packages/proxy/banyantrail/proxy/owner_stage.h
@@ -13,6 +13,7 @@
 #include "banyantrail/proxy/message_head.h"
 #include "banyantrail/proxy/response_relay.h"
 #include "banyantrail/proxy/upstream_pool.h"
+#include "banyantrail/traffic/failure_share.h"
 #include "banyantrail/traffic/quarantine.h"
 #include "banyantrail/traffic/running_requests.h"
 #include "banyantrail/wire/edge_dialect.h"
@@ -63,6 +64,8 @@
     /// How long after a backend server has announced its departure a request
     /// that was admitted before may still be sent to it.
     Duration max_send_after_departure = seconds(1);
+    /// Whether entry nodes are told that a backend server fails many requests.
+    bool report_failures = false;
     /// Bandwidth of the VM's network link; 0 when unknown.
     std::uint64_t link_bytes_per_s = 0;
   };
@@ -97,6 +100,7 @@
     /// When the backend server began to drain or was deregistered.
     std::optional<TimePoint> departed_at;
     unsigned failed_connects = 0;
+    FailureShare failures;
     /// Fingerprints of the requests in flight, one entry for each request.
     std::multiset<RequestFingerprint> in_flight;
     /// A request suspected of crashing backend servers is running. Other
@@ -142,6 +146,7 @@
   asio::awaitable<std::optional<RefusalReason>> BeginIsolation(
       RequestContext& context);
   void EndIsolation(RequestContext& context);
+  void SetFailureField(const Backend& backend, http::fields& head) const;
   void SetBackendServerFields(const RequestContext& context,
                               http::fields& head) const;
   asio::awaitable<void> Forward(Downstream& downstream,
--- a/packages/traffic/banyantrail/traffic/admission.cc
+++ b/packages/traffic/banyantrail/traffic/admission.cc
@@ -201,13 +201,13 @@
       if (kind != 0) {
         m_kind_times[kind].Record(outcome.latency, now);
       }
-      m_limit.OnLatency(static_cast<std::uint8_t>(band), outcome.latency,
-                        in_flight, now);
+      RecordLatency(band, outcome, in_flight, now);
       break;
     case AttemptResult::kShed:
       m_limit.OnShed(in_flight, now);
       break;
     case AttemptResult::kFailed:
+      m_limit.OnFailure();
       break;
   }
   AdmissionChanges changes;
@@ -215,6 +215,19 @@
   return changes;
 }
 
+void AdmissionQueue::RecordLatency(Band band,
+                                   const AttemptOutcome& outcome,
+                                   std::size_t in_flight,
+                                   TimePoint now) {
+  if (outcome.result == AttemptResult::kTimedOut &&
+      m_options.limit.per_response_slow_start) {
+    m_limit.OnFailure();
+  } else {
+    m_limit.OnLatency(static_cast<std::uint8_t>(band), outcome.latency,
+                      in_flight, now);
+  }
+}
+
 AdmissionChanges AdmissionQueue::Cancel(RequestId request, TimePoint now) {
   Advance(now);
   const auto found = m_entries.find(request);
--- a/packages/traffic/banyantrail/traffic/admission.h
+++ b/packages/traffic/banyantrail/traffic/admission.h
@@ -284,6 +284,10 @@
                             std::uint64_t kind,
                             TimePoint now) const;
 
+  void RecordLatency(Band band,
+                     const AttemptOutcome& outcome,
+                     std::size_t in_flight,
+                     TimePoint now);
   void Advance(TimePoint now);
   void AdvanceRank(detail::RankState& rank,
                    double elapsed_seconds,
--- a/packages/traffic/banyantrail/traffic/concurrency_limit.cc
+++ b/packages/traffic/banyantrail/traffic/concurrency_limit.cc
@@ -28,6 +28,13 @@
 /// nearly constant latency does not get an unlimited weight.
 constexpr double kMinLogVariance = 0.01;
 constexpr double kMinLatencySeconds = 1e-6;
+/// Number of first responses that a slow start compares later ones with.
+constexpr std::size_t kSlowStartBaselineSamples = 3;
+/// Ratio of a latency to the first ones above which the response is late.
+/// Single responses vary, so it exceeds the tolerance for the mean of a window.
+constexpr double kLateResponseFactor = 2;
+constexpr double kFailureDecreaseFactor = 0.5;
+constexpr std::uint32_t kFailuresBeforeSlowStart = 3;
 constexpr seconds kMinCeilingHold{1};
 constexpr seconds kMaxCeilingHold{60};
 
@@ -115,6 +122,19 @@
   return baseline;
 }
 
+bool SlowStartBaseline::IsInTime(std::uint8_t rank_priority, Duration latency) {
+  const double value = std::log(std::max(
+      std::chrono::duration<double>(latency).count(), kMinLatencySeconds));
+  Rank& rank = m_ranks[rank_priority];
+  if (rank.count < kSlowStartBaselineSamples) {
+    ++rank.count;
+    rank.log_sum += value;
+    return true;
+  }
+  const double baseline = rank.log_sum / static_cast<double>(rank.count);
+  return value <= baseline + std::log(kLateResponseFactor);
+}
+
 }  // namespace detail
 
 ConcurrencyLimit::ConcurrencyLimit(ConcurrencyLimitOptions options,
@@ -129,17 +149,64 @@
   m_window_open = false;
   m_has_ceiling = false;
   m_last_decrease = TimePoint{};
+  m_consecutive_failures = 0;
   m_announced_slots = std::max<double>(announced_slots, 1);
-  m_in_slow_start = m_options.adaptive && m_options.slow_start;
   m_limit = m_announced_slots;
+  BeginSlowStart();
+}
+
+bool ConcurrencyLimit::UsesSlowStart() const {
+  return m_options.slow_start &&
+         (m_options.adaptive || m_options.per_response_slow_start);
+}
+
+void ConcurrencyLimit::BeginSlowStart() {
+  m_slow_start_baseline.Reset();
+  m_in_slow_start = UsesSlowStart();
   if (m_in_slow_start) {
-    m_limit =
+    const double start =
         std::min(std::ceil(m_announced_slots * m_options.slow_start_fraction),
                  m_options.max_slow_start_limit);
+    m_limit = std::min(m_limit, start);
   }
   m_limit = std::max(m_limit, m_options.floor);
 }
 
+/// Each response in time makes room for one more request, so the limit doubles
+/// in the time of one response; each late one takes it back.
+void ConcurrencyLimit::AdvanceSlowStart(std::uint8_t rank_priority,
+                                        Duration latency,
+                                        std::size_t in_flight) {
+  // The limit may have grown since the request was sent.
+  constexpr std::size_t kGrowthPerResponseTime = 2;
+  const bool is_used =
+      static_cast<double>(kGrowthPerResponseTime * in_flight) >= m_limit;
+  if (!m_slow_start_baseline.IsInTime(rank_priority, latency)) {
+    m_limit = std::max(m_limit - 1, m_options.floor);
+  } else if (is_used) {
+    m_limit = std::max(m_limit,
+                       std::min({m_limit + 1, m_announced_slots, MaxLimit()}));
+    m_in_slow_start = m_limit < m_announced_slots;
+  }
+}
+
+/// A backend server that fails some requests still works, and a lower limit
+/// would not help it. One that fails several in a row has probably stopped.
+void ConcurrencyLimit::OnFailure() {
+  if (!m_options.per_response_slow_start) {
+    return;
+  }
+  ++m_consecutive_failures;
+  if (m_consecutive_failures < kFailuresBeforeSlowStart) {
+    return;
+  }
+  if (m_in_slow_start) {
+    m_limit = std::max(m_limit * kFailureDecreaseFactor, m_options.floor);
+  } else {
+    BeginSlowStart();
+  }
+}
+
 void ConcurrencyLimit::SetAnnouncedSlots(std::uint32_t announced_slots) {
   const double slots = std::max<double>(announced_slots, 1);
   if (slots == m_announced_slots) {
@@ -153,6 +220,10 @@
                                  Duration latency,
                                  std::size_t in_flight,
                                  TimePoint now) {
+  m_consecutive_failures = 0;
+  if (m_in_slow_start && m_options.per_response_slow_start) {
+    AdvanceSlowStart(rank_priority, latency, in_flight);
+  }
   if (!m_options.adaptive) {
     return;
   }
@@ -237,6 +308,9 @@
 
 void ConcurrencyLimit::Increase() {
   double target = m_limit + 1;
+  if (m_in_slow_start && m_options.per_response_slow_start) {
+    return;
+  }
   if (m_in_slow_start) {
     target = std::min(m_limit * kSlowStartGrowthFactor, m_announced_slots);
     m_in_slow_start = target < m_announced_slots;
--- a/packages/traffic/banyantrail/traffic/concurrency_limit.h
+++ b/packages/traffic/banyantrail/traffic/concurrency_limit.h
@@ -11,7 +11,8 @@
 
 /// Settings of ConcurrencyLimit.
 struct ConcurrencyLimitOptions {
-  /// If false, the limit stays at the announced slots.
+  /// If false, the limit stays at the announced slots, except in a slow start
+  /// per response.
   bool adaptive = true;
   /// If false, the limit starts at the announced slots.
   bool slow_start = true;
@@ -24,6 +25,11 @@
   /// Upper bound of the initial limit in slow start, so that the first
   /// latencies are measured on a nearly idle backend server.
   double max_slow_start_limit = 4;
+  /// If true, slow start follows each response instead of windows of responses,
+  /// and begins again when several requests in a row get no response. Windows
+  /// are too long for a backend server with few slots, and do not see one that
+  /// stops responding. Has an effect without `adaptive`, too.
+  bool per_response_slow_start = false;
   /// Ratio of latency to its baseline above which the backend server counts as
   /// overloaded.
   double latency_tolerance = 1.5;
@@ -91,6 +97,26 @@
   std::array<Bucket, kBuckets> m_buckets;
 };
 
+/// Judges single responses during slow start against the first responses of the
+/// same rank, which a nearly idle backend server gave.
+class SlowStartBaseline {
+ public:
+  /// Whether the response is about as fast as the first ones. True for the
+  /// first ones themselves.
+  bool IsInTime(std::uint8_t rank_priority, Duration latency);
+
+  void Reset() { m_ranks.clear(); }
+
+ private:
+  struct Rank {
+    std::size_t count = 0;
+    /// Sum of the logarithms of the first latencies in seconds.
+    double log_sum = 0;
+  };
+
+  std::map<std::uint8_t, Rank> m_ranks;
+};
+
 }  // namespace detail
 
 /// Adaptive limit on the concurrent requests of a backend server, derived from
@@ -125,6 +151,9 @@
                  std::size_t in_flight,
                  TimePoint now);
 
+  /// The connection of a request was lost, or no response came by its deadline.
+  void OnFailure();
+
   /// The backend server shed a request. `in_flight` includes it.
   void OnShed(std::size_t in_flight, TimePoint now);
 
@@ -139,6 +168,11 @@
   bool WindowIsFull(TimePoint now) const;
   void CloseWindow(TimePoint now);
   Overload MeasureOverload(TimePoint now) const;
+  bool UsesSlowStart() const;
+  void BeginSlowStart();
+  void AdvanceSlowStart(std::uint8_t rank_priority,
+                        Duration latency,
+                        std::size_t in_flight);
   void Increase();
   void Decrease(double factor, TimePoint now);
   void RaiseCeiling(TimePoint now);
@@ -148,6 +182,8 @@
   double m_announced_slots = 1;
   double m_limit = 1;
   bool m_in_slow_start = false;
+  detail::SlowStartBaseline m_slow_start_baseline;
+  std::uint32_t m_consecutive_failures = 0;
 
   std::map<std::uint8_t, detail::LatencyHistory> m_histories;
   std::size_t m_window_samples = 0;
--- a/packages/traffic/banyantrail/traffic/load_table.cc
+++ b/packages/traffic/banyantrail/traffic/load_table.cc
@@ -77,6 +77,7 @@
   }
   Entry& entry = found->second;
   RecordLoad(entry, result, now);
+  RecordFailureReport(entry, result, now);
   entry.outstanding -= entry.outstanding > 0 ? 1 : 0;
   if (result.outcome == EndpointOutcome::kSuccess && result.latency) {
     RecordLatency(entry, *result.latency, now);
@@ -159,7 +160,9 @@
 bool LoadTable::IsEjected(const ServiceEndpoint& endpoint,
                           TimePoint now) const {
   const Entry* entry = Find(endpoint);
-  return entry != nullptr && now < entry->ejected_until;
+  return entry != nullptr &&
+         (now < entry->ejected_until ||
+          ReportedFailureShare(*entry, now) >= m_options.max_failure_share);
 }
 
 bool LoadTable::IsUnreachable(const ServiceEndpoint& endpoint) const {
@@ -168,11 +171,13 @@
 }
 
 double LoadTable::FailureShare(const ServiceEndpoint& endpoint,
-                               TimePoint /*now*/) const {
+                               TimePoint now) const {
   const Entry* entry = Find(endpoint);
-  return entry == nullptr || entry->results <= 0
-             ? 0
-             : entry->failures / entry->results;
+  if (entry == nullptr) {
+    return 0;
+  }
+  const double own = entry->results > 0 ? entry->failures / entry->results : 0;
+  return std::max(own, ReportedFailureShare(*entry, now));
 }
 
 const LoadTable::Entry* LoadTable::Find(const ServiceEndpoint& endpoint) const {
@@ -189,6 +194,11 @@
       now >= *entry.slow_start_since + m_options.slow_start) {
     return 1;
   }
+  const bool has_report =
+      entry.load && entry.reported_at >= *entry.slow_start_since;
+  if (m_options.slow_start_follows_limit && has_report) {
+    return 1;
+  }
   const double age = std::max(0.0, ToSeconds(now - *entry.slow_start_since));
   return std::max(m_options.slow_start_weight,
                   age / ToSeconds(m_options.slow_start));
@@ -229,6 +239,22 @@
   }
 }
 
+void LoadTable::RecordFailureReport(Entry& entry,
+                                    const EndpointResult& result,
+                                    TimePoint now) const {
+  if (result.failure_share && m_options.ejects_outliers) {
+    entry.reported_failure_share = *result.failure_share;
+    entry.failures_reported_at = now;
+  }
+}
+
+double LoadTable::ReportedFailureShare(const Entry& entry,
+                                       TimePoint now) const {
+  const bool is_fresh =
+      now - entry.failures_reported_at < m_options.failure_report_max_age;
+  return is_fresh ? entry.reported_failure_share : 0;
+}
+
 void LoadTable::RecordLatency(Entry& entry,
                               Duration latency,
                               TimePoint now) const {
--- a/packages/traffic/banyantrail/traffic/load_table.h
+++ b/packages/traffic/banyantrail/traffic/load_table.h
@@ -71,6 +71,9 @@
 struct EndpointResult {
   EndpointOutcome outcome = EndpointOutcome::kSuccess;
   std::optional<ReportedLoad> load;
+  /// The share of requests that the backend server fails, as its owner node
+  /// reported it. Empty if it did not.
+  std::optional<double> failure_share = std::nullopt;
   /// Kind of the request that the service time in `load` belongs to; 0 if
   /// unknown.
   std::uint64_t kind = 0;
@@ -97,6 +100,9 @@
   /// results have a total weight of at least `min_results`.
   double max_failure_share = 0.15;
   double min_results = 10;
+  /// How long a failure rate that an owner node reported is valid, and how long
+  /// the endpoint stays ejected for it without another report.
+  Duration failure_report_max_age = seconds(2);
   /// Half-life of the weight of a result.
   Duration result_half_life = seconds(10);
   /// Duration of the first ejection; each consecutive one lasts twice as long.
@@ -105,6 +111,10 @@
   /// Time over which the weight of a new or readmitted endpoint grows to 1.
   Duration slow_start = seconds(5);
   double slow_start_weight = 0.1;
+  /// If true, an endpoint whose owner node has reported its load since the
+  /// start of the slow start counts with its full weight: the limit in the
+  /// report tells how far the backend server has got, and time does not.
+  bool slow_start_follows_limit = false;
   /// Disabled only in benchmarks.
   bool ejects_outliers = true;
 };
@@ -182,6 +192,9 @@
     double results = 0;
     double failures = 0;
     TimePoint results_at;
+    /// The failure rate that the owner node reported last.
+    double reported_failure_share = 0;
+    TimePoint failures_reported_at;
 
     std::uint32_t consecutive_ejections = 0;
     TimePoint ejected_until;
@@ -196,6 +209,10 @@
   double EstimatedInFlight(const Entry& entry, TimePoint now) const;
   void RecordLoad(Entry& entry, const EndpointResult& result, TimePoint now);
   void RecordLatency(Entry& entry, Duration latency, TimePoint now) const;
+  void RecordFailureReport(Entry& entry,
+                           const EndpointResult& result,
+                           TimePoint now) const;
+  double ReportedFailureShare(const Entry& entry, TimePoint now) const;
   void RecordSuccess(Entry& entry, TimePoint now) const;
   void RecordFailure(Entry& entry, bool at_connect, TimePoint now);
   void AddResult(Entry& entry, double failure, TimePoint now) const;
--- a/packages/wire/banyantrail/wire/mesh_headers.h
+++ b/packages/wire/banyantrail/wire/mesh_headers.h
@@ -81,4 +81,10 @@
 /// current concurrency limit, as "in_flight/limit".
 inline constexpr std::string_view kLoadHeader = "x-banyantrail-load";
 
+/// Owner node to entry node: the percentage of recent requests that the backend
+/// server failed, if it is worth avoiding. A header of its own, because entry
+/// nodes of an older build do not accept further fields in kMetadataHeader.
+inline constexpr std::string_view kFailurePercentHeader =
+    "x-banyantrail-failure-percent";
+
 }  // namespace banyantrail
--- a/tests/traffic/choose_endpoint_test.cc
+++ b/tests/traffic/choose_endpoint_test.cc
@@ -18,6 +18,7 @@
 using banyantrail::RegionId;
 using banyantrail::ReportedLoad;
 using banyantrail::Rng;
+using banyantrail::RoutedService;
 using banyantrail::seconds;
 using banyantrail::ServiceEndpoint;
 using banyantrail::TimePoint;
@@ -139,6 +140,28 @@
   CHECK(later > 600);
 }
 
+// Guards against an endpoint that stays nearly idle for the whole slow start
+// although its owner node reports that it has reached its full limit, and
+// against full load while it reports a low one.
+TEST(ChooseEndpoint, NewEndpointGetsRequestsByTheLimitThatItsOwnerReports) {
+  loads = LoadTable({.slow_start_follows_limit = true});
+  RoutedService service{.endpoints = {endpoints[1]}};
+  loads.Retain({service}, kStart);
+  service.endpoints.push_back(endpoints[0]);
+  loads.Retain({service}, kStart);
+  const auto report = [this](std::uint32_t limit, TimePoint now) {
+    Record(loads, endpoints[0], EndpointOutcome::kSuccess, now,
+           ReportedLoad{.in_flight = 1, .limit = limit});
+    Record(loads, endpoints[1], EndpointOutcome::kSuccess, now,
+           ReportedLoad{.in_flight = 5, .limit = 10});
+  };
+  LONGS_EQUAL(0, CountChoices(kStart + milliseconds(500))["a"]);
+  report(10, kStart + milliseconds(500));
+  LONGS_EQUAL(1000, CountChoices(kStart + milliseconds(500))["a"]);
+  report(1, kStart + seconds(6));
+  LONGS_EQUAL(0, CountChoices(kStart + seconds(6))["a"]);
+}
+
 TEST(ChooseEndpoint, EjectsAnEndpointWithAHighFailureRate) {
   for (int i = 0; i < 20; ++i) {
     Record(loads, endpoints[0],
@@ -149,6 +172,31 @@
   LONGS_EQUAL(0, CountChoices(kStart)["a"]);
 }
 
+// Guards against each entry node failing requests of its own before it avoids a
+// backend server whose owner node already knows that it fails many.
+TEST(ChooseEndpoint, AvoidsAnEndpointWhileItsOwnerReportsFailures) {
+  loads.OnStart(endpoints[0], kStart);
+  loads.OnResult(endpoints[0], {.failure_share = 0.45}, kStart);
+  LONGS_EQUAL(0, CountChoices(kStart + seconds(1))["a"]);
+  // Without another report it is tried again.
+  CHECK(CountChoices(kStart + seconds(3))["a"] > 0);
+  loads.OnStart(endpoints[0], kStart);
+  loads.OnResult(endpoints[0], {.failure_share = 0}, kStart);
+  CHECK(CountChoices(kStart + seconds(1))["a"] > 0);
+}
+
+// Guards against half of the endpoints being avoided because of a fault of a
+// nested service that all of them call.
+TEST(ChooseEndpoint, ReportedFailuresOfAllEndpointsEjectNone) {
+  for (const ServiceEndpoint& endpoint : endpoints) {
+    loads.OnStart(endpoint, kStart);
+    loads.OnResult(endpoint, {.failure_share = 0.45}, kStart);
+  }
+  auto counts = CountChoices(kStart);
+  CHECK(counts["a"] > 300);
+  CHECK(counts["b"] > 300);
+}
+
 TEST(ChooseEndpoint, EjectsAtMostTheAllowedShareOfTheEndpoints) {
   for (const std::size_t failing : {0U, 1U}) {
     for (int i = 0; i < 5; ++i) {
