--- a/packages/wire/banyantrail/wire/peer_messages.h
+++ b/packages/wire/banyantrail/wire/peer_messages.h
@@ -204,6 +204,30 @@
   MSGPACK_DEFINE(revision, release_digest, is_pushed, store_failed)
 };
 
+/// Asks for the receiver's newest confirmation of the store's revision.
+struct ConfirmationRequestMessage {
+  /// Identifies the request among those of all processes that the sender's node
+  /// has ever run, so that a reply to an earlier process is not accepted.
+  std::uint64_t sequence = 0;
+
+  friend bool operator==(const ConfirmationRequestMessage&,
+                         const ConfirmationRequestMessage&) = default;
+  MSGPACK_DEFINE(sequence)
+};
+
+/// The reply: `age_ms` before the reply, `revision` was the store's newest
+/// configuration. The receiver counts the age from when it sent its request.
+struct ConfirmationReplyMessage {
+  std::uint64_t sequence = 0;
+  Revision revision = 0;
+  /// Rounded up.
+  std::uint32_t age_ms = 0;
+
+  friend bool operator==(const ConfirmationReplyMessage&,
+                         const ConfirmationReplyMessage&) = default;
+  MSGPACK_DEFINE(sequence, revision, age_ms)
+};
+
 /// All messages between nodes. The position in the list is the message's type
 /// number on the wire, so new messages are added at the end.
 using PeerMessage = std::variant<HelloMessage,
@@ -218,6 +242,8 @@
                                  ProbeAckMessage,
                                  StatusReportMessage,
                                  CrashReportMessage,
-                                 StoreHeadMessage>;
+                                 StoreHeadMessage,
+                                 ConfirmationRequestMessage,
+                                 ConfirmationReplyMessage>;
 
 }  // namespace banyantrail
--- a/tests/wire/frame_codec_test.cc
+++ b/tests/wire/frame_codec_test.cc
@@ -41,6 +41,15 @@
   CHECK(RoundTrip(update) == update);
 }
 
+TEST(FrameCodec, DecodesTheMessagesOfTheKeyLease) {
+  const PeerMessage request =
+      banyantrail::ConfirmationRequestMessage{.sequence = 0xFEDCBA9876543210};
+  const PeerMessage reply = banyantrail::ConfirmationReplyMessage{
+      .sequence = 0xFEDCBA9876543210, .revision = 4711, .age_ms = 812};
+  CHECK(RoundTrip(request) == request);
+  CHECK(RoundTrip(reply) == reply);
+}
+
 TEST(FrameCodec, RejectsLengthOutOfBounds) {
   CHECK_THROWS(Error, DecodePayloadLength(std::string("\xFF\xFF\xFF\xFF", 4)));
   CHECK_THROWS(Error, DecodePayloadLength(std::string(4, '\0')));
