Test that a node cut off from the store accepts keys by its peers

Cause: no test with real processes covered a node whose own path to the store is lost, which must not refuse keys while a node of another domain has contact.

Change: a third process test, through a forwarder that discards all bytes between the node and the store for three revocation times.

--- a/tests/process/key_lease_process_test.py
+++ b/tests/process/key_lease_process_test.py
@@ -6,6 +6,7 @@
 import os
 import signal
 import time
+import types
 import unittest
 
 import harness
@@ -33,6 +34,10 @@
         self.nodes = [
             fleet.add(f"n{number}", upstream, zone=f"tw-north-{number}")
             for number, upstream in enumerate(self.upstreams, 1)]
+        self.cut = harness.Forwarder(fleet.allocate_port(),
+                                     self.store.address)
+        self.addCleanup(self.cut.close)
+        self.nodes[1].store = types.SimpleNamespace(address=self.cut.address)
         fleet.start(["stock"], ROUTES)
         self.put_keys([KEY])
         for node in self.nodes:
@@ -75,6 +80,16 @@
             for node in self.nodes:
                 self.await_status(node, 200)
 
+    # The second node is the only one of its failure domain.
+    def test_node_cut_off_from_the_store_lives_on_another_domain(self):
+        with platform_fleet.PlatformFleet() as fleet:
+            self.start(fleet)
+            self.cut.silence()
+            end = time.monotonic() + 3 * REVOCATION_S
+            while time.monotonic() < end:
+                self.assertEqual(self.ask(self.nodes[1])[0], 200)
+                time.sleep(0.05)
+
     # The frozen node wakes up with the configuration that has the key.
     def test_removed_key_does_not_run_at_a_node_that_was_frozen(self):
         with platform_fleet.PlatformFleet() as fleet:
--- a/tests/process/platform_fleet.py
+++ b/tests/process/platform_fleet.py
@@ -53,6 +53,9 @@
     def store(self):
         return self._fleet.store
 
+    def allocate_port(self):
+        return self._ports.allocate()
+
     def settings_path(self, node):
         return pathlib.Path(self._fleet.folder) / f"{node.name}.json"
 
