Split the admission queue by responsibility

Change, without one of behaviour: admission_types.h holds the values that go in and out, rank_state.* the state of a band, rank_scheduler.* decides which rank gets the next slot and which slots a rank can count on. The order of bands and the formulas are moved as they were.

--- a/packages/traffic/banyantrail/traffic/admission.cc
+++ b/packages/traffic/banyantrail/traffic/admission.cc
@@ -8,66 +8,25 @@
 namespace {
 
 using detail::AdmissionEntry;
+using detail::FromSeconds;
 using detail::kFirstLateBand;
 using detail::kNestedCallBand;
 using detail::QueueKey;
+using detail::RankScheduler;
 using detail::RankState;
+using detail::SecondsSinceEpoch;
+using detail::ToSeconds;
 
 constexpr double kPercent = 100;
 /// Factor on the shares of all ranks but the most urgent, so that moments
 /// without waiting requests do not take them below their share on average.
 constexpr double kLowerRankShareFactor = 1.01;
-/// Maximum credit of a rank, unless one request is expected to need more.
-constexpr double kMaxCreditSlotSeconds = 5;
-constexpr milliseconds kDefaultServiceTime{50};
-/// Time constant of the average of a rank's demand.
-constexpr double kDemandTimeConstantSeconds = 2;
-/// No slots are reserved for a rank with a lower demand.
-constexpr double kMinDemand = 0.01;
-/// Slots reserved for the most urgent rank in addition to its demand.
-constexpr double kTopRankReserveMargin = 0.5;
 /// Lower bound on the slots assumed when estimating a waiting time.
 constexpr double kMinUsableSlots = 0.25;
 /// Interval between checks of waiting ranks while slots are free. Credit and
 /// demand change with time even if no request arrives or ends.
 constexpr milliseconds kRecheckInterval{10};
 
-double ToSeconds(Duration duration) {
-  return std::chrono::duration<double>(duration).count();
-}
-
-Duration FromSeconds(double value) {
-  return std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(value));
-}
-
-double SecondsSinceEpoch(TimePoint time) {
-  return ToSeconds(time.time_since_epoch());
-}
-
-/// How long the rank's requests hold a slot: the mean of those that ended or
-/// the mean age of those in flight, whichever is longer. Empty if there are
-/// neither.
-std::optional<Duration> SlotHoldTime(const RankState& rank, TimePoint now) {
-  std::optional<Duration> hold = rank.service_time.Mean(now);
-  if (rank.in_flight > 0) {
-    const double mean_start =
-        rank.admitted_at_sum / static_cast<double>(rank.in_flight);
-    const Duration age = FromSeconds(SecondsSinceEpoch(now) - mean_start);
-    hold = std::max(hold.value_or(Duration{}), age);
-  }
-  return hold;
-}
-
-/// Slot-seconds that a request of the rank is expected to use.
-double ExpectedSlotSeconds(const RankState& rank, TimePoint now) {
-  return ToSeconds(rank.service_time.Mean(now).value_or(kDefaultServiceTime));
-}
-
-double FractionalPart(double value) {
-  return value - std::floor(value);
-}
-
 }  // namespace
 
 AdmissionQueue::AdmissionQueue(AdmissionOptions options)
@@ -129,8 +88,7 @@
       .arrival = m_next_arrival++,
       .request = request.id};
   const bool is_first = rank.queue.empty() || key < *rank.queue.begin();
-  const bool may_run = IsBelowGuarantee(rank) || MayBorrow(rank, now);
-  runs_now = FreeSlots() > 0 && is_first && may_run;
+  runs_now = FreeSlots() > 0 && is_first && Scheduler(now).MayRun(rank);
   if (!runs_now && rank.queue.size() >= MaxQueueLength()) {
     return RefusalReason::kQueueFull;
   }
@@ -321,38 +279,17 @@
   if (elapsed_seconds <= 0) {
     return;
   }
+  RankScheduler scheduler = Scheduler(now);
   for (auto& [band, rank] : m_ranks) {
     const bool contended = m_queued > rank.queue.size();
-    AdvanceRank(rank, elapsed_seconds, contended);
-  }
-}
-
-void AdmissionQueue::AdvanceRank(RankState& rank,
-                                 double elapsed_seconds,
-                                 bool contended) {
-  const double wanted = static_cast<double>(rank.in_flight + rank.queue.size());
-  const auto held = static_cast<double>(rank.in_flight);
-  const double weight =
-      -std::expm1(-elapsed_seconds / kDemandTimeConstantSeconds);
-  rank.demand += (wanted - rank.demand) * weight;
-  rank.mean_in_flight += (held - rank.mean_in_flight) * weight;
-
-  const double guarantee = Guarantee(rank);
-  const bool uses_extra_slot = held > std::floor(guarantee);
-  if (uses_extra_slot && contended) {
-    rank.credit -= (1 - FractionalPart(guarantee)) * elapsed_seconds;
-  } else if (!uses_extra_slot && !rank.queue.empty()) {
-    rank.credit += (guarantee - held) * elapsed_seconds;
+    scheduler.AdvanceRank(rank, elapsed_seconds, contended);
   }
-  const double unit = ExpectedSlotSeconds(rank, m_last_advance);
-  rank.credit =
-      std::clamp(rank.credit, -unit, std::max(unit, kMaxCreditSlotSeconds));
 }
 
 void AdmissionQueue::Dispatch(TimePoint now, AdmissionChanges& changes) {
   DemoteOrRefuseLate(now, changes);
   while (m_queued > 0 && FreeSlots() > 0) {
-    const auto picked = PickRank(now);
+    const auto picked = Scheduler(now).Pick();
     if (picked == m_ranks.end()) {
       return;
     }
@@ -406,152 +343,6 @@
   m_entries.erase(found);
 }
 
-AdmissionQueue::RankMap::iterator AdmissionQueue::PickRank(TimePoint now) {
-  if (!m_options.order_by_rank) {
-    return PickOldest();
-  }
-  const auto below_guarantee = PickBelowGuarantee();
-  if (below_guarantee != m_ranks.end()) {
-    return below_guarantee;
-  }
-  return std::find_if(
-      m_ranks.begin(), m_ranks.end(), [this, now](const auto& item) {
-        return !item.second.queue.empty() && MayBorrow(item.second, now);
-      });
-}
-
-AdmissionQueue::RankMap::iterator AdmissionQueue::PickBelowGuarantee() {
-  auto picked = m_ranks.end();
-  double least_used = 0;
-  for (auto it = m_ranks.begin(); it != m_ranks.end(); ++it) {
-    const RankState& rank = it->second;
-    if (rank.queue.empty() || !IsBelowGuarantee(rank)) {
-      continue;
-    }
-    const double used_share = UsedShareOfGuarantee(it->first, rank);
-    if (picked == m_ranks.end() || used_share < least_used) {
-      picked = it;
-      least_used = used_share;
-    }
-  }
-  return picked;
-}
-
-double AdmissionQueue::UsedShareOfGuarantee(Band band,
-                                            const RankState& rank) const {
-  // The most urgent rank does not use credit to take precedence over others.
-  const bool uses_credit =
-      band != m_ranks.begin()->first && CanAffordExtraSlot(rank);
-  const auto held = static_cast<double>(rank.in_flight);
-  return (uses_credit ? held - 1 : held) / Guarantee(rank);
-}
-
-AdmissionQueue::RankMap::iterator AdmissionQueue::PickOldest() {
-  auto oldest = m_ranks.end();
-  for (auto it = m_ranks.begin(); it != m_ranks.end(); ++it) {
-    const std::set<QueueKey>& queue = it->second.queue;
-    if (queue.empty()) {
-      continue;
-    }
-    if (oldest == m_ranks.end() ||
-        *queue.begin() < *oldest->second.queue.begin()) {
-      oldest = it;
-    }
-  }
-  return oldest;
-}
-
-bool AdmissionQueue::IsBelowGuarantee(const RankState& rank) const {
-  if (!m_options.order_by_rank || !m_options.guarantee_shares) {
-    return false;
-  }
-  const double guarantee = Guarantee(rank);
-  const double whole_slots = std::floor(guarantee);
-  const auto held = static_cast<double>(rank.in_flight);
-  if (held < whole_slots) {
-    return true;
-  }
-  return held < whole_slots + 1 && CanAffordExtraSlot(rank);
-}
-
-bool AdmissionQueue::CanAffordExtraSlot(const RankState& rank) const {
-  const double price = (1 - FractionalPart(Guarantee(rank))) *
-                       ExpectedSlotSeconds(rank, m_last_advance);
-  return rank.credit >= price;
-}
-
-bool AdmissionQueue::MayBorrow(const RankState& rank, TimePoint now) const {
-  if (!m_options.order_by_rank || !m_options.reserve_slots) {
-    return true;
-  }
-  if (!IsLongRunning(rank, now)) {
-    return true;
-  }
-  double reserved = 0;
-  for (const auto& [band, other] : m_ranks) {
-    if (&other != &rank) {
-      reserved += ReservedSlots(band, other);
-    }
-  }
-  const double left = m_limit.value() - static_cast<double>(m_in_flight) - 1;
-  return left >= std::floor(reserved);
-}
-
-bool AdmissionQueue::IsLongRunning(const RankState& rank, TimePoint now) const {
-  // The age of a request that has just started does not tell how long it will
-  // hold its slot, so a rank without measurements counts as long-running.
-  if (!rank.service_time.Mean(now).has_value()) {
-    return true;
-  }
-  return *SlotHoldTime(rank, now) > m_options.max_borrower_hold_time;
-}
-
-double AdmissionQueue::ReservedSlots(Band band, const RankState& rank) const {
-  if (rank.demand < kMinDemand) {
-    return 0;
-  }
-  const bool most_urgent = band == m_ranks.begin()->first;
-  const double wanted = most_urgent
-                            ? std::max(rank.demand + kTopRankReserveMargin, 1.0)
-                            : rank.demand;
-  const double needed = std::min(wanted, Guarantee(rank));
-  return std::max(needed - static_cast<double>(rank.in_flight), 0.0);
-}
-
-double AdmissionQueue::Guarantee(const RankState& rank) const {
-  return rank.share * m_limit.value();
-}
-
-/// The slots that the band can count on while it waits. More urgent bands keep
-/// the share that they had lately, not every slot that they hold at this
-/// moment: those become free before a waiting request is late.
-double AdmissionQueue::UsableSlots(Band band) const {
-  double usable = m_limit.value();
-  for (const auto& [other_band, other] : m_ranks) {
-    if (other_band < band) {
-      usable -= other.mean_in_flight;
-    } else if (other_band > band) {
-      const auto wanted =
-          static_cast<double>(other.in_flight + other.queue.size());
-      usable -= std::min(wanted, Guarantee(other));
-    }
-  }
-  return usable;
-}
-
-/// Time that the queued requests of more urgent bands occupy all slots.
-Duration AdmissionQueue::WaitForMoreUrgentBands(Band band,
-                                                TimePoint now) const {
-  double slot_seconds = 0;
-  for (const auto& [other_band, other] : m_ranks) {
-    if (other_band < band) {
-      slot_seconds += static_cast<double>(other.queue.size()) *
-                      ExpectedSlotSeconds(other, now);
-    }
-  }
-  return FromSeconds(slot_seconds / std::max(m_limit.value(), 1.0));
-}
-
 std::size_t AdmissionQueue::FreeSlots() const {
   const auto limit = static_cast<std::size_t>(m_limit.value());
   return limit > m_in_flight ? limit - m_in_flight : 0;
@@ -587,17 +378,18 @@
                                        const QueueKey& key,
                                        TimePoint deadline,
                                        std::uint64_t kind,
-                                       TimePoint now) const {
+                                       TimePoint now) {
   const std::optional<Duration> mean = MeanServiceTime(rank, kind, now);
   if (!m_options.refuse_early || !mean.has_value()) {
     return false;
   }
   const auto ahead = static_cast<double>(
       std::distance(rank.queue.begin(), rank.queue.lower_bound(key)));
-  const double slots =
-      std::max({UsableSlots(band), Guarantee(rank), kMinUsableSlots});
+  const RankScheduler scheduler = Scheduler(now);
+  const double slots = std::max({scheduler.UsableSlots(band),
+                                 scheduler.Guarantee(rank), kMinUsableSlots});
   const Duration rank_mean = rank.service_time.Mean(now).value_or(*mean);
-  const Duration wait = WaitForMoreUrgentBands(band, now) +
+  const Duration wait = scheduler.WaitForMoreUrgentBands(band) +
                         FromSeconds((ahead + 1) * ToSeconds(rank_mean) / slots);
   return deadline < now + wait + UpperServiceTime(rank, kind, now);
 }
