Share the slots of a rank fairly between teams

Cause: within a rank requests were served by urgency alone.

Ruled out: deficit round robin (the place of a request cannot be estimated without walking the rounds), equal numbers of requests (long requests take most of the time) and fixed quotas (idle shares stay unused).

Change: AdmissionRequest::team; TeamQueue orders a band by start-time fair queueing on expected slot-seconds, corrected at release. In a full queue the team with most requests queued gives way (team_share: not run, 503, not in the RefusalCache). The estimate of the wait counts what the fair order serves first. The owner stage reads the team only while the configuration declares teams, because the field may come from the caller otherwise. A team_share refusal is retried elsewhere with a token only.

--- a/packages/node/banyantrail/node/data_plane.cc
+++ b/packages/node/banyantrail/node/data_plane.cc
@@ -209,6 +209,7 @@
         {.priority = rank.priority, .share_percent = rank.share_percent});
   }
   m_owner_stage.SetRanks(std::move(ranks));
+  m_owner_stage.SetHasTeams(!m_snapshot->teams().empty());
   m_entry_stage.SetSnapshot(m_snapshot);
 }
 
--- a/packages/proxy/banyantrail/proxy/attempt_outcome.cc
+++ b/packages/proxy/banyantrail/proxy/attempt_outcome.cc
@@ -16,6 +16,7 @@
     case RefusalReason::kDeadline:
     case RefusalReason::kDraining:
     case RefusalReason::kShedByBackendServer:
+    case RefusalReason::kTeamShare:
       return EndpointOutcome::kShed;
     case RefusalReason::kConnectFailed:
     case RefusalReason::kBackendServerDown:
--- a/packages/proxy/banyantrail/proxy/attempt_outcome.h
+++ b/packages/proxy/banyantrail/proxy/attempt_outcome.h
@@ -18,7 +18,8 @@
 /// Why an attempt brought no response from a backend server.
 RefusalReason ReasonOf(const Attempt& attempt);
 
-/// Whether the owner node had no capacity before the deadline.
+/// Whether the owner node had no capacity before the deadline. False for
+/// kTeamShare: the owner node may have capacity for other teams.
 bool IsOverload(RefusalReason reason);
 
 /// Whether the request may have reached a backend server.
--- a/packages/proxy/banyantrail/proxy/entry_stage.cc
+++ b/packages/proxy/banyantrail/proxy/entry_stage.cc
@@ -576,7 +576,7 @@
       .deadline = context.deadline};
   const ChoiceRequest next_choice{.body_bytes = BodyBytes(context.request),
                                   .excluded = context.tried};
-  if (IsOverload(reason) &&
+  if ((IsOverload(reason) || reason == RefusalReason::kTeamShare) &&
       !MayTryAnotherEndpoint(context.service->endpoints, m_options.choice,
                              next_choice)) {
     m_options.hooks.count_retry("too_large_to_move");
--- a/packages/proxy/banyantrail/proxy/owner_stage.cc
+++ b/packages/proxy/banyantrail/proxy/owner_stage.cc
@@ -336,19 +336,31 @@
 }
 
 AdmissionRequest OwnerStage::AdmissionRequestFor(
-    const RequestContext& context) {
+    const RequestContext& context) const {
   const RequestMetadata& metadata = context.metadata;
   AdmissionRequest request{.id = context.id,
                            .rank_priority = metadata.priority,
                            .deadline = context.deadline,
                            .is_nested_call = metadata.is_nested_call,
-                           .kind = metadata.kind};
+                           .kind = metadata.kind,
+                           .team = TeamOf(context.request)};
   if (metadata.target_left) {
     request.target = SystemClock().Now() + *metadata.target_left;
   }
   return request;
 }
 
+/// The team that the entry node set. Without declared teams the field may come
+/// from the caller, so it is ignored.
+TeamHash OwnerStage::TeamOf(const InboundRequest& request) const {
+  const std::string& field = m_options.dialect.team;
+  if (!m_has_teams || field.empty()) {
+    return 0;
+  }
+  const std::string_view name = FieldValue(request.head(), field);
+  return name.empty() ? 0 : Hash64(name);
+}
+
 asio::awaitable<std::optional<RefusalReason>> OwnerStage::Admit(
     Downstream& downstream,
     RequestContext& context) {
--- a/packages/proxy/banyantrail/proxy/owner_stage.h
+++ b/packages/proxy/banyantrail/proxy/owner_stage.h
@@ -83,6 +83,9 @@
   void StartDrain() { m_draining = true; }
   /// Applies the ranks of a new configuration.
   void SetRanks(std::vector<RankShare> ranks);
+  /// Whether the configuration declares teams, which then share the backend
+  /// servers' slots.
+  void SetHasTeams(bool has_teams) { m_has_teams = has_teams; }
 
   /// Handles a crash reported by another node.
   void OnCrashReport(const CrashReportMessage& report);
@@ -126,7 +129,8 @@
                                const RequestContext& context,
                                RefusalReason reason);
   void ReportRefusal(const RequestContext& context, RefusalReason reason) const;
-  static AdmissionRequest AdmissionRequestFor(const RequestContext& context);
+  AdmissionRequest AdmissionRequestFor(const RequestContext& context) const;
+  TeamHash TeamOf(const InboundRequest& request) const;
   std::string_view RequestIdOf(const InboundRequest& request) const;
   AdmissionOptions AdmissionOptionsFor(const BackendServerRecord& record) const;
   asio::awaitable<std::optional<RefusalReason>> AwaitTransferSlot(
@@ -170,6 +174,7 @@
   Options m_options;
   std::map<BackendServerId, BackendPtr> m_backends;
   std::vector<RankShare> m_ranks;
+  bool m_has_teams = false;
   /// Limits concurrent transfers of large bodies over the VM's link. Null when
   /// the link is fast enough or its bandwidth is unknown.
   std::unique_ptr<AdmissionGate> m_transfer_gate;
--- a/packages/traffic/banyantrail/traffic/admission.cc
+++ b/packages/traffic/banyantrail/traffic/admission.cc
@@ -53,6 +53,7 @@
   if (request.deadline <= now) {
     return Refused{.reason = RefusalReason::kDeadline};
   }
+  m_has_teams = m_has_teams || (request.team != 0 && CountsForTeam(request));
   bool runs_now = false;
   std::optional<RefusalReason> refusal = RefusalReason::kDeadline;
   if (request.is_nested_call) {
@@ -63,8 +64,12 @@
         std::min(request.target.value_or(request.deadline), request.deadline);
     refusal = Enqueue(request, request.rank_priority, first, now, runs_now);
     if (refusal && first < request.deadline) {
+      const bool is_own_share = refusal == RefusalReason::kTeamShare;
       refusal = Enqueue(request, kFirstLateBand + request.rank_priority,
                         request.deadline, now, runs_now);
+      if (refusal && is_own_share) {
+        refusal = RefusalReason::kTeamShare;
+      }
     }
   }
   if (refusal) {
@@ -83,33 +88,119 @@
     return RefusalReason::kDeadline;
   }
   RankState& rank = m_ranks[band];
-  const QueueKey key{
-      .urgency = m_options.order_by_rank ? deadline : TimePoint{},
-      .arrival = m_next_arrival++,
-      .request = request.id};
-  const bool is_first = rank.queue.empty() || key < *rank.queue.begin();
-  runs_now = FreeSlots() > 0 && is_first && Scheduler(now).MayRun(rank);
-  if (!runs_now && rank.queue.size() >= MaxQueueLength()) {
-    return RefusalReason::kQueueFull;
-  }
-  if (!runs_now &&
-      WouldMissDeadline(band, rank, key, deadline, request.kind, now)) {
-    return RefusalReason::kDeadline;
+  const detail::QueuedRequest queued{
+      .team = CountsForTeam(request) ? request.team : 0,
+      .key = {.urgency = m_options.order_by_rank ? deadline : TimePoint{},
+              .arrival = m_next_arrival++,
+              .request = request.id},
+      .cost = ToSeconds(MeanServiceTime(rank, request.kind, now)
+                            .value_or(detail::kDefaultServiceTime))};
+  runs_now = FreeSlots() > 0 && rank.queue.WouldBeNext(queued) &&
+             Scheduler(now).MayRun(rank);
+  std::optional<RequestId> victim;
+  if (!runs_now) {
+    if (rank.queue.size() >= MaxQueueLength()) {
+      victim = VictimOfFullQueue(band, rank, queued);
+      if (!victim) {
+        return FullQueueReason(band, rank, queued.team);
+      }
+    }
+    if (WouldMissDeadline(band, rank, queued, deadline, request.kind, now)) {
+      return LateReason(band, rank, queued, deadline, request.kind, now);
+    }
+  }
+  if (victim) {
+    Evict(rank, *victim, FullQueueReason(band, rank, queued.team));
   }
   m_entries[request.id] = {.band = band,
-                           .key = key,
+                           .queued = queued,
                            .band_deadline = deadline,
                            .caller_deadline = request.deadline,
                            .kind = request.kind};
   if (runs_now) {
     Admit(rank, request.id, now);
   } else {
-    rank.queue.insert(key);
+    rank.queue.Insert(queued);
     ++m_queued;
   }
   return std::nullopt;
 }
 
+bool AdmissionQueue::CountsForTeam(const AdmissionRequest& request) const {
+  return m_options.order_by_rank && !request.is_nested_call;
+}
+
+bool AdmissionQueue::IsFair(Band band) const {
+  return m_has_teams && band != kNestedCallBand;
+}
+
+/// The request that gives way to the new one: the least urgent one of the team
+/// with most requests queued. Empty if that is the new one.
+std::optional<RequestId> AdmissionQueue::VictimOfFullQueue(
+    Band band,
+    const RankState& rank,
+    const detail::QueuedRequest& queued) const {
+  if (!IsFair(band)) {
+    return std::nullopt;
+  }
+  const TeamHash team = rank.queue.LargestBacklog(queued.team);
+  if (rank.queue.Backlog(team) == 0) {
+    return std::nullopt;
+  }
+  const QueueKey& last = rank.queue.LeastUrgent(team);
+  if (team == queued.team && last < queued.key) {
+    return std::nullopt;
+  }
+  return last.request;
+}
+
+/// The reason for refusing a request of the team with most requests queued.
+/// The queue is full for every team only if none has more than one request in
+/// it: a team without any would get a place otherwise.
+RefusalReason AdmissionQueue::FullQueueReason(Band band,
+                                              const RankState& rank,
+                                              TeamHash newcomer) const {
+  const TeamHash team = rank.queue.LargestBacklog(newcomer);
+  const std::size_t others = team == newcomer ? 0 : 1;
+  return IsFair(band) && rank.queue.Backlog(team) > others
+             ? RefusalReason::kTeamShare
+             : RefusalReason::kQueueFull;
+}
+
+/// The reason for refusing a request that would miss its deadline. If one of a
+/// team that has not used its share would meet it, the deadline does not tell
+/// the entry node that the backend server has no room.
+RefusalReason AdmissionQueue::LateReason(Band band,
+                                         const RankState& rank,
+                                         detail::QueuedRequest queued,
+                                         TimePoint deadline,
+                                         std::uint64_t kind,
+                                         TimePoint now) {
+  queued.team = detail::kUnknownTeam;
+  const bool is_own_share =
+      IsFair(band) &&
+      !WouldMissDeadline(band, rank, queued, deadline, kind, now);
+  return is_own_share ? RefusalReason::kTeamShare : RefusalReason::kDeadline;
+}
+
+/// Refuses a queued request. The next call that returns changes reports it.
+void AdmissionQueue::Evict(RankState& rank,
+                           RequestId request,
+                           RefusalReason reason) {
+  const auto found = m_entries.find(request);
+  rank.queue.Erase(found->second.queued);
+  --m_queued;
+  m_entries.erase(found);
+  m_evicted.push_back({.request = request, .reason = reason});
+}
+
+/// Adds the requests that earlier calls evicted to the changes.
+void AdmissionQueue::ReportEvicted(AdmissionChanges& changes) {
+  changes.refused.insert(changes.refused.end(), m_evicted.begin(),
+                         m_evicted.end());
+  m_evicted.clear();
+}
+
 /// Moves a request that cannot meet its target behind all that can. The caller
 /// has already removed it from its queue. Returns the reason if the request is
 /// refused instead.
@@ -124,18 +215,18 @@
   }
   const Band band = kFirstLateBand + entry.band;
   RankState& rank = m_ranks[band];
-  const QueueKey key{.urgency = entry.caller_deadline,
-                     .arrival = entry.key.arrival,
-                     .request = request};
-  if (WouldMissDeadline(band, rank, key, entry.caller_deadline, entry.kind,
+  detail::QueuedRequest queued = entry.queued;
+  queued.key.urgency = entry.caller_deadline;
+  if (WouldMissDeadline(band, rank, queued, entry.caller_deadline, entry.kind,
                         now)) {
-    return RefusalReason::kDeadline;
+    return LateReason(band, rank, queued, entry.caller_deadline, entry.kind,
+                      now);
   }
   m_entries[request] = entry;
   m_entries[request].band = band;
-  m_entries[request].key = key;
+  m_entries[request].queued = queued;
   m_entries[request].band_deadline = entry.caller_deadline;
-  rank.queue.insert(key);
+  rank.queue.Insert(queued);
   ++m_queued;
   return std::nullopt;
 }
@@ -151,7 +242,7 @@
   const Band band = found->second.band;
   const std::uint64_t kind = found->second.kind;
   const std::size_t in_flight = m_in_flight;
-  RemoveInFlight(request);
+  RemoveInFlight(request, now);
   switch (outcome.result) {
     case AttemptResult::kCompleted:
     case AttemptResult::kTimedOut:
@@ -180,9 +271,9 @@
     return {};
   }
   if (found->second.in_flight) {
-    RemoveInFlight(request);
+    RemoveInFlight(request, now);
   } else {
-    m_ranks[found->second.band].queue.erase(found->second.key);
+    m_ranks[found->second.band].queue.Erase(found->second.queued);
     --m_queued;
     m_entries.erase(found);
   }
@@ -199,13 +290,16 @@
 }
 
 std::optional<TimePoint> AdmissionQueue::NextWakeup(TimePoint now) const {
+  if (!m_evicted.empty()) {
+    return now;
+  }
   if (m_queued == 0) {
     return std::nullopt;
   }
   TimePoint next = TimePoint::max();
   for (const auto& [band, rank] : m_ranks) {
     if (!rank.queue.empty()) {
-      const RequestId first = rank.queue.begin()->request;
+      const RequestId first = rank.queue.MostUrgent().request;
       next = std::min(next, LatestStart(rank, m_entries.at(first), now));
     }
   }
@@ -219,14 +313,15 @@
   Advance(now);
   m_draining = true;
   AdmissionChanges changes;
+  ReportEvicted(changes);
   for (auto& [band, rank] : m_ranks) {
-    for (const QueueKey& key : rank.queue) {
+    for (const QueueKey& key : rank.queue.by_urgency()) {
       changes.refused.push_back(
           {.request = key.request, .reason = RefusalReason::kDraining});
       m_entries.erase(key.request);
     }
     m_queued -= rank.queue.size();
-    rank.queue.clear();
+    rank.queue.Clear();
   }
   return changes;
 }
@@ -287,6 +382,7 @@
 }
 
 void AdmissionQueue::Dispatch(TimePoint now, AdmissionChanges& changes) {
+  ReportEvicted(changes);
   DemoteOrRefuseLate(now, changes);
   while (m_queued > 0 && FreeSlots() > 0) {
     const auto picked = Scheduler(now).Pick();
@@ -294,8 +390,10 @@
       return;
     }
     RankState& rank = picked->second;
-    const RequestId request = rank.queue.begin()->request;
-    rank.queue.erase(rank.queue.begin());
+    const RequestId request = m_options.order_by_rank
+                                  ? rank.queue.Next().request
+                                  : rank.queue.MostUrgent().request;
+    rank.queue.Erase(m_entries.at(request).queued);
     --m_queued;
     Admit(rank, request, now);
     changes.admitted.push_back(request);
@@ -308,11 +406,11 @@
   for (auto it = m_ranks.begin(); it != m_ranks.end(); ++it) {
     RankState& rank = it->second;
     while (!rank.queue.empty()) {
-      const RequestId first = rank.queue.begin()->request;
+      const RequestId first = rank.queue.MostUrgent().request;
       if (now < LatestStart(rank, m_entries.at(first), now)) {
         break;
       }
-      rank.queue.erase(rank.queue.begin());
+      rank.queue.Erase(m_entries.at(first).queued);
       --m_queued;
       const std::optional<RefusalReason> refusal = Demote(first, now);
       if (refusal) {
@@ -326,15 +424,19 @@
   AdmissionEntry& entry = m_entries.at(request);
   entry.in_flight = true;
   entry.admitted_at = now;
+  rank.queue.OnAdmitted(entry.queued.team, entry.queued.cost);
   rank.admitted_at_sum += SecondsSinceEpoch(now);
   ++rank.in_flight;
   ++m_in_flight;
 }
 
-void AdmissionQueue::RemoveInFlight(RequestId request) {
+void AdmissionQueue::RemoveInFlight(RequestId request, TimePoint now) {
   const auto found = m_entries.find(request);
   RankState& rank = m_ranks[found->second.band];
-  rank.admitted_at_sum -= SecondsSinceEpoch(found->second.admitted_at);
+  const AdmissionEntry& entry = found->second;
+  rank.queue.OnReleased(entry.queued.team, entry.queued.cost,
+                        ToSeconds(now - entry.admitted_at));
+  rank.admitted_at_sum -= SecondsSinceEpoch(entry.admitted_at);
   --rank.in_flight;
   --m_in_flight;
   if (rank.in_flight == 0) {
@@ -375,7 +477,7 @@
 
 bool AdmissionQueue::WouldMissDeadline(Band band,
                                        const RankState& rank,
-                                       const QueueKey& key,
+                                       const detail::QueuedRequest& queued,
                                        TimePoint deadline,
                                        std::uint64_t kind,
                                        TimePoint now) {
@@ -383,8 +485,7 @@
   if (!m_options.refuse_early || !mean.has_value()) {
     return false;
   }
-  const auto ahead = static_cast<double>(
-      std::distance(rank.queue.begin(), rank.queue.lower_bound(key)));
+  const auto ahead = static_cast<double>(rank.queue.CountAhead(queued));
   const RankScheduler scheduler = Scheduler(now);
   const double slots = std::max({scheduler.UsableSlots(band),
                                  scheduler.Guarantee(rank), kMinUsableSlots});
--- a/packages/traffic/banyantrail/traffic/admission.h
+++ b/packages/traffic/banyantrail/traffic/admission.h
@@ -24,15 +24,20 @@
 /// are not preempted, long-running requests may not borrow slots that other
 /// ranks have recently needed.
 ///
+/// Within a rank, teams share the slots by start-time fair queueing on service
+/// time; see TeamQueue.
+///
 /// All functions take the current time, which must not decrease. Expire must be
 /// called at the time given by NextWakeup.
 class AdmissionQueue {
  public:
   explicit AdmissionQueue(AdmissionOptions options);
 
-  /// Admits, queues or refuses a request. A request that cannot meet its target
-  /// waits behind all that still can; one that cannot meet its deadline either
-  /// is refused.
+  /// Admits, queues or refuses a request. If teams share a full queue, a queued
+  /// request of another team may be refused for it; the next call that returns
+  /// AdmissionChanges reports that, and NextWakeup asks for one at once. A
+  /// request that cannot meet its target waits behind all that still can; one
+  /// that cannot meet its deadline either is refused.
   OfferResult Offer(const AdmissionRequest& request, TimePoint now);
 
   /// As above, for a request without a target. It is refused if its queue is
@@ -90,6 +95,25 @@
                                        TimePoint deadline,
                                        TimePoint now,
                                        bool& runs_now);
+  /// Whether the request is queued under its team.
+  bool CountsForTeam(const AdmissionRequest& request) const;
+  /// Whether a full queue of the band is shared between teams.
+  bool IsFair(Band band) const;
+  std::optional<RequestId> VictimOfFullQueue(
+      Band band,
+      const detail::RankState& rank,
+      const detail::QueuedRequest& queued) const;
+  RefusalReason FullQueueReason(Band band,
+                                const detail::RankState& rank,
+                                TeamHash newcomer) const;
+  RefusalReason LateReason(Band band,
+                           const detail::RankState& rank,
+                           detail::QueuedRequest queued,
+                           TimePoint deadline,
+                           std::uint64_t kind,
+                           TimePoint now);
+  void Evict(detail::RankState& rank, RequestId request, RefusalReason reason);
+  void ReportEvicted(AdmissionChanges& changes);
   std::optional<RefusalReason> Demote(RequestId request, TimePoint now);
   std::optional<Duration> MeanServiceTime(const detail::RankState& rank,
                                           std::uint64_t kind,
@@ -102,7 +126,7 @@
   void Dispatch(TimePoint now, AdmissionChanges& changes);
   void DemoteOrRefuseLate(TimePoint now, AdmissionChanges& changes);
   void Admit(detail::RankState& rank, RequestId request, TimePoint now);
-  void RemoveInFlight(RequestId request);
+  void RemoveInFlight(RequestId request, TimePoint now);
 
   /// The state of the ranks at `now`, to which they must have been advanced.
   detail::RankScheduler Scheduler(TimePoint now) {
@@ -112,7 +136,7 @@
   std::size_t MaxQueueLength() const;
   bool WouldMissDeadline(Band band,
                          const detail::RankState& rank,
-                         const detail::QueueKey& key,
+                         const detail::QueuedRequest& queued,
                          TimePoint deadline,
                          std::uint64_t kind,
                          TimePoint now);
@@ -126,6 +150,11 @@
   std::unordered_map<RequestId, detail::AdmissionEntry> m_entries;
   /// How long requests hold a slot, by kind.
   std::unordered_map<std::uint64_t, ServiceTimeEstimate> m_kind_times;
+  /// Evicted requests that no call has reported yet.
+  std::vector<RefusedRequest> m_evicted;
+  /// A request with a team has been offered. Without teams a full queue refuses
+  /// the new request, whatever its urgency.
+  bool m_has_teams = false;
   std::size_t m_in_flight = 0;
   std::size_t m_queued = 0;
   std::uint64_t m_next_arrival = 0;
--- a/packages/traffic/banyantrail/traffic/admission_types.h
+++ b/packages/traffic/banyantrail/traffic/admission_types.h
@@ -9,12 +9,10 @@
 #include "banyantrail/core/clock.h"
 #include "banyantrail/traffic/concurrency_limit.h"
 #include "banyantrail/traffic/refusal_reason.h"
+#include "banyantrail/traffic/team_queue.h"
 
 namespace banyantrail {
 
-/// Identifies a request within one node process.
-using RequestId = std::uint64_t;
-
 /// Priority of a rank and its guaranteed share of a backend server's slots,
 /// from RankObject.
 struct RankShare {
@@ -66,6 +64,9 @@
   /// Requests of the same kind have similar service times, which are estimated
   /// per kind. 0 if unknown.
   std::uint64_t kind = 0;
+  /// Team that the request counts for. Ignored for nested calls, which count
+  /// as part of the request that makes them.
+  TeamHash team = 0;
 
   friend bool operator==(const AdmissionRequest&,
                          const AdmissionRequest&) = default;
--- a/packages/traffic/banyantrail/traffic/rank_scheduler.cc
+++ b/packages/traffic/banyantrail/traffic/rank_scheduler.cc
@@ -63,12 +63,12 @@
 RankMap::iterator RankScheduler::PickOldest() {
   auto oldest = m_ranks.end();
   for (auto it = m_ranks.begin(); it != m_ranks.end(); ++it) {
-    const std::set<QueueKey>& queue = it->second.queue;
+    const TeamQueue& queue = it->second.queue;
     if (queue.empty()) {
       continue;
     }
     if (oldest == m_ranks.end() ||
-        *queue.begin() < *oldest->second.queue.begin()) {
+        queue.MostUrgent() < oldest->second.queue.MostUrgent()) {
       oldest = it;
     }
   }
--- a/packages/traffic/banyantrail/traffic/rank_state.h
+++ b/packages/traffic/banyantrail/traffic/rank_state.h
@@ -4,31 +4,16 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
-#include <tuple>
 
 #include "banyantrail/core/clock.h"
 #include "banyantrail/traffic/admission_types.h"
 #include "banyantrail/traffic/service_time.h"
+#include "banyantrail/traffic/team_queue.h"
 
 namespace banyantrail {
 
 namespace detail {
 
-/// Order of service within a band.
-struct QueueKey {
-  /// The deadline of the request in its band; constant if requests are served
-  /// in order of arrival.
-  TimePoint urgency;
-  std::uint64_t arrival = 0;
-  RequestId request = 0;
-
-  friend bool operator<(const QueueKey& a, const QueueKey& b) {
-    return std::tie(a.urgency, a.arrival, a.request) <
-           std::tie(b.urgency, b.arrival, b.request);
-  }
-};
-
 /// Order of service among requests; smaller values go first. Nested calls come
 /// before all ranks, then the ranks by priority, then requests that cannot meet
 /// their target any more, by the priority of their rank.
@@ -39,7 +24,8 @@
 struct AdmissionEntry {
   Band band = 0;
   bool in_flight = false;
-  QueueKey key;
+  /// The request in the queue of its band.
+  QueuedRequest queued;
   /// Time by which the request must finish to stay in its band: its target, or
   /// the caller's deadline once it has missed the target.
   TimePoint band_deadline;
@@ -53,7 +39,7 @@
 /// of declared ranks have a share.
 struct RankState {
   double share = 0;
-  std::set<QueueKey> queue;
+  TeamQueue queue;
   std::size_t in_flight = 0;
   /// Slot-seconds that the rank stayed below its guarantee while requests
   /// waited, less what it used above the integer part of the guarantee. It is
--- a/packages/traffic/banyantrail/traffic/refusal_reason.cc
+++ b/packages/traffic/banyantrail/traffic/refusal_reason.cc
@@ -38,6 +38,7 @@
      "Correct the request: it coincided with crashes of backend servers."},
     {"cancelled", true, "None: the caller cancelled the request."},
     {"shed_by_backend_server", true, kResendLater},
+    {"team_share", true, "Send fewer requests of this team at a time."},
     {"ledger_unavailable", false, kResendWithSameKey},
     {"ledger_in_doubt", false, kResendWithSameKey},
     {"attempt_in_flight", false, kResendWithSameKey},
--- a/packages/traffic/banyantrail/traffic/refusal_reason.h
+++ b/packages/traffic/banyantrail/traffic/refusal_reason.h
@@ -29,6 +29,7 @@
   kQuarantined,
   kCancelled,
   kShedByBackendServer,
+  kTeamShare,
   // Refused by the idempotency ledger. None of these proves "not run", because
   // an earlier attempt with the same idempotency key may have run.
   kLedgerUnavailable,
--- a/packages/traffic/banyantrail/traffic/retry_policy.cc
+++ b/packages/traffic/banyantrail/traffic/retry_policy.cc
@@ -32,6 +32,7 @@
     case RefusalReason::kQueueFull:
     case RefusalReason::kDeadline:
     case RefusalReason::kShedByBackendServer:
+    case RefusalReason::kTeamShare:
     case RefusalReason::kConnectFailed:
       return Retryability::kElsewhere;
     case RefusalReason::kConnectionLost:
