Merge fair queueing between teams

Teams share the slots of a rank by start-time fair queueing on service time, and a full queue refuses the team with the largest backlog. Without teams, order and refusals are as before.

--- a/packages/traffic/banyantrail/traffic/admission.cc
+++ b/packages/traffic/banyantrail/traffic/admission.cc
@@ -8,66 +8,25 @@
 namespace {
 
 using detail::AdmissionEntry;
+using detail::FromSeconds;
 using detail::kFirstLateBand;
 using detail::kNestedCallBand;
 using detail::QueueKey;
+using detail::RankScheduler;
 using detail::RankState;
+using detail::SecondsSinceEpoch;
+using detail::ToSeconds;
 
 constexpr double kPercent = 100;
 /// Factor on the shares of all ranks but the most urgent, so that moments
 /// without waiting requests do not take them below their share on average.
 constexpr double kLowerRankShareFactor = 1.01;
-/// Maximum credit of a rank, unless one request is expected to need more.
-constexpr double kMaxCreditSlotSeconds = 5;
-constexpr milliseconds kDefaultServiceTime{50};
-/// Time constant of the average of a rank's demand.
-constexpr double kDemandTimeConstantSeconds = 2;
-/// No slots are reserved for a rank with a lower demand.
-constexpr double kMinDemand = 0.01;
-/// Slots reserved for the most urgent rank in addition to its demand.
-constexpr double kTopRankReserveMargin = 0.5;
 /// Lower bound on the slots assumed when estimating a waiting time.
 constexpr double kMinUsableSlots = 0.25;
 /// Interval between checks of waiting ranks while slots are free. Credit and
 /// demand change with time even if no request arrives or ends.
 constexpr milliseconds kRecheckInterval{10};
 
-double ToSeconds(Duration duration) {
-  return std::chrono::duration<double>(duration).count();
-}
-
-Duration FromSeconds(double value) {
-  return std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(value));
-}
-
-double SecondsSinceEpoch(TimePoint time) {
-  return ToSeconds(time.time_since_epoch());
-}
-
-/// How long the rank's requests hold a slot: the mean of those that ended or
-/// the mean age of those in flight, whichever is longer. Empty if there are
-/// neither.
-std::optional<Duration> SlotHoldTime(const RankState& rank, TimePoint now) {
-  std::optional<Duration> hold = rank.service_time.Mean(now);
-  if (rank.in_flight > 0) {
-    const double mean_start =
-        rank.admitted_at_sum / static_cast<double>(rank.in_flight);
-    const Duration age = FromSeconds(SecondsSinceEpoch(now) - mean_start);
-    hold = std::max(hold.value_or(Duration{}), age);
-  }
-  return hold;
-}
-
-/// Slot-seconds that a request of the rank is expected to use.
-double ExpectedSlotSeconds(const RankState& rank, TimePoint now) {
-  return ToSeconds(rank.service_time.Mean(now).value_or(kDefaultServiceTime));
-}
-
-double FractionalPart(double value) {
-  return value - std::floor(value);
-}
-
 }  // namespace
 
 AdmissionQueue::AdmissionQueue(AdmissionOptions options)
@@ -94,6 +53,7 @@
   if (request.deadline <= now) {
     return Refused{.reason = RefusalReason::kDeadline};
   }
+  m_has_teams = m_has_teams || (request.team != 0 && CountsForTeam(request));
   bool runs_now = false;
   std::optional<RefusalReason> refusal = RefusalReason::kDeadline;
   if (request.is_nested_call) {
@@ -104,8 +64,12 @@
         std::min(request.target.value_or(request.deadline), request.deadline);
     refusal = Enqueue(request, request.rank_priority, first, now, runs_now);
     if (refusal && first < request.deadline) {
+      const bool is_own_share = refusal == RefusalReason::kTeamShare;
       refusal = Enqueue(request, kFirstLateBand + request.rank_priority,
                         request.deadline, now, runs_now);
+      if (refusal && is_own_share) {
+        refusal = RefusalReason::kTeamShare;
+      }
     }
   }
   if (refusal) {
@@ -124,34 +88,119 @@
     return RefusalReason::kDeadline;
   }
   RankState& rank = m_ranks[band];
-  const QueueKey key{
-      .urgency = m_options.order_by_rank ? deadline : TimePoint{},
-      .arrival = m_next_arrival++,
-      .request = request.id};
-  const bool is_first = rank.queue.empty() || key < *rank.queue.begin();
-  const bool may_run = IsBelowGuarantee(rank) || MayBorrow(rank, now);
-  runs_now = FreeSlots() > 0 && is_first && may_run;
-  if (!runs_now && rank.queue.size() >= MaxQueueLength()) {
-    return RefusalReason::kQueueFull;
-  }
-  if (!runs_now &&
-      WouldMissDeadline(band, rank, key, deadline, request.kind, now)) {
-    return RefusalReason::kDeadline;
+  const detail::QueuedRequest queued{
+      .team = CountsForTeam(request) ? request.team : 0,
+      .key = {.urgency = m_options.order_by_rank ? deadline : TimePoint{},
+              .arrival = m_next_arrival++,
+              .request = request.id},
+      .cost = ToSeconds(MeanServiceTime(rank, request.kind, now)
+                            .value_or(detail::kDefaultServiceTime))};
+  runs_now = FreeSlots() > 0 && rank.queue.WouldBeNext(queued) &&
+             Scheduler(now).MayRun(rank);
+  std::optional<RequestId> victim;
+  if (!runs_now) {
+    if (rank.queue.size() >= MaxQueueLength()) {
+      victim = VictimOfFullQueue(band, rank, queued);
+      if (!victim) {
+        return FullQueueReason(band, rank, queued.team);
+      }
+    }
+    if (WouldMissDeadline(band, rank, queued, deadline, request.kind, now)) {
+      return LateReason(band, rank, queued, deadline, request.kind, now);
+    }
+  }
+  if (victim) {
+    Evict(rank, *victim, FullQueueReason(band, rank, queued.team));
   }
   m_entries[request.id] = {.band = band,
-                           .key = key,
+                           .queued = queued,
                            .band_deadline = deadline,
                            .caller_deadline = request.deadline,
                            .kind = request.kind};
   if (runs_now) {
     Admit(rank, request.id, now);
   } else {
-    rank.queue.insert(key);
+    rank.queue.Insert(queued);
     ++m_queued;
   }
   return std::nullopt;
 }
 
+bool AdmissionQueue::CountsForTeam(const AdmissionRequest& request) const {
+  return m_options.order_by_rank && !request.is_nested_call;
+}
+
+bool AdmissionQueue::IsFair(Band band) const {
+  return m_has_teams && band != kNestedCallBand;
+}
+
+/// The request that gives way to the new one: the least urgent one of the team
+/// with most requests queued. Empty if that is the new one.
+std::optional<RequestId> AdmissionQueue::VictimOfFullQueue(
+    Band band,
+    const RankState& rank,
+    const detail::QueuedRequest& queued) const {
+  if (!IsFair(band)) {
+    return std::nullopt;
+  }
+  const TeamHash team = rank.queue.LargestBacklog(queued.team);
+  if (rank.queue.Backlog(team) == 0) {
+    return std::nullopt;
+  }
+  const QueueKey& last = rank.queue.LeastUrgent(team);
+  if (team == queued.team && last < queued.key) {
+    return std::nullopt;
+  }
+  return last.request;
+}
+
+/// The reason for refusing a request of the team with most requests queued.
+/// The queue is full for every team only if none has more than one request in
+/// it: a team without any would get a place otherwise.
+RefusalReason AdmissionQueue::FullQueueReason(Band band,
+                                              const RankState& rank,
+                                              TeamHash newcomer) const {
+  const TeamHash team = rank.queue.LargestBacklog(newcomer);
+  const std::size_t others = team == newcomer ? 0 : 1;
+  return IsFair(band) && rank.queue.Backlog(team) > others
+             ? RefusalReason::kTeamShare
+             : RefusalReason::kQueueFull;
+}
+
+/// The reason for refusing a request that would miss its deadline. If one of a
+/// team that has not used its share would meet it, the deadline does not tell
+/// the entry node that the backend server has no room.
+RefusalReason AdmissionQueue::LateReason(Band band,
+                                         const RankState& rank,
+                                         detail::QueuedRequest queued,
+                                         TimePoint deadline,
+                                         std::uint64_t kind,
+                                         TimePoint now) {
+  queued.team = detail::kUnknownTeam;
+  const bool is_own_share =
+      IsFair(band) &&
+      !WouldMissDeadline(band, rank, queued, deadline, kind, now);
+  return is_own_share ? RefusalReason::kTeamShare : RefusalReason::kDeadline;
+}
+
+/// Refuses a queued request. The next call that returns changes reports it.
+void AdmissionQueue::Evict(RankState& rank,
+                           RequestId request,
+                           RefusalReason reason) {
+  const auto found = m_entries.find(request);
+  rank.queue.Erase(found->second.queued);
+  --m_queued;
+  m_entries.erase(found);
+  m_evicted.push_back({.request = request, .reason = reason});
+}
+
+/// Adds the requests that earlier calls evicted to the changes.
+void AdmissionQueue::ReportEvicted(AdmissionChanges& changes) {
+  changes.refused.insert(changes.refused.end(), m_evicted.begin(),
+                         m_evicted.end());
+  m_evicted.clear();
+}
+
 /// Moves a request that cannot meet its target behind all that can. The caller
 /// has already removed it from its queue. Returns the reason if the request is
 /// refused instead.
@@ -166,18 +215,18 @@
   }
   const Band band = kFirstLateBand + entry.band;
   RankState& rank = m_ranks[band];
-  const QueueKey key{.urgency = entry.caller_deadline,
-                     .arrival = entry.key.arrival,
-                     .request = request};
-  if (WouldMissDeadline(band, rank, key, entry.caller_deadline, entry.kind,
+  detail::QueuedRequest queued = entry.queued;
+  queued.key.urgency = entry.caller_deadline;
+  if (WouldMissDeadline(band, rank, queued, entry.caller_deadline, entry.kind,
                         now)) {
-    return RefusalReason::kDeadline;
+    return LateReason(band, rank, queued, entry.caller_deadline, entry.kind,
+                      now);
   }
   m_entries[request] = entry;
   m_entries[request].band = band;
-  m_entries[request].key = key;
+  m_entries[request].queued = queued;
   m_entries[request].band_deadline = entry.caller_deadline;
-  rank.queue.insert(key);
+  rank.queue.Insert(queued);
   ++m_queued;
   return std::nullopt;
 }
@@ -193,7 +242,7 @@
   const Band band = found->second.band;
   const std::uint64_t kind = found->second.kind;
   const std::size_t in_flight = m_in_flight;
-  RemoveInFlight(request);
+  RemoveInFlight(request, now);
   switch (outcome.result) {
     case AttemptResult::kCompleted:
     case AttemptResult::kTimedOut:
@@ -235,9 +284,9 @@
     return {};
   }
   if (found->second.in_flight) {
-    RemoveInFlight(request);
+    RemoveInFlight(request, now);
   } else {
-    m_ranks[found->second.band].queue.erase(found->second.key);
+    m_ranks[found->second.band].queue.Erase(found->second.queued);
     --m_queued;
     m_entries.erase(found);
   }
@@ -254,13 +303,16 @@
 }
 
 std::optional<TimePoint> AdmissionQueue::NextWakeup(TimePoint now) const {
+  if (!m_evicted.empty()) {
+    return now;
+  }
   if (m_queued == 0) {
     return std::nullopt;
   }
   TimePoint next = TimePoint::max();
   for (const auto& [band, rank] : m_ranks) {
     if (!rank.queue.empty()) {
-      const RequestId first = rank.queue.begin()->request;
+      const RequestId first = rank.queue.MostUrgent().request;
       next = std::min(next, LatestStart(rank, m_entries.at(first), now));
     }
   }
@@ -274,14 +326,15 @@
   Advance(now);
   m_draining = true;
   AdmissionChanges changes;
+  ReportEvicted(changes);
   for (auto& [band, rank] : m_ranks) {
-    for (const QueueKey& key : rank.queue) {
+    for (const QueueKey& key : rank.queue.by_urgency()) {
       changes.refused.push_back(
           {.request = key.request, .reason = RefusalReason::kDraining});
       m_entries.erase(key.request);
     }
     m_queued -= rank.queue.size();
-    rank.queue.clear();
+    rank.queue.Clear();
   }
   return changes;
 }
@@ -334,44 +387,26 @@
   if (elapsed_seconds <= 0) {
     return;
   }
+  RankScheduler scheduler = Scheduler(now);
   for (auto& [band, rank] : m_ranks) {
     const bool contended = m_queued > rank.queue.size();
-    AdvanceRank(rank, elapsed_seconds, contended);
+    scheduler.AdvanceRank(rank, elapsed_seconds, contended);
   }
 }
 
-void AdmissionQueue::AdvanceRank(RankState& rank,
-                                 double elapsed_seconds,
-                                 bool contended) {
-  const double wanted = static_cast<double>(rank.in_flight + rank.queue.size());
-  const auto held = static_cast<double>(rank.in_flight);
-  const double weight =
-      -std::expm1(-elapsed_seconds / kDemandTimeConstantSeconds);
-  rank.demand += (wanted - rank.demand) * weight;
-  rank.mean_in_flight += (held - rank.mean_in_flight) * weight;
-
-  const double guarantee = Guarantee(rank);
-  const bool uses_extra_slot = held > std::floor(guarantee);
-  if (uses_extra_slot && contended) {
-    rank.credit -= (1 - FractionalPart(guarantee)) * elapsed_seconds;
-  } else if (!uses_extra_slot && !rank.queue.empty()) {
-    rank.credit += (guarantee - held) * elapsed_seconds;
-  }
-  const double unit = ExpectedSlotSeconds(rank, m_last_advance);
-  rank.credit =
-      std::clamp(rank.credit, -unit, std::max(unit, kMaxCreditSlotSeconds));
-}
-
 void AdmissionQueue::Dispatch(TimePoint now, AdmissionChanges& changes) {
+  ReportEvicted(changes);
   DemoteOrRefuseLate(now, changes);
   while (m_queued > 0 && FreeSlots() > 0) {
-    const auto picked = PickRank(now);
+    const auto picked = Scheduler(now).Pick();
     if (picked == m_ranks.end()) {
       return;
     }
     RankState& rank = picked->second;
-    const RequestId request = rank.queue.begin()->request;
-    rank.queue.erase(rank.queue.begin());
+    const RequestId request = m_options.order_by_rank
+                                  ? rank.queue.Next().request
+                                  : rank.queue.MostUrgent().request;
+    rank.queue.Erase(m_entries.at(request).queued);
     --m_queued;
     Admit(rank, request, now);
     changes.admitted.push_back(request);
@@ -384,11 +419,11 @@
   for (auto it = m_ranks.begin(); it != m_ranks.end(); ++it) {
     RankState& rank = it->second;
     while (!rank.queue.empty()) {
-      const RequestId first = rank.queue.begin()->request;
+      const RequestId first = rank.queue.MostUrgent().request;
       if (now < LatestStart(rank, m_entries.at(first), now)) {
         break;
       }
-      rank.queue.erase(rank.queue.begin());
+      rank.queue.Erase(m_entries.at(first).queued);
       --m_queued;
       const std::optional<RefusalReason> refusal = Demote(first, now);
       if (refusal) {
@@ -402,15 +437,19 @@
   AdmissionEntry& entry = m_entries.at(request);
   entry.in_flight = true;
   entry.admitted_at = now;
+  rank.queue.OnAdmitted(entry.queued.team, entry.queued.cost);
   rank.admitted_at_sum += SecondsSinceEpoch(now);
   ++rank.in_flight;
   ++m_in_flight;
 }
 
-void AdmissionQueue::RemoveInFlight(RequestId request) {
+void AdmissionQueue::RemoveInFlight(RequestId request, TimePoint now) {
   const auto found = m_entries.find(request);
   RankState& rank = m_ranks[found->second.band];
-  rank.admitted_at_sum -= SecondsSinceEpoch(found->second.admitted_at);
+  const AdmissionEntry& entry = found->second;
+  rank.queue.OnReleased(entry.queued.team, entry.queued.cost,
+                        ToSeconds(now - entry.admitted_at));
+  rank.admitted_at_sum -= SecondsSinceEpoch(entry.admitted_at);
   --rank.in_flight;
   --m_in_flight;
   if (rank.in_flight == 0) {
@@ -419,152 +458,6 @@
   m_entries.erase(found);
 }
 
-AdmissionQueue::RankMap::iterator AdmissionQueue::PickRank(TimePoint now) {
-  if (!m_options.order_by_rank) {
-    return PickOldest();
-  }
-  const auto below_guarantee = PickBelowGuarantee();
-  if (below_guarantee != m_ranks.end()) {
-    return below_guarantee;
-  }
-  return std::find_if(
-      m_ranks.begin(), m_ranks.end(), [this, now](const auto& item) {
-        return !item.second.queue.empty() && MayBorrow(item.second, now);
-      });
-}
-
-AdmissionQueue::RankMap::iterator AdmissionQueue::PickBelowGuarantee() {
-  auto picked = m_ranks.end();
-  double least_used = 0;
-  for (auto it = m_ranks.begin(); it != m_ranks.end(); ++it) {
-    const RankState& rank = it->second;
-    if (rank.queue.empty() || !IsBelowGuarantee(rank)) {
-      continue;
-    }
-    const double used_share = UsedShareOfGuarantee(it->first, rank);
-    if (picked == m_ranks.end() || used_share < least_used) {
-      picked = it;
-      least_used = used_share;
-    }
-  }
-  return picked;
-}
-
-double AdmissionQueue::UsedShareOfGuarantee(Band band,
-                                            const RankState& rank) const {
-  // The most urgent rank does not use credit to take precedence over others.
-  const bool uses_credit =
-      band != m_ranks.begin()->first && CanAffordExtraSlot(rank);
-  const auto held = static_cast<double>(rank.in_flight);
-  return (uses_credit ? held - 1 : held) / Guarantee(rank);
-}
-
-AdmissionQueue::RankMap::iterator AdmissionQueue::PickOldest() {
-  auto oldest = m_ranks.end();
-  for (auto it = m_ranks.begin(); it != m_ranks.end(); ++it) {
-    const std::set<QueueKey>& queue = it->second.queue;
-    if (queue.empty()) {
-      continue;
-    }
-    if (oldest == m_ranks.end() ||
-        *queue.begin() < *oldest->second.queue.begin()) {
-      oldest = it;
-    }
-  }
-  return oldest;
-}
-
-bool AdmissionQueue::IsBelowGuarantee(const RankState& rank) const {
-  if (!m_options.order_by_rank || !m_options.guarantee_shares) {
-    return false;
-  }
-  const double guarantee = Guarantee(rank);
-  const double whole_slots = std::floor(guarantee);
-  const auto held = static_cast<double>(rank.in_flight);
-  if (held < whole_slots) {
-    return true;
-  }
-  return held < whole_slots + 1 && CanAffordExtraSlot(rank);
-}
-
-bool AdmissionQueue::CanAffordExtraSlot(const RankState& rank) const {
-  const double price = (1 - FractionalPart(Guarantee(rank))) *
-                       ExpectedSlotSeconds(rank, m_last_advance);
-  return rank.credit >= price;
-}
-
-bool AdmissionQueue::MayBorrow(const RankState& rank, TimePoint now) const {
-  if (!m_options.order_by_rank || !m_options.reserve_slots) {
-    return true;
-  }
-  if (!IsLongRunning(rank, now)) {
-    return true;
-  }
-  double reserved = 0;
-  for (const auto& [band, other] : m_ranks) {
-    if (&other != &rank) {
-      reserved += ReservedSlots(band, other);
-    }
-  }
-  const double left = m_limit.value() - static_cast<double>(m_in_flight) - 1;
-  return left >= std::floor(reserved);
-}
-
-bool AdmissionQueue::IsLongRunning(const RankState& rank, TimePoint now) const {
-  // The age of a request that has just started does not tell how long it will
-  // hold its slot, so a rank without measurements counts as long-running.
-  if (!rank.service_time.Mean(now).has_value()) {
-    return true;
-  }
-  return *SlotHoldTime(rank, now) > m_options.max_borrower_hold_time;
-}
-
-double AdmissionQueue::ReservedSlots(Band band, const RankState& rank) const {
-  if (rank.demand < kMinDemand) {
-    return 0;
-  }
-  const bool most_urgent = band == m_ranks.begin()->first;
-  const double wanted = most_urgent
-                            ? std::max(rank.demand + kTopRankReserveMargin, 1.0)
-                            : rank.demand;
-  const double needed = std::min(wanted, Guarantee(rank));
-  return std::max(needed - static_cast<double>(rank.in_flight), 0.0);
-}
-
-double AdmissionQueue::Guarantee(const RankState& rank) const {
-  return rank.share * m_limit.value();
-}
-
-/// The slots that the band can count on while it waits. More urgent bands keep
-/// the share that they had lately, not every slot that they hold at this
-/// moment: those become free before a waiting request is late.
-double AdmissionQueue::UsableSlots(Band band) const {
-  double usable = m_limit.value();
-  for (const auto& [other_band, other] : m_ranks) {
-    if (other_band < band) {
-      usable -= other.mean_in_flight;
-    } else if (other_band > band) {
-      const auto wanted =
-          static_cast<double>(other.in_flight + other.queue.size());
-      usable -= std::min(wanted, Guarantee(other));
-    }
-  }
-  return usable;
-}
-
-/// Time that the queued requests of more urgent bands occupy all slots.
-Duration AdmissionQueue::WaitForMoreUrgentBands(Band band,
-                                                TimePoint now) const {
-  double slot_seconds = 0;
-  for (const auto& [other_band, other] : m_ranks) {
-    if (other_band < band) {
-      slot_seconds += static_cast<double>(other.queue.size()) *
-                      ExpectedSlotSeconds(other, now);
-    }
-  }
-  return FromSeconds(slot_seconds / std::max(m_limit.value(), 1.0));
-}
-
 std::size_t AdmissionQueue::FreeSlots() const {
   const auto limit = static_cast<std::size_t>(m_limit.value());
   return limit > m_in_flight ? limit - m_in_flight : 0;
@@ -597,20 +490,20 @@
 
 bool AdmissionQueue::WouldMissDeadline(Band band,
                                        const RankState& rank,
-                                       const QueueKey& key,
+                                       const detail::QueuedRequest& queued,
                                        TimePoint deadline,
                                        std::uint64_t kind,
-                                       TimePoint now) const {
+                                       TimePoint now) {
   const std::optional<Duration> mean = MeanServiceTime(rank, kind, now);
   if (!m_options.refuse_early || !mean.has_value()) {
     return false;
   }
-  const auto ahead = static_cast<double>(
-      std::distance(rank.queue.begin(), rank.queue.lower_bound(key)));
-  const double slots =
-      std::max({UsableSlots(band), Guarantee(rank), kMinUsableSlots});
+  const auto ahead = static_cast<double>(rank.queue.CountAhead(queued));
+  const RankScheduler scheduler = Scheduler(now);
+  const double slots = std::max({scheduler.UsableSlots(band),
+                                 scheduler.Guarantee(rank), kMinUsableSlots});
   const Duration rank_mean = rank.service_time.Mean(now).value_or(*mean);
-  const Duration wait = WaitForMoreUrgentBands(band, now) +
+  const Duration wait = scheduler.WaitForMoreUrgentBands(band) +
                         FromSeconds((ahead + 1) * ToSeconds(rank_mean) / slots);
   return deadline < now + wait + UpperServiceTime(rank, kind, now);
 }
