Limit the request rates of teams over all nodes

Cause: teams declare requests_per_s and burst, and nothing acted on them. At most (rate x 5 s + burst) x 1.1 + 20 requests of a team may run in 5 s over all nodes.

Ruled out: a count in the store for each request (store calls have a price), and a static part of 1/71 for each node, which refuses teams below their limit.

Change: each failure domain has an equal part of the limit. Its holder, the live node with the greatest rendezvous hash of the team, lends tokens from a bucket that starts empty. An entry node spends its fixed part first, then asks the holder for all requests that wait, for at most 50 ms, and refuses with 429 and reason team_quota. QuotaRequestMessage and QuotaReplyMessage are handled on the I/O thread. Tokens of requests that certainly did not run are given back. Teams without a limit, requests without a team and nested calls are not counted. `status`, `explain` and banyantrail_team_requests_total show limits, use and refusals.

The fixed parts come from the overage, not from the limit: a fifth of the limit would be lost to a team whose callers use few nodes.

The ctl and platform parts are not built yet.

--- a/packages/ctl/banyantrail/ctl/query_commands.cc
+++ b/packages/ctl/banyantrail/ctl/query_commands.cc
@@ -8,6 +8,7 @@
 #include "banyantrail/config/compile.h"
 #include "banyantrail/config/explain.h"
 #include "banyantrail/ctl/node_queries.h"
+#include "banyantrail/ctl/node_responses.h"
 #include "banyantrail/ctl/render.h"
 
 namespace banyantrail::ctl {
@@ -127,6 +128,28 @@
   return text;
 }
 
+/// One line for each team with a rate limit, as the queried node knows it.
+std::string TeamsText(const json& teams) {
+  std::string text;
+  for (const json& team : teams) {
+    const json& refused = team.at("refused");
+    text += "  team " + team.at("team").get<std::string>() + ": limit " +
+            team.at("requests_per_s").dump() + "/s, burst " +
+            team.at("burst").dump() + "; at this node " +
+            team.at("granted_per_s").dump() + "/s granted over 5 s, " +
+            team.at("granted").dump() + " since the start, " +
+            team.at("given_back").dump() + " given back, refused " +
+            refused.at("limit").dump() + " by the limit and " +
+            refused.at("no_response").dump() + " without a response\n";
+  }
+  return text;
+}
+
+json TeamsOf(const json& response) {
+  // Nodes of an earlier version do not report teams.
+  return response.value("teams", json::array());
+}
+
 std::string HistoryText(const json& history) {
   std::string text;
   for (const json& entry : history) {
@@ -174,7 +197,8 @@
 }
 
 ExitCode RunStatus(CommandContext& context) {
-  FleetStatus fleet = GetFleetStatus(context.client);
+  const json response = GetJson(context.client, "/v1/status");
+  FleetStatus fleet = ParseFleetStatus(response);
   AddMembers(context, fleet);
   const Release declared = GetDeclaredRelease(context, fleet);
   const auto releases =
@@ -188,9 +212,11 @@
   if (IsJson(context)) {
     PrintJson(context, {{"revision", declared.revision},
                         {"platform_reachable", fleet.platform_reachable},
-                        {"rules", RuleStatusJson(statuses)}});
+                        {"rules", RuleStatusJson(statuses)},
+                        {"teams", TeamsOf(response)}});
   } else {
-    context.out << StatusHeader(declared, fleet) << RuleStatusText(statuses);
+    context.out << StatusHeader(declared, fleet) << RuleStatusText(statuses)
+                << TeamsText(TeamsOf(response));
   }
   return ExitCode::kOk;
 }
@@ -203,7 +229,7 @@
   if (IsJson(context)) {
     PrintJson(context, explanation);
   } else {
-    context.out << ExplainText(explanation);
+    context.out << ExplainText(explanation) << TeamsText(TeamsOf(explanation));
   }
   return ExitCode::kOk;
 }
--- a/packages/node/banyantrail/node/admin_api.cc
+++ b/packages/node/banyantrail/node/admin_api.cc
@@ -151,6 +151,33 @@
           {"backend_servers", servers}};
 }
 
+json TeamQuotaJson(const TeamQuotaStatus& status) {
+  json holders = json::array();
+  for (const NodeId& holder : status.holders) {
+    holders.push_back(holder.str());
+  }
+  return {{"team", status.team.str()},
+          {"requests_per_s", status.limit.requests_per_s},
+          {"burst", status.limit.burst},
+          {"granted_per_s", status.granted_per_s},
+          {"granted", status.granted},
+          {"given_back", status.given_back},
+          {"refused",
+           {{"limit", status.refused_limit},
+            {"no_response", status.refused_no_response}}},
+          {"silences", status.silences},
+          {"holders", holders}};
+}
+
+/// The teams with a rate limit, as known at this node.
+json TeamsJson(const TeamQuotaGate& quotas) {
+  json teams = json::array();
+  for (const TeamQuotaStatus& status : quotas.Status()) {
+    teams.push_back(TeamQuotaJson(status));
+  }
+  return teams;
+}
+
 HttpResponse PublishResponse(const PublishOutcome& outcome) {
   const ChangeResponse answer = ToChangeResponse(outcome);
   return MakeResponse(http::int_to_status(answer.http_status), answer.body);
@@ -315,7 +342,8 @@
       {{"node", m_options.settings.node.str()},
        {"labels", m_options.settings.labels},
        {"revision", m_options.control.applied_release()->revision},
-       {"rules", rules}});
+       {"rules", rules},
+       {"teams", TeamsJson(m_options.quotas)}});
 }
 
 HttpResponse AdminApi::Routes() const {
@@ -432,7 +460,8 @@
   constexpr std::string_view kStatusPrefix = "status/";
   json body = {{"revision", m_options.control.applied_release()->revision},
                {"platform", "reachable"},
-               {"domains", json::array()}};
+               {"domains", json::array()},
+               {"teams", TeamsJson(m_options.quotas)}};
   try {
     const std::string prefix(kStatusPrefix);
     const auto listed = co_await m_options.platform.List(prefix);
--- a/packages/node/banyantrail/node/admin_api.h
+++ b/packages/node/banyantrail/node/admin_api.h
@@ -11,6 +11,7 @@
 #include "banyantrail/node/data_plane.h"
 #include "banyantrail/node/metrics.h"
 #include "banyantrail/node/settings.h"
+#include "banyantrail/node/team_quota_gate.h"
 #include "banyantrail/store/store_client.h"
 
 namespace banyantrail {
@@ -25,6 +26,7 @@
     DataPlane& data;
     Metrics& metrics;
     StoreClient& platform;
+    const TeamQuotaGate& quotas;
     /// Starts the graceful shutdown of the node.
     std::function<void()> start_drain;
     std::function<bool()> is_draining;
--- a/packages/node/banyantrail/node/control_plane.cc
+++ b/packages/node/banyantrail/node/control_plane.cc
@@ -62,6 +62,16 @@
          std::holds_alternative<StoreHeadMessage>(message);
 }
 
+bool NamesOthers(const std::vector<IpEndpoint>& seeds, const IpEndpoint& self) {
+  return std::ranges::any_of(
+      seeds, [&self](const IpEndpoint& seed) { return seed != self; });
+}
+
+bool IsForQuota(const PeerMessage& message) {
+  return std::holds_alternative<QuotaRequestMessage>(message) ||
+         std::holds_alternative<QuotaReplyMessage>(message);
+}
+
 /// Number of nodes of a failure domain that confirm the store's revision to the
 /// others when they watch it.
 constexpr std::size_t kMaxStoreWatchers = 8;
@@ -127,6 +137,8 @@
                        [this](const NodeId& node) { OnUnreachable(node); }}),
       m_actor_system(ConfigureScheduler(m_actor_config)),
       m_tick_timer(io),
+      m_peer_address(settings.listen.peer),
+      m_knows_other_nodes(NamesOthers(settings.seeds, settings.listen.peer)),
       m_store_follower(FollowerOptions(settings), SystemClock().Now()) {
   SpawnActors(settings);
   asio::co_spawn(io, RunTicks(), LogFailure("ticks"));
@@ -210,6 +222,10 @@
     m_hooks.on_crash_report(*crash);
     return;
   }
+  if (IsForQuota(message)) {
+    m_hooks.on_quota_message(from, message);
+    return;
+  }
   if (IsForDistribution(message)) {
     caf::anon_send(m_distribution_actor,
                    PeerMessageReceived{from, std::move(message)});
@@ -246,7 +262,12 @@
 void ControlPlane::OnMembers(std::shared_ptr<const MembershipView> view) {
   const auto changed = ChangedMembers(*m_membership_view, *view);
   const bool is_new_version = view->version != m_membership_view->version;
+  const bool is_new_state = view->joined != m_membership_view->joined ||
+                            view->isolated != m_membership_view->isolated;
   m_membership_view = std::move(view);
+  if (is_new_version || is_new_state) {
+    m_hooks.on_view(*m_membership_view);
+  }
   caf::anon_send(m_distribution_actor, MembershipChanged{m_membership_view});
   if (!is_new_version) {
     return;
@@ -325,6 +346,10 @@
 }
 
 void ControlPlane::SetSeeds(std::vector<IpEndpoint> seeds) {
+  if (!m_knows_other_nodes && NamesOthers(seeds, m_peer_address)) {
+    m_knows_other_nodes = true;
+    m_hooks.on_view(*m_membership_view);
+  }
   caf::anon_send(m_membership_actor, SeedsFound{std::move(seeds)});
 }
 
--- a/packages/node/banyantrail/node/control_plane.h
+++ b/packages/node/banyantrail/node/control_plane.h
@@ -24,6 +24,12 @@
   std::function<void(std::shared_ptr<const RoutingSnapshot>)> on_snapshot;
   std::function<void(std::shared_ptr<const MembershipView>)> on_members;
   std::function<void(const CrashReportMessage&)> on_crash_report;
+  /// A new view of the membership, also if only `joined` or `isolated` changed.
+  std::function<void(const MembershipView&)> on_view =
+      [](const MembershipView&) {};
+  /// A message of the team rate limits.
+  std::function<void(const NodeId&, const PeerMessage&)> on_quota_message =
+      [](const NodeId&, const PeerMessage&) {};
 };
 
 /// Runs the actors for membership, release distribution and the compilation of
@@ -54,6 +60,13 @@
 
   void SetBackendServers(std::vector<BackendServerRecord> servers);
   void SetSeeds(std::vector<IpEndpoint> seeds);
+  /// Whether addresses of other nodes are known that this node can join
+  /// through.
+  bool knows_other_nodes() const { return m_knows_other_nodes; }
+  /// Sends a message to a node. Never blocks.
+  void Send(const NodeId& to, const PeerMessage& message) {
+    m_transport.Send(to, message);
+  }
   void OnReleaseRead(std::shared_ptr<const Release> release);
   void OnPlatformHead(Revision revision);
   /// Called when the store has confirmed `revision` as its newest one, which
@@ -114,6 +127,8 @@
   asio::steady_timer m_tick_timer;
   std::uint64_t m_crash_report_sequence = 0;
   bool m_stopped = false;
+  IpEndpoint m_peer_address;
+  bool m_knows_other_nodes = false;
   std::function<void(const StatusReportMessage&)> m_status_handler;
 
   std::shared_ptr<const MembershipView> m_membership_view =
--- a/packages/node/banyantrail/node/data_plane.h
+++ b/packages/node/banyantrail/node/data_plane.h
@@ -27,6 +27,7 @@
     std::function<void(const ServiceName&, std::vector<RequestFingerprint>)>
         on_crash;
     IdempotencyHooks idempotency;
+    QuotaHooks quota;
     EdgeDialect dialect;
   };
 
--- a/packages/node/banyantrail/node/metrics.cc
+++ b/packages/node/banyantrail/node/metrics.cc
@@ -34,6 +34,10 @@
       m_responses(RegisterCounters(m_registry,
                                    "banyantrail_answers_total",
                                    "Answers passed to callers")),
+      m_team_requests(
+          RegisterCounters(m_registry,
+                           "banyantrail_team_requests_total",
+                           "Requests of teams with a rate limit, by outcome")),
       m_peer_bytes(RegisterCounters(m_registry,
                                     "banyantrail_peer_bytes_total",
                                     "Bytes of messages between nodes")),
@@ -67,6 +71,13 @@
       .Increment();
 }
 
+void Metrics::CountTeamRequest(std::string_view team,
+                               std::string_view outcome) {
+  m_team_requests
+      .Add({{"team", std::string(team)}, {"outcome", std::string(outcome)}})
+      .Increment();
+}
+
 void Metrics::CountPeerBytes(std::string_view direction, std::size_t bytes) {
   m_peer_bytes.Add({{"direction", std::string(direction)}})
       .Increment(static_cast<double>(bytes));
--- a/packages/node/banyantrail/node/metrics.h
+++ b/packages/node/banyantrail/node/metrics.h
@@ -24,6 +24,9 @@
   void CountRetry(std::string_view decision);
   /// A response sent to a caller, by rank priority and status class.
   void CountResponse(unsigned priority, unsigned status);
+  /// A request of a team with a rate limit: "granted", "given_back",
+  /// "refused_limit" or "refused_no_response".
+  void CountTeamRequest(std::string_view team, std::string_view outcome);
   /// Bytes exchanged with other nodes, including frame headers.
   void CountPeerBytes(std::string_view direction, std::size_t bytes);
   /// A dropped message or closed connection between nodes, by reason.
@@ -46,6 +49,7 @@
   CounterFamily& m_refusals;
   CounterFamily& m_retries;
   CounterFamily& m_responses;
+  CounterFamily& m_team_requests;
   CounterFamily& m_peer_bytes;
   CounterFamily& m_peer_faults;
   CounterFamily& m_control_events;
--- a/packages/node/banyantrail/node/node.cc
+++ b/packages/node/banyantrail/node/node.cc
@@ -12,6 +12,7 @@
 #include "banyantrail/node/data_plane.h"
 #include "banyantrail/node/metrics.h"
 #include "banyantrail/node/platform_tasks.h"
+#include "banyantrail/node/team_quota_gate.h"
 #include "banyantrail/store/store_client.h"
 #include "banyantrail/traffic/idempotency_ledger.h"
 
@@ -65,6 +66,7 @@
   StoreClient platform;
   IdempotencyLedger<StoreClient> ledger;
   std::unique_ptr<ControlPlane> control;
+  std::unique_ptr<TeamQuotaGate> quotas;
   std::unique_ptr<DataPlane> data;
   std::unique_ptr<PlatformTasks> platform_tasks;
   std::unique_ptr<AdminApi> admin;
@@ -79,6 +81,20 @@
     : m_settings(settings),
       m_components(std::make_unique<Components>(m_io, settings)) {
   Components& components = *m_components;
+  components.quotas = std::make_unique<TeamQuotaGate>(
+      m_io.get_executor(),
+      TeamQuotaGate::Options{
+          .quotas = {.self = m_settings.node,
+                     .domain = m_settings.domain,
+                     .bound = m_settings.quota_bound},
+          .send =
+              [&components](const NodeId& to, const PeerMessage& message) {
+                components.control->Send(to, message);
+              },
+          .count =
+              [&components](const TeamName& team, std::string_view outcome) {
+                components.metrics.CountTeamRequest(team.str(), outcome);
+              }});
   components.data = std::make_unique<DataPlane>(
       m_io, components.metrics, m_settings,
       DataPlane::Options{
@@ -94,12 +110,22 @@
                 components.control->ReportCrash(service, std::move(suspects));
               },
           .idempotency = MakeIdempotencyHooks(components.ledger, m_settings),
+          .quota = {.acquire =
+                        [&components](TeamName team, TimePoint deadline) {
+                          return components.quotas->Acquire(std::move(team),
+                                                            deadline);
+                        },
+                    .give_back =
+                        [&components](const TeamName& team) {
+                          components.quotas->GiveBack(team);
+                        }},
           .dialect = options.dialect});
   components.control = std::make_unique<ControlPlane>(
       m_io, components.metrics, m_settings,
       ControlPlaneHooks{
           .on_snapshot =
               [&components](std::shared_ptr<const RoutingSnapshot> snapshot) {
+                components.quotas->SetTeams(snapshot->teams());
                 components.data->SetSnapshot(std::move(snapshot));
               },
           .on_members =
@@ -111,6 +137,15 @@
           .on_crash_report =
               [&components](const CrashReportMessage& report) {
                 components.data->OnCrashReport(report);
+              },
+          .on_view =
+              [&components](const MembershipView& view) {
+                components.quotas->SetMembers(
+                    view, components.control->knows_other_nodes());
+              },
+          .on_quota_message =
+              [&components](const NodeId& from, const PeerMessage& message) {
+                components.quotas->OnMessage(from, message);
               }});
   components.platform_tasks =
       std::make_unique<PlatformTasks>(m_io, m_settings, components.platform,
@@ -121,6 +156,7 @@
                         .data = *components.data,
                         .metrics = components.metrics,
                         .platform = components.platform,
+                        .quotas = *components.quotas,
                         .start_drain = [this] { StartDrain(); },
                         .is_draining = [this] { return m_draining; }});
   components.admin_server = std::make_unique<HttpServer>(
--- a/packages/node/banyantrail/node/settings.h
+++ b/packages/node/banyantrail/node/settings.h
@@ -12,6 +12,7 @@
 #include "banyantrail/core/logging.h"
 #include "banyantrail/distribution/distribution_protocol.h"
 #include "banyantrail/traffic/admission.h"
+#include "banyantrail/traffic/quota_share.h"
 
 namespace banyantrail {
 
@@ -99,6 +100,8 @@
   ServiceName local_service;
   ShutdownSettings shutdown;
   RetryBudgetSettings retry_budget;
+  /// Bound on the requests of teams with a rate limit.
+  QuotaBound quota_bound;
   /// Admission control for the backend servers of this node.
   AdmissionOptions admission;
   /// Interval at which backend servers send heartbeats.
--- a/packages/proxy/banyantrail/proxy/entry_stage.cc
+++ b/packages/proxy/banyantrail/proxy/entry_stage.cc
@@ -84,6 +84,10 @@
   std::uint32_t sends = 0;
   /// Reason of the last attempt that may have run.
   std::optional<RefusalReason> may_have_run;
+  /// The request took a token of its team's rate limit.
+  bool has_quota_token = false;
+  /// When the caller may expect a token, if it got none.
+  Duration quota_retry_after{};
 };
 
 /// Keeps a request in a set while it exists, also if it ends with an exception.
@@ -205,6 +209,11 @@
     co_await Refuse(downstream, context, RefusalReason::kDraining);
     co_return;
   }
+  const bool is_within_quota = co_await AcquireQuotaToken(context);
+  if (!is_within_quota) {
+    co_await Refuse(downstream, context, RefusalReason::kTeamQuota);
+    co_return;
+  }
   const bool may_run = co_await ClaimIdempotencyKey(downstream, context);
   if (may_run) {
     const Registration registration(m_requests, context);
@@ -299,6 +308,30 @@
   }
 }
 
+/// Takes a token of the team's rate limit. Nested calls belong to a request
+/// that has one; requests without a team need none.
+asio::awaitable<bool> EntryStage::AcquireQuotaToken(RequestContext& context) {
+  if (context.team == nullptr || context.team->requests_per_s == 0 ||
+      context.is_nested_call || m_options.quota.acquire == nullptr) {
+    co_return true;
+  }
+  const std::optional<Duration> retry_after =
+      co_await m_options.quota.acquire(context.team->name, context.deadline);
+  context.has_quota_token = !retry_after;
+  context.quota_retry_after = retry_after.value_or(Duration::zero());
+  co_return context.has_quota_token;
+}
+
+/// Gives the token of a request back that is refused without having run.
+void EntryStage::GiveBackQuotaToken(RequestContext& context,
+                                    RefusalReason reason) {
+  const bool is_not_run = context.tried.empty() || ProvesNotRun(reason);
+  if (context.has_quota_token && is_not_run) {
+    context.has_quota_token = false;
+    m_options.quota.give_back(context.team->name);
+  }
+}
+
 /// Claims the idempotency key of a request that carries one. Returns false if
 /// the request must not run now; a refusal has then been sent.
 asio::awaitable<bool> EntryStage::ClaimIdempotencyKey(Downstream& downstream,
@@ -666,7 +699,10 @@
   reply.fractional_retry_after = m_options.dialect.fractional_retry_after;
   if (reply.status == http::status::service_unavailable) {
     reply.retry_after = RetryAfterDelay(context);
+  } else if (reason == RefusalReason::kTeamQuota) {
+    reply.retry_after = context.quota_retry_after;
   }
+  GiveBackQuotaToken(context, reason);
   if (context.needs_claim) {
     const bool not_run = MayReportNotRun(reason, context.claim.has_value());
     reply.outcome =
--- a/packages/proxy/banyantrail/proxy/entry_stage.h
+++ b/packages/proxy/banyantrail/proxy/entry_stage.h
@@ -72,6 +72,17 @@
   std::function<asio::awaitable<bool>(HeldClaim)> release;
 };
 
+/// Access of the entry stage to the rate limits of teams. Empty functions
+/// disable them.
+struct QuotaHooks {
+  /// Waits a short time for a token of the team, never beyond the deadline.
+  /// Returns when the caller may expect one if there is none.
+  std::function<asio::awaitable<std::optional<Duration>>(TeamName, TimePoint)>
+      acquire;
+  /// A request that got a token certainly did not run.
+  std::function<void(const TeamName&)> give_back;
+};
+
 /// The first stage of the request path, which runs on any node: routes a
 /// caller's request by rule, selects a backend server and forwards the request
 /// to the owner node of that server. Serves the caller listener.
@@ -87,6 +98,7 @@
     InboundLimits limits;
     EntryStageHooks hooks;
     IdempotencyHooks idempotency;
+    QuotaHooks quota;
     EdgeDialect dialect;
     /// The service on this node's VM, which backend servers are told is the
     /// caller.
@@ -132,6 +144,8 @@
 
   asio::awaitable<void> Handle(Downstream& downstream, InboundRequest& request);
   std::optional<RefusalReason> ResolveRoute(RequestContext& context);
+  asio::awaitable<bool> AcquireQuotaToken(RequestContext& context);
+  void GiveBackQuotaToken(RequestContext& context, RefusalReason reason);
   asio::awaitable<bool> ClaimIdempotencyKey(Downstream& downstream,
                                             RequestContext& context);
   void RecordResult(RequestContext& context, std::uint32_t status);
--- a/packages/proxy/banyantrail/proxy/message_head.cc
+++ b/packages/proxy/banyantrail/proxy/message_head.cc
@@ -21,6 +21,8 @@
       return http::status::not_found;
     case RefusalReason::kUnknownKey:
       return http::status::unauthorized;
+    case RefusalReason::kTeamQuota:
+      return http::status::too_many_requests;
     case RefusalReason::kDeadline:
     case RefusalReason::kResponseTimeout:
       return http::status::gateway_timeout;
--- a/packages/traffic/banyantrail/traffic/refusal_reason.cc
+++ b/packages/traffic/banyantrail/traffic/refusal_reason.cc
@@ -30,6 +30,8 @@
     {"no_backend_server", true, kResendLater},
     {"route_disabled", true, kResendLater},
     {"unknown_key", true, "Send a key of a declared team."},
+    {"team_quota", true,
+     "Send the request again after Retry-After, or raise the team's limit."},
     {"queue_full", true, kResendLater},
     {"deadline", true, "Allow a longer deadline, or send it again later."},
     {"draining", true, "Send the request to another node."},
--- a/packages/wire/banyantrail/wire/peer_messages.h
+++ b/packages/wire/banyantrail/wire/peer_messages.h
@@ -204,6 +204,35 @@
   MSGPACK_DEFINE(revision, release_digest, is_pushed, store_failed)
 };
 
+/// Asks the holder of a team's tokens for tokens, see TeamQuotas.
+struct QuotaRequestMessage {
+  /// Identifies the request among those of the sender.
+  std::uint64_t sequence = 0;
+  TeamName team;
+  /// Tokens for requests that wait at the sender.
+  std::uint32_t tokens = 0;
+  /// Further tokens, for requests that the sender expects.
+  std::uint32_t prefetch = 0;
+
+  friend bool operator==(const QuotaRequestMessage&,
+                         const QuotaRequestMessage&) = default;
+  MSGPACK_DEFINE(sequence, team, tokens, prefetch)
+};
+
+/// The reply of the holder.
+struct QuotaReplyMessage {
+  /// That of the request.
+  std::uint64_t sequence = 0;
+  TeamName team;
+  std::uint32_t granted = 0;
+  /// If nothing was granted: when the receiver should ask again.
+  std::uint32_t retry_after_ms = 0;
+
+  friend bool operator==(const QuotaReplyMessage&,
+                         const QuotaReplyMessage&) = default;
+  MSGPACK_DEFINE(sequence, team, granted, retry_after_ms)
+};
+
 /// All messages between nodes. The position in the list is the message's type
 /// number on the wire, so new messages are added at the end.
 using PeerMessage = std::variant<HelloMessage,
@@ -218,6 +247,8 @@
                                  ProbeAckMessage,
                                  StatusReportMessage,
                                  CrashReportMessage,
-                                 StoreHeadMessage>;
+                                 StoreHeadMessage,
+                                 QuotaRequestMessage,
+                                 QuotaReplyMessage>;
 
 }  // namespace banyantrail
--- a/tests/proxy/request_path.h
+++ b/tests/proxy/request_path.h
@@ -152,6 +152,11 @@
   /// Declared from the next SetRule on.
   std::vector<TeamObject> teams;
   bool allow_anonymous = false;
+  /// Decision on the requests of teams with a rate limit, their number and the
+  /// tokens that were given back.
+  std::optional<Duration> quota_refusal;
+  int quota_requests = 0;
+  int quota_given_back = 0;
 
  private:
   OwnerStage::Options OwnerOptions() {
@@ -172,6 +177,12 @@
         .hooks = {.count_refusal = [](std::string_view) {},
                   .count_retry = [](std::string_view) {},
                   .on_response = [](unsigned, unsigned, Duration) {}},
+        .quota = {.acquire = [this](TeamName, TimePoint)
+                      -> asio::awaitable<std::optional<Duration>> {
+                    ++quota_requests;
+                    co_return quota_refusal;
+                  },
+                  .give_back = [this](const TeamName&) { ++quota_given_back; }},
         .dialect = m_dialect,
         .local_service = ServiceName("checkout")};
   }
--- a/tests/proxy/request_path_test.cc
+++ b/tests/proxy/request_path_test.cc
@@ -967,3 +967,50 @@
     CHECK(path.RunUntil([&] { return closed; }));
   }
 }
+
+// A request beyond the limit must cost nothing: it is refused before it is sent
+// to another node, and 429 tells its caller that it has not run.
+TEST(RequestPath, RequestBeyondTheLimitOfItsTeamIsRefused) {
+  RequestPath path(EchoHandler);
+  path.teams = {kTeam};
+  path.teams[0].requests_per_s = 5;
+  path.SetRule(milliseconds(300), false);
+  path.quota_refusal = milliseconds(1200);
+  const CallerResponse response = path.Send(
+      "GET /orders HTTP/1.1\r\nHost: mesh\r\n"
+      "Authorization: Bearer secret-1\r\n\r\n");
+  LONGS_EQUAL(429, response.status);
+  STRCMP_EQUAL("team_quota", response.reason.c_str());
+  STRCMP_EQUAL("not-run", response.outcome.c_str());
+  STRCMP_EQUAL("2", response.retry_after.c_str());
+  LONGS_EQUAL(0, path.quota_given_back);
+}
+
+// The limit counts requests that run.
+TEST(RequestPath, TokenOfARequestThatDidNotRunIsGivenBack) {
+  RequestPath path(EchoHandler);
+  path.teams = {kTeam};
+  path.teams[0].requests_per_s = 5;
+  path.SetRule(milliseconds(300), false);
+  const std::string request =
+      "GET /orders HTTP/1.1\r\nHost: mesh\r\n"
+      "Authorization: Bearer secret-1\r\n\r\n";
+  LONGS_EQUAL(200, path.Send(request).status);
+  LONGS_EQUAL(0, path.quota_given_back);
+  path.SetState(BackendServerState::kDown);
+  LONGS_EQUAL(503, path.Send(request).status);
+  LONGS_EQUAL(1, path.quota_given_back);
+  LONGS_EQUAL(2, path.quota_requests);
+}
+
+TEST(RequestPath, RequestsWithoutATeamOrALimitNeedNoToken) {
+  RequestPath path(EchoHandler);
+  path.teams = {kTeam};
+  path.allow_anonymous = true;
+  path.SetRule(milliseconds(300), false);
+  path.Send("GET /orders HTTP/1.1\r\nHost: mesh\r\n\r\n");
+  path.Send(
+      "GET /orders HTTP/1.1\r\nHost: mesh\r\n"
+      "Authorization: Bearer secret-1\r\n\r\n");
+  LONGS_EQUAL(0, path.quota_requests);
+}
--- /dev/null
+++ b/tests/traffic/quota_simulation_test.cc
@@ -0,0 +1,254 @@
+#include "traffic/quota_simulation.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <cstdio>
+#include <numeric>
+#include <string>
+
+using banyantrail::Duration;
+using banyantrail::MemberState;
+using banyantrail::milliseconds;
+using banyantrail::RoutedTeam;
+using banyantrail::seconds;
+using banyantrail::TeamName;
+using banyantrail::testing::QuotaOutcome;
+using banyantrail::testing::QuotaSimulation;
+
+namespace {
+
+constexpr Duration kWindow = seconds(5);
+/// Time in which the buckets, which start empty, get their first tokens.
+constexpr Duration kWarmUp = seconds(3);
+constexpr double kMaxRefusedShare = 1.0 / 200;
+
+struct Size {
+  const char* name;
+  std::size_t domains;
+  std::size_t nodes;
+};
+
+constexpr Size kDeployment{"71 nodes", 3, 71};
+constexpr Size kTarget{"1,100 nodes", 8, 1100};
+
+/// Usual rates of the largest, a middle and the smallest team.
+constexpr double kUsualRates[] = {530, 25, 3};
+
+/// A typical limit: 1.6 times the usual rate, and as much burst.
+RoutedTeam TeamFor(double usual_rate) {
+  constexpr double kLimitFactor = 1.6;
+  const auto limit =
+      static_cast<std::uint32_t>(kLimitFactor * usual_rate + 0.5);
+  return {
+      .name = TeamName("surveyors"), .requests_per_s = limit, .burst = limit};
+}
+
+double Bound(const RoutedTeam& team) {
+  return (5.0 * team.requests_per_s + team.burst) * 1.1 + 20;
+}
+
+void Print(const std::string& what,
+           const RoutedTeam& team,
+           const QuotaOutcome& outcome) {
+  std::printf(
+      "  %-44s limit %4u/s: offered %6llu, refused %6.2f %%, in 5 s %5zu of "
+      "%5.0f, messages %6llu, wait %lld ms\n",
+      what.c_str(), team.requests_per_s,
+      static_cast<unsigned long long>(outcome.offered),
+      100 * outcome.RefusedShare(), outcome.MaxInWindow(kWindow), Bound(team),
+      static_cast<unsigned long long>(outcome.messages),
+      static_cast<long long>(
+          std::chrono::duration_cast<milliseconds>(outcome.longest_wait)
+              .count()));
+}
+
+bool KeepsBound(const QuotaSimulation& simulation, const RoutedTeam& team) {
+  return static_cast<double>(simulation.outcome().MaxInWindow(kWindow)) <=
+         Bound(team);
+}
+
+}  // namespace
+
+TEST_GROUP(QuotaSimulation){
+    static QuotaSimulation Make(const Size& size,
+                                const RoutedTeam& team){return QuotaSimulation(
+        {.domains = size.domains, .nodes = size.nodes, .team = team});
+}
+
+/// Runs a team at its usual rate on the nodes and returns whether it is
+/// within the bound and hardly refused.
+static bool IsHardlyRefused(const Size& size,
+                            double usual_rate,
+                            const std::vector<std::size_t>& nodes,
+                            const std::string& what) {
+  const RoutedTeam team = TeamFor(usual_rate);
+  QuotaSimulation simulation = Make(size, team);
+  const Duration end = seconds(30);
+  simulation.AddLoad(usual_rate, nodes, Duration{}, end);
+  simulation.Run(kWarmUp);
+  const bool keeps_bound = KeepsBound(simulation, team);
+  simulation.ResetOutcome();
+  simulation.Run(end + seconds(1));
+  Print(std::string(size.name) + ", " + what, team, simulation.outcome());
+  return keeps_bound && KeepsBound(simulation, team) &&
+         simulation.outcome().RefusedShare() < kMaxRefusedShare;
+}
+}
+;
+
+// A static part of 1/71 for each node would refuse small teams.
+TEST(QuotaSimulation, EvenlySpreadCallersAreHardlyRefused) {
+  for (const Size& size : {kDeployment, kTarget}) {
+    for (const double rate : {530.0, 25.0}) {
+      const std::vector<std::size_t> all = Make(size, TeamFor(rate)).AllNodes();
+      CHECK(IsHardlyRefused(size, rate, all, "evenly spread"));
+    }
+  }
+}
+
+// A team at 7.5 times its usual rate, evenly spread and at few nodes.
+TEST(QuotaSimulation, FloodStaysWithinTheBound) {
+  constexpr double kFlood = 7.5;
+  const Duration end = seconds(30);
+  for (const Size& size : {kDeployment, kTarget}) {
+    for (const double rate : kUsualRates) {
+      const RoutedTeam team = TeamFor(rate);
+      for (const bool is_spread : {true, false}) {
+        QuotaSimulation simulation = Make(size, team);
+        const std::vector<std::size_t> nodes =
+            is_spread ? simulation.AllNodes()
+                      : std::vector<std::size_t>{0, 1, 2};
+        // The bucket is full when the flood begins.
+        simulation.AddLoad(rate / 10, nodes, Duration{}, seconds(10));
+        simulation.AddLoad(kFlood * rate, nodes, seconds(10), end);
+        simulation.Run(end + seconds(1));
+        Print(std::string(size.name) + ", 7.5 times" +
+                  (is_spread ? ", evenly spread" : ", three nodes"),
+              team, simulation.outcome());
+        CHECK(KeepsBound(simulation, team));
+      }
+    }
+  }
+}
+
+// The new limit is binding one window later.
+TEST(QuotaSimulation, LoweredLimitIsBindingOneWindowLater) {
+  for (const Size& size : {kDeployment, kTarget}) {
+    RoutedTeam team = TeamFor(530);
+    QuotaSimulation simulation = Make(size, team);
+    simulation.AddLoad(530, simulation.AllNodes(), Duration{}, seconds(40));
+    simulation.Run(seconds(10));
+    team.requests_per_s = 40;
+    team.burst = 40;
+    simulation.SetTeam(team);
+    simulation.Run(seconds(15));
+    simulation.ResetOutcome();
+    simulation.Run(seconds(41));
+    Print(std::string(size.name) + ", limit lowered", team,
+          simulation.outcome());
+    CHECK(KeepsBound(simulation, team));
+  }
+}
+
+// Guards against a second holder that lends while the first still does, and
+// against requests that wait for a dead one.
+TEST(QuotaSimulation, KilledHolderIsReplaced) {
+  const RoutedTeam team = TeamFor(530);
+  QuotaSimulation simulation = Make(kDeployment, team);
+  simulation.AddLoad(530, simulation.AllNodes(), Duration{}, seconds(40));
+  simulation.Run(seconds(10));
+  simulation.ResetOutcome();
+  const std::size_t holder = simulation.HolderOf(0);
+  simulation.Kill(holder);
+  simulation.At(milliseconds(11'500), [&simulation, holder] {
+    simulation.SetState(simulation.AllNodes(), holder, MemberState::kDead);
+  });
+  simulation.At(seconds(20), [&simulation, holder] {
+    simulation.Start(holder);
+    simulation.SetState(simulation.AllNodes(), holder, MemberState::kAlive);
+  });
+  simulation.Run(seconds(41));
+  Print("71 nodes, holder killed and restarted", team, simulation.outcome());
+  CHECK(KeepsBound(simulation, team));
+  CHECK(simulation.outcome().longest_wait <= milliseconds(50));
+}
+
+// Half of the nodes take the holder for dead, under a flood.
+TEST(QuotaSimulation, TwoMembershipViewsStayWithinTheBound) {
+  const RoutedTeam team = TeamFor(530);
+  QuotaSimulation simulation = Make(kDeployment, team);
+  simulation.AddLoad(7.5 * 530, simulation.AllNodes(), Duration{}, seconds(40));
+  for (int round = 0; round < 5; ++round) {
+    const Duration start = seconds(10 + 5 * round);
+    simulation.At(start, [&simulation] {
+      std::vector<std::size_t> half = simulation.AllNodes();
+      half.resize(half.size() / 2);
+      const std::size_t holder = simulation.HolderOf(70);
+      simulation.SetState(half, holder, MemberState::kDead);
+    });
+    simulation.At(start + milliseconds(1500), [&simulation] {
+      const std::vector<std::size_t> all = simulation.AllNodes();
+      for (const std::size_t node : all) {
+        simulation.SetState(all, node, MemberState::kAlive);
+      }
+    });
+  }
+  simulation.Run(seconds(41));
+  Print("71 nodes, two views for 1.5 s, 7.5 times", team, simulation.outcome());
+  CHECK(KeepsBound(simulation, team));
+}
+
+// A domain without contact to the others lends its own part only, also when
+// the others count its members as dead and it counts them as dead.
+TEST(QuotaSimulation, PartitionedDomainStaysWithinTheBound) {
+  const RoutedTeam team = TeamFor(530);
+  for (const double factor : {1.0, 7.5}) {
+    QuotaSimulation simulation = Make(kDeployment, team);
+    simulation.AddLoad(factor * 530, simulation.AllNodes(), Duration{},
+                       seconds(40));
+    simulation.Run(seconds(10));
+    simulation.ResetOutcome();
+    const std::vector<std::size_t> cut = simulation.NodesOf(0);
+    simulation.Partition({cut.begin(), cut.end()});
+    simulation.At(milliseconds(11'500), [&simulation] {
+      for (const std::size_t a : simulation.AllNodes()) {
+        for (const std::size_t b : simulation.AllNodes()) {
+          if ((simulation.DomainOf(a) == 0) != (simulation.DomainOf(b) == 0)) {
+            simulation.SetState({a}, b, MemberState::kDead);
+          }
+        }
+      }
+    });
+    simulation.Run(seconds(41));
+    Print("71 nodes, a domain cut off, " + std::to_string(factor) + " times",
+          team, simulation.outcome());
+    CHECK(KeepsBound(simulation, team));
+    if (factor == 1.0) {
+      CHECK(simulation.outcome().RefusedShare() < kMaxRefusedShare);
+    }
+  }
+}
+
+// Two sides of a domain that each take the other for dead have a holder each.
+TEST(QuotaSimulation, PartitionWithinADomainStaysWithinTheBound) {
+  const RoutedTeam team = TeamFor(530);
+  QuotaSimulation simulation = Make(kDeployment, team);
+  simulation.AddLoad(7.5 * 530, simulation.AllNodes(), Duration{}, seconds(40));
+  simulation.Run(seconds(10));
+  const std::vector<std::size_t> domain = simulation.NodesOf(0);
+  const std::set<std::size_t> side(domain.begin(), domain.begin() + 12);
+  simulation.Partition(side);
+  simulation.At(milliseconds(11'500), [&simulation, &side] {
+    for (const std::size_t a : simulation.AllNodes()) {
+      for (const std::size_t b : simulation.AllNodes()) {
+        if (side.contains(a) != side.contains(b)) {
+          simulation.SetState({a}, b, MemberState::kDead);
+        }
+      }
+    }
+  });
+  simulation.Run(seconds(41));
+  Print("71 nodes, half of a domain cut off, 7.5 times", team,
+        simulation.outcome());
+  CHECK(KeepsBound(simulation, team));
+}
--- a/tests/wire/frame_codec_test.cc
+++ b/tests/wire/frame_codec_test.cc
@@ -39,6 +39,19 @@
   const PeerMessage update =
       banyantrail::MembershipUpdateMessage{.records = {record}};
   CHECK(RoundTrip(update) == update);
+
+  const PeerMessage ask = banyantrail::QuotaRequestMessage{
+      .sequence = 3,
+      .team = banyantrail::TeamName("surveyors"),
+      .tokens = 2,
+      .prefetch = 1};
+  CHECK(RoundTrip(ask) == ask);
+  const PeerMessage reply =
+      banyantrail::QuotaReplyMessage{.sequence = 3,
+                                     .team = banyantrail::TeamName("surveyors"),
+                                     .granted = 2,
+                                     .retry_after_ms = 40};
+  CHECK(RoundTrip(reply) == reply);
 }
 
 TEST(FrameCodec, RejectsLengthOutOfBounds) {
