--- a/packages/node/banyantrail/node/data_plane.h
+++ b/packages/node/banyantrail/node/data_plane.h
@@ -27,6 +27,7 @@
     std::function<void(const ServiceName&, std::vector<RequestFingerprint>)>
         on_crash;
     IdempotencyHooks idempotency;
+    QuotaHooks quota;
     EdgeDialect dialect;
     /// See EntryStageHooks::may_accept_keys.
     std::function<bool(Revision)> may_accept_keys = [](Revision) {
--- a/packages/node/banyantrail/node/settings.h
+++ b/packages/node/banyantrail/node/settings.h
@@ -12,6 +12,7 @@
 #include "banyantrail/core/logging.h"
 #include "banyantrail/distribution/distribution_protocol.h"
 #include "banyantrail/traffic/admission.h"
+#include "banyantrail/traffic/quota_share.h"
 
 namespace banyantrail {
 
@@ -113,6 +114,8 @@
   ShutdownSettings shutdown;
   RetryBudgetSettings retry_budget;
   RevocationSettings revocation;
+  /// Bound on the requests of teams with a rate limit.
+  QuotaBound quota_bound;
   /// Admission control for the backend servers of this node.
   AdmissionOptions admission;
   /// Whether the pace at which a backend server gets requests after a start or
--- a/packages/traffic/banyantrail/traffic/refusal_reason.h
+++ b/packages/traffic/banyantrail/traffic/refusal_reason.h
@@ -22,6 +22,7 @@
   kRouteDisabled,
   kUnknownKey,
   kKeyLeaseExpired,
+  kTeamQuota,
   // Refused by the node that owns the backend server.
   kQueueFull,
   kDeadline,
--- a/tests/proxy/request_path.h
+++ b/tests/proxy/request_path.h
@@ -165,6 +165,11 @@
   bool has_second_endpoint = false;
   /// Number of further checks of the key lease that succeed.
   int key_checks_left = std::numeric_limits<int>::max();
+  /// Decision on the requests of teams with a rate limit, their number and the
+  /// tokens that were given back.
+  std::optional<Duration> quota_refusal;
+  int quota_requests = 0;
+  int quota_given_back = 0;
 
  private:
   OwnerStage::Options OwnerOptions() {
@@ -187,6 +192,12 @@
                   .on_response = [](unsigned, unsigned, Duration) {},
                   .may_accept_keys =
                       [this](Revision) { return key_checks_left-- > 0; }},
+        .quota = {.acquire = [this](TeamName, TimePoint)
+                      -> asio::awaitable<std::optional<Duration>> {
+                    ++quota_requests;
+                    co_return quota_refusal;
+                  },
+                  .give_back = [this](const TeamName&) { ++quota_given_back; }},
         .dialect = m_dialect,
         .local_service = ServiceName("checkout")};
   }
