Split entry_stage.cc by responsibility

Cause: entry_stage.cc had 713 lines with routing, claims, endpoint choice, forwarding, retries, responses and the connection loop, and several planned parts change it at the same time.

Ruled out: separate classes for each responsibility in this commit. They would change signatures while others edit the same functions.

Change: the definitions move unchanged; the class and its header stay as they are.

- entry_routing.cc: ResolveRoute, ResolveTeam, SetDeadlineAndTarget

--- /dev/null
+++ b/packages/proxy/banyantrail/proxy/entry_routing.cc
@@ -0,0 +1,106 @@
+#include <algorithm>
+
+#include "banyantrail/proxy/caller_team.h"
+#include "banyantrail/proxy/entry_request_context.h"
+#include "banyantrail/proxy/metadata_fields.h"
+
+namespace banyantrail {
+namespace {
+
+std::string_view PathOf(const http::request_header<>& head) {
+  const std::string_view target(head.target().data(), head.target().size());
+  return target.substr(0, target.find('?'));
+}
+
+std::string_view MethodOf(const http::request_header<>& head) {
+  return {head.method_string().data(), head.method_string().size()};
+}
+
+RefusalReason ReasonOf(LookupFailure failure) {
+  switch (failure) {
+    case LookupFailure::kNoBackendServer:
+      return RefusalReason::kNoBackendServer;
+    case LookupFailure::kRouteDisabled:
+      return RefusalReason::kRouteDisabled;
+    default:
+      return RefusalReason::kNoRoute;
+  }
+}
+
+}  // namespace
+
+/// Determines the route, service, deadline and latency target of a request.
+/// Returns a reason if it cannot be routed.
+std::optional<RefusalReason> EntryStage::ResolveRoute(RequestContext& context) {
+  if (!context.snapshot) {
+    return RefusalReason::kNoConfiguration;
+  }
+  const http::request_header<>& head = context.request.head();
+  const RouteLookup lookup =
+      context.snapshot->FindRoute({.method = MethodOf(head),
+                                   .path = PathOf(head),
+                                   .host = FieldValue(head, "host")});
+  context.route = lookup.route;
+  if (lookup.route != nullptr) {
+    const std::optional<RefusalReason> refusal = ResolveTeam(context);
+    if (refusal) {
+      return refusal;
+    }
+  }
+  if (lookup.failure != LookupFailure::kNone) {
+    return ReasonOf(lookup.failure);
+  }
+  const std::size_t service = m_splitter.Next(*lookup.route);
+  context.service = &context.snapshot->services()[service];
+  SetDeadlineAndTarget(context);
+  return std::nullopt;
+}
+
+/// Determines the team and the priority of a request. Returns a reason if it
+/// lacks a team's key.
+std::optional<RefusalReason> EntryStage::ResolveTeam(RequestContext& context) {
+  context.priority = context.route->priority;
+  const std::string& request_id = m_options.dialect.request_id;
+  context.is_nested_call =
+      !request_id.empty() &&
+      m_running.IsNestedCall(FieldValue(context.request.head(), request_id));
+  if (context.snapshot->teams().empty()) {
+    return std::nullopt;
+  }
+  const CallerTeam caller =
+      FindCallerTeam(context.request.head(), *context.snapshot);
+  if (caller.has_unknown_key ||
+      IsKeyMissing(caller, *context.route, context.is_nested_call)) {
+    return RefusalReason::kUnknownKey;
+  }
+  context.team = caller.team;
+  if (context.team != nullptr) {
+    context.priority = context.team->priority.value_or(context.priority);
+  }
+  return std::nullopt;
+}
+
+/// The deadline is that of the routing rule, or the caller's if that is
+/// earlier. The latency target counts from the time when the caller first sent
+/// the request.
+void EntryStage::SetDeadlineAndTarget(RequestContext& context) {
+  const EdgeDialect& dialect = m_options.dialect;
+  const http::request_header<>& head = context.request.head();
+  const Route& route = *context.route;
+  const auto caller_timeout = NumberField(head, dialect.deadline);
+  const Duration timeout =
+      caller_timeout
+          ? std::min<Duration>(milliseconds(*caller_timeout), route.deadline)
+          : route.deadline;
+  context.deadline = std::min(context.started + timeout, m_drain_end);
+  if (route.target_latency > Duration::zero()) {
+    const Duration already_waited =
+        caller_timeout && !context.is_nested_call
+            ? m_caller_timeouts.RecordDeadline(
+                  route.rule, milliseconds(*caller_timeout), context.started)
+            : Duration{};
+    context.target = context.started + route.target_latency - already_waited;
+  }
+}
+
+}  // namespace banyantrail
