Run pipelined idempotent requests beside each other

Cause: EntryStage::Serve handled one request to its end before it read the next one, so that requests which a caller sends ahead waited for each other.

Ruled out: a reader on every connection in place of the watch of each attempt; callers that do not pipeline would pay for a coroutine and a pending operation. Reading all later responses into memory; eight of 540 KB take 4 MB a connection.

Change: CallerPipeline starts a reader when bytes are left behind a request or arrive while its response is awaited. Idempotent requests with a small complete head and no body are handled in coroutines of their own, each with a ResponseTurn. Any other request stays in the buffer and is read by the session as before once the window is empty. Later responses are read before their turn only within the bytes of the window. A closing response and a caller that leaves cancel the requests of the window; while the node drains, only the last one that was started closes the connection. Settings: limits.max_pipelined_requests, limits.max_pipelined_bytes.

Existing tests are unchanged; RequestPath has options for slots and more rules.

Conclusion: a request runs beside a slow one before it, and the bounds, the order and the cancellation hold in the stages. Cost for connections that do not pipeline was not measured.

--- a/packages/node/banyantrail/node/data_plane.cc
+++ b/packages/node/banyantrail/node/data_plane.cc
@@ -128,6 +128,8 @@
       .retries = RetryPolicyFor(settings.retry_budget),
       .fleet_retry_burst = kUsableBudgetShare * settings.retry_budget.burst,
       .limits = {.max_header_bytes = settings.limits.max_header_bytes},
+      .pipelining = {.max_requests = settings.limits.max_pipelined_requests,
+                     .max_bytes = settings.limits.max_pipelined_bytes},
       .hooks = {
           .count_refusal =
               [&metrics](std::string_view reason) {
--- a/packages/node/banyantrail/node/settings.cc
+++ b/packages/node/banyantrail/node/settings.cc
@@ -16,6 +16,9 @@
 constexpr IntegerBounds kConnectionBounds{.min = 1, .max = 100'000};
 constexpr IntegerBounds kLinkBandwidthBounds{.min = 0, .max = 1'000'000};
 constexpr IntegerBounds kHeaderBounds{.min = 1U << 10U, .max = 1U << 20U};
+constexpr IntegerBounds kPipelinedRequestBounds{.min = 1, .max = 1024};
+constexpr IntegerBounds kPipelinedByteBounds{.min = 1U << 10U,
+                                             .max = 16U << 20U};
 
 void ThrowFirstFault(const std::vector<Fault>& faults) {
   if (faults.empty()) {
@@ -105,6 +108,12 @@
   LimitSettings limits{
       .max_header_bytes = ReadLimit(reader, "max_header_bytes", kHeaderBounds,
                                     defaults.max_header_bytes),
+      .max_pipelined_requests =
+          ReadLimit(reader, "max_pipelined_requests", kPipelinedRequestBounds,
+                    defaults.max_pipelined_requests),
+      .max_pipelined_bytes =
+          ReadLimit(reader, "max_pipelined_bytes", kPipelinedByteBounds,
+                    defaults.max_pipelined_bytes),
       .max_caller_connections =
           ReadLimit(reader, "max_caller_connections", kConnectionBounds,
                     defaults.max_caller_connections),
--- a/packages/node/banyantrail/node/settings.h
+++ b/packages/node/banyantrail/node/settings.h
@@ -29,6 +29,11 @@
 /// Resource limits of a node.
 struct LimitSettings {
   std::uint32_t max_header_bytes = 16U << 10U;
+  /// Maximum number of requests of a caller connection that run at the same
+  /// time; 1 disables pipelining.
+  std::uint32_t max_pipelined_requests = 8;
+  /// Maximum bytes of such requests and of responses that wait for their turn.
+  std::uint32_t max_pipelined_bytes = 64U << 10U;
   std::uint32_t max_caller_connections = 1024;
   std::uint32_t max_mesh_connections = 4096;
   std::uint32_t max_admin_connections = 256;
--- a/packages/proxy/banyantrail/proxy/connection.cc
+++ b/packages/proxy/banyantrail/proxy/connection.cc
@@ -1,5 +1,7 @@
 #include "banyantrail/proxy/connection.h"
 
+#include <poll.h>
+
 #include <vector>
 
 namespace banyantrail {
@@ -36,6 +38,14 @@
   return error && error != asio::error::would_block;
 }
 
+bool HasHungUp(Downstream& downstream) {
+  pollfd state{.fd = downstream.stream.socket().native_handle(),
+               .events = POLLRDHUP,
+               .revents = 0};
+  constexpr int kNoWaitMs = 0;
+  return ::poll(&state, 1, kNoWaitMs) > 0;
+}
+
 void Close(beast::tcp_stream& stream) {
   boost::system::error_code ignored;
   stream.socket().shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
@@ -48,7 +58,7 @@
   constexpr std::size_t kReadBytes = 16U << 10U;
   beast::tcp_stream& stream = downstream.stream;
   boost::system::error_code error;
-  if (!downstream.has_unread_body) {
+  if (!downstream.has_unread_body && !downstream.is_pipelined) {
     Close(stream);
     co_return;
   }
--- a/packages/proxy/banyantrail/proxy/connection.h
+++ b/packages/proxy/banyantrail/proxy/connection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <limits>
 #include <memory>
 
@@ -24,6 +25,14 @@
   bool must_close = false;
   /// The rest of a request body is still due on the connection.
   bool has_unread_body = false;
+  /// The caller has sent requests ahead of responses, so that more may arrive
+  /// after the last response.
+  bool is_pipelined = false;
+  /// A CallerPipeline reads from the connection and notices if the caller
+  /// disconnects.
+  bool is_read_ahead = false;
+  /// Called when bytes arrive behind the request that is handled.
+  std::function<void()> on_bytes_ahead = [] {};
 };
 
 /// A connection on which this node sends requests to another node or a backend
@@ -95,12 +104,17 @@
 /// senders have already disconnected.
 bool HasDisconnected(Downstream& downstream);
 
+/// Like HasDisconnected, but also if there are unread bytes before the end of
+/// the connection.
+bool HasHungUp(Downstream& downstream);
+
 /// Shuts down both directions and closes the stream, ignoring errors.
 void Close(beast::tcp_stream& stream);
 
 /// Closes a connection after its last response. If the peer may still be
-/// sending the rest of a body, reads on for a limited time first: closing with
-/// unread bytes resets the connection, and the peer could lose the response.
+/// sending the rest of a body or further requests, reads on for a limited time
+/// first: closing with unread bytes resets the connection, and the peer could
+/// lose the response.
 asio::awaitable<void> CloseAfterResponse(Downstream& downstream);
 
 }  // namespace banyantrail
--- a/packages/proxy/banyantrail/proxy/entry_forwarding.cc
+++ b/packages/proxy/banyantrail/proxy/entry_forwarding.cc
@@ -104,9 +104,15 @@
   const TimePoint started = SystemClock().Now();
   m_loads.OnStart(endpoint, started);
   AttemptOptions options = AttemptOptionsFor(context, endpoint);
-  options.in_use = &context.upstream;
+  options.in_use = &context.turn.upstream;
+  options.may_send = [&turn = context.turn] { return !turn.is_cancelled(); };
   Attempt attempt = co_await MakeAttempt(m_pool, downstream, context.request,
                                          std::move(options));
+  if (context.turn.is_cancelled() &&
+      attempt.result != UpstreamResult::kResponded) {
+    attempt.result = UpstreamResult::kCallerDisconnected;
+    attempt.reason = RefusalReason::kCancelled;
+  }
   const TimePoint now = SystemClock().Now();
   EndpointResult result = ResultOf(attempt, now - started);
   result.kind = KindOf(*context.route);
--- a/packages/proxy/banyantrail/proxy/entry_request_context.h
+++ b/packages/proxy/banyantrail/proxy/entry_request_context.h
@@ -12,6 +12,8 @@
 /// State of one request. This header is only for the sources of EntryStage.
 struct EntryStage::RequestContext {
   InboundRequest& request;
+  /// Its place in the order of the responses on the connection.
+  ResponseTurn& turn;
   std::shared_ptr<const RoutingSnapshot> snapshot;
   const Route* route = nullptr;
   const RoutedService* service = nullptr;
@@ -35,8 +37,6 @@
   std::vector<EndpointKey> tried;
   /// Load of the endpoint that was tried last, as its owner node reported it.
   std::optional<ReportedLoad> last_load;
-  /// Connection of the attempt that is running; null while there is none.
-  Upstream* upstream = nullptr;
   /// Number of attempts that may have reached a backend server.
   std::uint32_t sends = 0;
   /// Reason of the last attempt that may have run.
--- a/packages/proxy/banyantrail/proxy/entry_responses.cc
+++ b/packages/proxy/banyantrail/proxy/entry_responses.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <utility>
 
 #include "banyantrail/proxy/attempt_outcome.h"
@@ -6,6 +7,54 @@
 #include "banyantrail/traffic/retry_after.h"
 
 namespace banyantrail {
+namespace {
+
+/// Time for writing a response that has waited for earlier ones beyond its own
+/// deadline.
+constexpr Duration kMinWriteTime = seconds(5);
+
+}  // namespace
+
+/// Whether the connection stays open after the response. While the node drains,
+/// the last of the requests that were started closes it, so that all of them
+/// are answered.
+bool EntryStage::ShouldKeepAlive(const Downstream& downstream,
+                                 const RequestContext& context) const {
+  const bool ends_drain = m_draining && context.turn.IsLast();
+  return !downstream.must_close && !context.request.has_unread_body() &&
+         !ends_drain && context.request.parser->keep_alive();
+}
+
+/// Waits until the responses to earlier requests are sent. A small response is
+/// read meanwhile, which frees the backend server; a large one stays on the
+/// upstream connection. Returns false if the response must not be sent; the
+/// request was then refused or cancelled.
+asio::awaitable<bool> EntryStage::AwaitTurn(Downstream& downstream,
+                                            RequestContext& context,
+                                            Attempt& attempt,
+                                            BodyBuffer& read_before) {
+  const auto length = attempt.response->content_length();
+  const bool is_small = length && *length <= kRelayBufferBytes;
+  boost::system::error_code error;
+  if (is_small && context.turn.ReserveResponse(*length)) {
+    context.turn.upstream = attempt.upstream.get();
+    error = co_await FillBuffer(attempt, read_before, context.deadline);
+    context.turn.upstream = nullptr;
+  }
+  if (!co_await context.turn.Wait()) {
+    m_options.hooks.count_refusal(ToString(RefusalReason::kCancelled));
+    co_return false;
+  }
+  if (error) {
+    co_await Refuse(downstream, context, RefusalReason::kResponseTruncated);
+    co_return false;
+  }
+  if (!attempt.response->is_done() && SystemClock().Now() >= context.deadline) {
+    co_await Refuse(downstream, context, RefusalReason::kResponseTimeout);
+    co_return false;
+  }
+  co_return true;
+}
 
 asio::awaitable<void> EntryStage::ReturnResponse(Downstream& downstream,
                                                  RequestContext& context,
@@ -17,15 +66,22 @@
     co_await Refuse(downstream, context, ReasonOf(attempt));
     co_return;
   }
-  const bool keep_alive = !downstream.must_close &&
-                          !context.request.has_unread_body() && !m_draining &&
-                          context.request.parser->keep_alive();
+  BodyBuffer read_before;
+  const bool waits = !context.turn.MayWrite();
+  if (waits && !co_await AwaitTurn(downstream, context, attempt, read_before)) {
+    co_return;
+  }
+  const bool keep_alive = ShouldKeepAlive(downstream, context);
   const unsigned status = attempt.response->get().result_int();
   RecordResult(context, status);
   http::response_header<> head = ReturnedHead(attempt);
   StripInternalResponseFields(head, is_local_reply);
-  const RelayOutcome outcome = co_await RelayResponse(
-      attempt, downstream, std::move(head), keep_alive, context.deadline);
+  const TimePoint deadline =
+      waits ? std::max(context.deadline, SystemClock().Now() + kMinWriteTime)
+            : context.deadline;
+  const RelayOutcome outcome =
+      co_await RelayResponse(attempt, downstream, std::move(head), keep_alive,
+                             deadline, std::move(read_before));
   switch (outcome) {
     case RelayOutcome::kComplete:
       ReportResponse(context, status);
@@ -49,6 +105,10 @@
 asio::awaitable<void> EntryStage::Refuse(Downstream& downstream,
                                          RequestContext& context,
                                          RefusalReason last_reason) {
+  if (!context.turn.MayWrite() && !co_await context.turn.Wait()) {
+    m_options.hooks.count_refusal(ToString(RefusalReason::kCancelled));
+    co_return;
+  }
   const RefusalReason reason =
       CombinedReason(context.may_have_run, last_reason);
   m_options.hooks.count_refusal(ToString(reason));
@@ -71,9 +131,7 @@
   }
   const unsigned status = static_cast<unsigned>(reply.status);
   ReportDecision(context, "refused", ToString(reason), status);
-  const bool keep_alive = !downstream.must_close &&
-                          !context.request.has_unread_body() && !m_draining &&
-                          context.request.parser->keep_alive();
+  const bool keep_alive = ShouldKeepAlive(downstream, context);
   co_await SendLocalReply(downstream, std::move(reply), keep_alive);
   downstream.must_close = downstream.must_close || !keep_alive;
   ReportResponse(context, status);
--- a/packages/proxy/banyantrail/proxy/entry_routing.cc
+++ b/packages/proxy/banyantrail/proxy/entry_routing.cc
@@ -29,6 +29,16 @@
 
 }  // namespace
 
+/// Whether the request may run beside others of its connection.
+bool EntryStage::IsIdempotent(const http::request_header<>& head,
+                              const RoutingSnapshot& snapshot) {
+  const RouteLookup lookup =
+      snapshot.FindRoute({.method = MethodOf(head),
+                          .path = PathOf(head),
+                          .host = FieldValue(head, "host")});
+  return lookup.route != nullptr && lookup.route->idempotent;
+}
+
 /// Determines the route, service, deadline and latency target of a request.
 /// Returns a reason if it cannot be routed.
 std::optional<RefusalReason> EntryStage::ResolveRoute(RequestContext& context) {
--- a/packages/proxy/banyantrail/proxy/entry_stage.cc
+++ b/packages/proxy/banyantrail/proxy/entry_stage.cc
@@ -1,6 +1,7 @@
 #include "banyantrail/proxy/entry_stage.h"
 
 #include <algorithm>
+#include <exception>
 #include <utility>
 
 #include "banyantrail/proxy/entry_request_context.h"
@@ -54,6 +55,7 @@
 
 asio::awaitable<void> EntryStage::Serve(beast::tcp_stream stream) {
   Downstream downstream(std::move(stream));
+  CallerPipeline pipeline(downstream, PipelineOptions(downstream));
   while (!downstream.must_close) {
     m_awaiting_request.insert(&downstream);
     ReadResult read = co_await ReadRequest(downstream, m_options.limits);
@@ -65,15 +67,49 @@
       co_await RefuseMalformed(downstream, read.refusal);
       break;
     }
-    const CountInProgress in_progress(m_in_progress);
-    co_await Handle(downstream, read.request);
+    pipeline.SetLimits(m_options.pipelining, m_options.limits.max_header_bytes);
+    ResponseTurn& turn = pipeline.Begin(read.request, m_snapshot);
+    std::exception_ptr failure;
+    try {
+      const CountInProgress in_progress(m_in_progress);
+      co_await Handle(downstream, read.request, turn);
+    } catch (...) {
+      // The requests beside it must end before the connection is destroyed.
+      failure = std::current_exception();
+    }
     downstream.has_unread_body = read.request.has_unread_body();
-    downstream.must_close = downstream.must_close || m_draining ||
-                            !read.request.parser->keep_alive();
+    downstream.must_close =
+        downstream.must_close || failure || !read.request.parser->keep_alive();
+    pipeline.End();
+    if (pipeline.is_active()) {
+      co_await pipeline.Drain();
+    }
+    if (failure) {
+      std::rethrow_exception(failure);
+    }
+    downstream.must_close = downstream.must_close || m_draining;
   }
   co_await CloseAfterResponse(downstream);
 }
 
+CallerPipeline::Options EntryStage::PipelineOptions(Downstream& downstream) {
+  return {.is_idempotent = IsIdempotent,
+          .handle =
+              [this, &downstream](InboundRequest& request, ResponseTurn& turn) {
+                return HandleReadAhead(downstream, request, turn);
+              },
+          .snapshot = [this] { return m_draining ? nullptr : m_snapshot; }};
+}
+
+asio::awaitable<void> EntryStage::HandleReadAhead(Downstream& downstream,
+                                                  InboundRequest& request,
+                                                  ResponseTurn& turn) {
+  const CountInProgress in_progress(m_in_progress);
+  co_await Handle(downstream, request, turn);
+  downstream.must_close =
+      downstream.must_close || !request.parser->keep_alive();
+}
+
 void EntryStage::StartDrain(TimePoint end) {
   m_draining = true;
   m_drain_end = end;
@@ -83,8 +119,8 @@
   const TimePoint now = SystemClock().Now();
   for (RequestContext* context : m_requests) {
     context->deadline = std::min(context->deadline, now);  // No retries.
-    if (context->upstream != nullptr) {
-      context->upstream->stream.cancel();
+    if (context->turn.upstream != nullptr) {
+      context->turn.upstream->stream.cancel();
     }
   }
 }
@@ -97,16 +133,18 @@
 }
 
 asio::awaitable<void> EntryStage::Handle(Downstream& downstream,
-                                         InboundRequest& request) {
+                                         InboundRequest& request,
+                                         ResponseTurn& turn) {
   RequestContext context{.request = request,
-                         .snapshot = m_snapshot,
+                         .turn = turn,
+                         .snapshot = turn.snapshot(),
                          .started = SystemClock().Now()};
   const std::optional<RefusalReason> refusal = ResolveRoute(context);
   if (refusal) {
     co_await Refuse(downstream, context, *refusal);
     co_return;
   }
-  if (HasDisconnected(downstream)) {
+  if (turn.is_cancelled() || HasDisconnected(downstream)) {
     m_options.hooks.count_refusal(ToString(RefusalReason::kCancelled));
     downstream.must_close = true;
     co_return;
--- a/packages/proxy/banyantrail/proxy/entry_stage.h
+++ b/packages/proxy/banyantrail/proxy/entry_stage.h
@@ -8,6 +8,7 @@
 #include <string_view>
 
 #include "banyantrail/core/random.h"
+#include "banyantrail/proxy/caller_pipeline.h"
 #include "banyantrail/proxy/inbound_request.h"
 #include "banyantrail/proxy/message_head.h"
 #include "banyantrail/proxy/response_relay.h"
@@ -85,6 +86,8 @@
     /// retry ratios. 0 leaves `retries.burst` unchanged.
     double fleet_retry_burst = 0;
     InboundLimits limits;
+    /// For requests that callers send ahead of responses.
+    PipelineLimits pipelining;
     EntryStageHooks hooks;
     IdempotencyHooks idempotency;
     EdgeDialect dialect;
@@ -130,7 +133,15 @@
   struct RequestContext;
   class Registration;
 
-  asio::awaitable<void> Handle(Downstream& downstream, InboundRequest& request);
+  CallerPipeline::Options PipelineOptions(Downstream& downstream);
+  asio::awaitable<void> HandleReadAhead(Downstream& downstream,
+                                        InboundRequest& request,
+                                        ResponseTurn& turn);
+  asio::awaitable<void> Handle(Downstream& downstream,
+                               InboundRequest& request,
+                               ResponseTurn& turn);
+  static bool IsIdempotent(const http::request_header<>& head,
+                           const RoutingSnapshot& snapshot);
   std::optional<RefusalReason> ResolveRoute(RequestContext& context);
   asio::awaitable<bool> ClaimIdempotencyKey(Downstream& downstream,
                                             RequestContext& context);
@@ -142,6 +153,12 @@
   asio::awaitable<void> Refuse(Downstream& downstream,
                                RequestContext& context,
                                RefusalReason reason);
+  bool ShouldKeepAlive(const Downstream& downstream,
+                       const RequestContext& context) const;
+  asio::awaitable<bool> AwaitTurn(Downstream& downstream,
+                                  RequestContext& context,
+                                  Attempt& attempt,
+                                  BodyBuffer& read_before);
   asio::awaitable<void> ReturnResponse(Downstream& downstream,
                                        RequestContext& context,
                                        Attempt& attempt);
--- a/packages/proxy/banyantrail/proxy/request_monitor.cc
+++ b/packages/proxy/banyantrail/proxy/request_monitor.cc
@@ -40,6 +40,8 @@
   asio::steady_timer finished;
   bool head_sent;
   bool running = false;
+  /// A wait for bytes or the end of the downstream connection is pending.
+  bool watching = false;
   bool stopping = false;
   bool caller_disconnected = false;
   bool send_refused = false;
@@ -126,15 +128,17 @@
 }
 
 /// Like WatchForDisconnect, for a request whose body was already sent. Needs no
-/// coroutine.
+/// coroutine. Bytes that arrive are the next requests.
 template <typename State>
 void WatchWithCallback(std::shared_ptr<State> state) {
   asio::ip::tcp::socket& socket = state->downstream.stream.socket();
+  state->watching = true;
   socket.async_wait(asio::ip::tcp::socket::wait_read,
                     [state](const boost::system::error_code& error) {
                       if (state->stopping) {
                         return;
                       }
+                      state->watching = false;
                       boost::system::error_code ignored;
                       const std::size_t available =
                           state->downstream.stream.socket().available(ignored);
@@ -142,6 +146,8 @@
                           error || ignored || available == 0;
                       if (state->caller_disconnected) {
                         state->upstream.stream.cancel();
+                      } else {
+                        state->downstream.on_bytes_ahead();
                       }
                     });
 }
@@ -162,7 +168,9 @@
   m_state->running = true;
   m_state->body_sent = !m_state->request.is_streamed;
   if (m_state->body_sent) {
-    WatchWithCallback(m_state);
+    if (!m_state->downstream.is_read_ahead) {
+      WatchWithCallback(m_state);
+    }
     return;
   }
   auto run = [](std::shared_ptr<State> state) -> asio::awaitable<void> {
@@ -186,7 +194,9 @@
   if (!m_state->request.is_streamed) {
     // The handler does nothing once `stopping` is set.
     boost::system::error_code ignored;
-    m_state->downstream.stream.socket().cancel(ignored);
+    if (m_state->watching) {
+      m_state->downstream.stream.socket().cancel(ignored);
+    }
     co_return;
   }
   if (m_state->running) {
--- a/packages/proxy/banyantrail/proxy/response_relay.cc
+++ b/packages/proxy/banyantrail/proxy/response_relay.cc
@@ -7,7 +7,6 @@
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
 #include <utility>
-#include <vector>
 
 #include "banyantrail/proxy/body_part.h"
 #include "banyantrail/proxy/serialize_head.h"
@@ -15,50 +14,6 @@
 namespace banyantrail {
 namespace {
 
-/// Buffer size for a response body. A response up to this size is read
-/// completely before any of it is forwarded, so that an error response can
-/// still replace one that breaks off.
-constexpr std::size_t kRelayBufferBytes = 64U << 10U;
-
-/// The part of a response body that was read but not yet forwarded.
-struct BodyBuffer {
-  std::vector<char> bytes;
-  std::size_t size = 0;
-};
-
-/// Reads until the buffer is full or the body has ended. Fails with a time-out
-/// after the deadline: that of the stream does not fire while data is always
-/// there.
-asio::awaitable<boost::system::error_code> FillBuffer(Attempt& attempt,
-                                                      BodyBuffer& buffer,
-                                                      TimePoint deadline) {
-  Attempt::ResponseParser& parser = *attempt.response;
-  constexpr std::size_t kInitialBytes = 4096;
-  boost::system::error_code error;
-  buffer.size = 0;
-  while (!parser.is_done() && buffer.size < kRelayBufferBytes) {
-    if (buffer.bytes.size() == buffer.size) {
-      buffer.bytes.resize(
-          std::clamp(2 * buffer.size, kInitialBytes, kRelayBufferBytes));
-    }
-    auto& body = parser.get().body();
-    body.data = buffer.bytes.data() + buffer.size;
-    body.size = buffer.bytes.size() - buffer.size;
-    co_await http::async_read_some(
-        attempt.upstream->stream, attempt.upstream->buffer, parser,
-        asio::redirect_error(asio::use_awaitable, error));
-    buffer.size = buffer.bytes.size() - body.size;
-    if (error && error != http::error::need_buffer) {
-      co_return error;
-    }
-    error = {};
-    if (!parser.is_done() && SystemClock().Now() >= deadline) {
-      co_return beast::error::timeout;
-    }
-  }
-  co_return error;
-}
-
 /// Whether the response cannot have a body, by its status.
 bool HasNoBody(const Attempt::ResponseParser& parser) {
   const http::status status = parser.get().result();
@@ -111,16 +66,49 @@
 
 }  // namespace
 
+asio::awaitable<boost::system::error_code> FillBuffer(Attempt& attempt,
+                                                      BodyBuffer& buffer,
+                                                      TimePoint deadline) {
+  Attempt::ResponseParser& parser = *attempt.response;
+  constexpr std::size_t kInitialBytes = 4096;
+  boost::system::error_code error;
+  buffer.size = 0;
+  while (!parser.is_done() && buffer.size < kRelayBufferBytes) {
+    if (buffer.bytes.size() == buffer.size) {
+      buffer.bytes.resize(
+          std::clamp(2 * buffer.size, kInitialBytes, kRelayBufferBytes));
+    }
+    auto& body = parser.get().body();
+    body.data = buffer.bytes.data() + buffer.size;
+    body.size = buffer.bytes.size() - buffer.size;
+    co_await http::async_read_some(
+        attempt.upstream->stream, attempt.upstream->buffer, parser,
+        asio::redirect_error(asio::use_awaitable, error));
+    buffer.size = buffer.bytes.size() - body.size;
+    if (error && error != http::error::need_buffer) {
+      co_return error;
+    }
+    error = {};
+    if (!parser.is_done() && SystemClock().Now() >= deadline) {
+      co_return beast::error::timeout;
+    }
+  }
+  co_return error;
+}
+
 asio::awaitable<RelayOutcome> RelayResponse(Attempt& attempt,
                                             Downstream& downstream,
                                             http::response_header<> head,
                                             bool keep_alive,
-                                            TimePoint deadline) {
+                                            TimePoint deadline,
+                                            BodyBuffer read_before) {
   Attempt::ResponseParser& parser = *attempt.response;
   const bool delimited_by_close = parser.need_eof();
-  BodyBuffer buffer;
-  boost::system::error_code error =
-      co_await FillBuffer(attempt, buffer, deadline);
+  BodyBuffer buffer = std::move(read_before);
+  boost::system::error_code error;
+  if (buffer.size == 0) {
+    error = co_await FillBuffer(attempt, buffer, deadline);
+  }
   if (error) {
     co_return RelayOutcome::kNothingSent;
   }
--- a/tests/proxy/request_path.h
+++ b/tests/proxy/request_path.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include <algorithm>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <functional>
+#include <iterator>
 #include <memory>
 #include <optional>
 #include <string>
@@ -80,6 +82,7 @@
          .idempotent = idempotent,
          .deadline = std::chrono::duration_cast<milliseconds>(deadline),
          .allow_anonymous = allow_anonymous});
+    std::ranges::copy(more_rules, std::back_inserter(config.routing_rules));
     config.teams = teams;
     const MemberRecord member{
         .node = NodeId("n1"),
@@ -142,6 +145,7 @@
   }
 
   const IpEndpoint& caller_address() const { return m_caller; }
+  std::size_t entry_requests() const { return m_entry.requests_in_progress(); }
   std::size_t owner_requests() const { return m_owner.requests_in_progress(); }
 
   asio::io_context io;
@@ -152,6 +156,10 @@
   /// Declared from the next SetRule on.
   std::vector<TeamObject> teams;
   bool allow_anonymous = false;
+  /// Slots of the backend server, from the next SetState or SetRule on.
+  std::uint32_t slots = 4;
+  /// Declared beside the rule for "/orders" from the next SetRule on.
+  std::vector<RoutingRuleObject> more_rules;
 
  private:
   OwnerStage::Options OwnerOptions() {
@@ -180,7 +188,7 @@
     return {.id = BackendServerId("s1"),
             .service = ServiceName("orders"),
             .address = m_backend,
-            .slots = 4,
+            .slots = slots,
             .state = state};
   }
 
