--- a/tests/proxy/request_path.h
+++ b/tests/proxy/request_path.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include <algorithm>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <functional>
+#include <iterator>
 #include <limits>
 #include <memory>
 #include <optional>
@@ -81,6 +83,7 @@
          .idempotent = idempotent,
          .deadline = std::chrono::duration_cast<milliseconds>(deadline),
          .allow_anonymous = allow_anonymous});
+    std::ranges::copy(more_rules, std::back_inserter(config.routing_rules));
     config.teams = teams;
     std::vector<MemberRecord> members = {
         {.node = NodeId("n1"),
@@ -149,6 +152,7 @@
   }
 
   const IpEndpoint& caller_address() const { return m_caller; }
+  std::size_t entry_requests() const { return m_entry.requests_in_progress(); }
   std::size_t owner_requests() const { return m_owner.requests_in_progress(); }
 
   asio::io_context io;
@@ -170,6 +174,10 @@
   std::optional<Duration> quota_refusal;
   int quota_requests = 0;
   int quota_given_back = 0;
+  /// Slots of the backend server, from the next SetState or SetRule on.
+  std::uint32_t slots = 4;
+  /// Declared beside the rule for "/orders" from the next SetRule on.
+  std::vector<RoutingRuleObject> more_rules;
 
  private:
   OwnerStage::Options OwnerOptions() {
@@ -206,7 +214,7 @@
     return {.id = BackendServerId("s1"),
             .service = ServiceName("orders"),
             .address = m_backend,
-            .slots = 4,
+            .slots = slots,
             .state = state};
   }
 
