Send large responses in turns on low-bandwidth links

Cause: on a link of 16 Mbit/s at 1.2 times what it carries, responses of 90 KB (540 KB at most) that are sent side by side keep up to 394 ms of bytes on the link, and 70 of 2336 nested calls of 2 KB get through within 200 ms.

Ruled out: transfer slots held until the reader has taken all (a slow reader stops the link) and waiting for room in the buffer budget (stalled readers stop the others).

Change: LinkTurns decides which response over 16 KB may send its next slice of 20 ms of the link: nested calls first, then by admission. LinkGate lets the relay wait for it. Smaller responses are sent at once and book their link time. What large responses buffer beyond 16 KB each is bounded by 2 MB. Links that are wide or unknown, and readers on the same VM, are served as before.

Existing tests are unchanged; RequestPath of the tests has an optional bandwidth.

Not done: endpoint choice by booked link time; the entry node's relay to callers is outside the budget.

--- a/packages/proxy/banyantrail/proxy/owner_stage.cc
+++ b/packages/proxy/banyantrail/proxy/owner_stage.cc
@@ -74,6 +74,10 @@
     m_transfer_gate =
         std::make_unique<AdmissionGate>(m_executor, *transfer_options);
   }
+  const auto turn_options = LinkTurnOptions(m_options.link_bytes_per_s);
+  if (turn_options) {
+    m_link_gate = std::make_unique<LinkGate>(m_executor, *turn_options);
+  }
 }
 
 asio::awaitable<void> OwnerStage::Serve(beast::tcp_stream stream) {
@@ -475,9 +479,16 @@
   } else {
     SetField(head, kLoadHeader, LegacyLoadText(load));
   }
-  const RelayOutcome outcome =
-      co_await RelayResponse(attempt, downstream, std::move(head),
-                             !downstream.must_close, context.deadline);
+  std::optional<LinkUse> link;
+  if (m_link_gate && !IsFromSameHost(downstream)) {
+    link.emplace(LinkUse{.gate = *m_link_gate,
+                         .response = context.id,
+                         .admitted_at = context.admitted_at,
+                         .is_nested_call = context.metadata.is_nested_call});
+  }
+  const RelayOutcome outcome = co_await RelayResponse(
+      attempt, downstream, std::move(head), !downstream.must_close,
+      context.deadline, link ? &*link : nullptr);
   switch (outcome) {
     case RelayOutcome::kComplete:
       ReleaseSlot(context, AttemptResult::kCompleted);
--- a/packages/proxy/banyantrail/proxy/owner_stage.h
+++ b/packages/proxy/banyantrail/proxy/owner_stage.h
@@ -10,6 +10,7 @@
 
 #include "banyantrail/proxy/admission_gate.h"
 #include "banyantrail/proxy/inbound_request.h"
+#include "banyantrail/proxy/link_gate.h"
 #include "banyantrail/proxy/message_head.h"
 #include "banyantrail/proxy/response_relay.h"
 #include "banyantrail/proxy/upstream_pool.h"
@@ -178,6 +179,8 @@
   /// Limits concurrent transfers of large bodies over the VM's link. Null when
   /// the link is fast enough or its bandwidth is unknown.
   std::unique_ptr<AdmissionGate> m_transfer_gate;
+  /// Turns of large responses on the VM's link; null as above.
+  std::unique_ptr<LinkGate> m_link_gate;
   Quarantine m_quarantine;
   RequestId m_last_request = 0;
   std::size_t m_in_progress = 0;
--- a/packages/proxy/banyantrail/proxy/response_relay.cc
+++ b/packages/proxy/banyantrail/proxy/response_relay.cc
@@ -6,6 +6,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
+#include <memory>
 #include <utility>
 #include <vector>
 
@@ -26,20 +27,19 @@
   std::size_t size = 0;
 };
 
-/// Reads until the buffer is full or the body has ended. Fails with a time-out
-/// after the deadline: that of the stream does not fire while data is always
-/// there.
+/// Reads until the buffer holds `capacity` bytes or the body has ended. Fails
+/// with a time-out after the deadline: that of the stream does not fire while
+/// data is always there.
 asio::awaitable<boost::system::error_code> FillBuffer(Attempt& attempt,
                                                       BodyBuffer& buffer,
+                                                      std::size_t capacity,
                                                       TimePoint deadline) {
   Attempt::ResponseParser& parser = *attempt.response;
   constexpr std::size_t kInitialBytes = 4096;
   boost::system::error_code error;
-  buffer.size = 0;
-  while (!parser.is_done() && buffer.size < kRelayBufferBytes) {
+  while (!parser.is_done() && buffer.size < capacity) {
     if (buffer.bytes.size() == buffer.size) {
-      buffer.bytes.resize(
-          std::clamp(2 * buffer.size, kInitialBytes, kRelayBufferBytes));
+      buffer.bytes.resize(std::clamp(2 * buffer.size, kInitialBytes, capacity));
     }
     auto& body = parser.get().body();
     body.data = buffer.bytes.data() + buffer.size;
@@ -109,28 +109,136 @@
   }
 }
 
+/// The buffer of one response. On a low-bandwidth link many responses wait at
+/// once, so what a large one buffers beyond its first bytes is taken from the
+/// budget of the link's gate.
+class RelayBuffer {
+ public:
+  explicit RelayBuffer(const LinkUse* link)
+      : m_link(link),
+        m_capacity(link != nullptr ? kLargeResponseBytes : kRelayBufferBytes) {}
+  /// Extends the buffer if the budget allows it.
+  void Extend() {
+    m_reservation = m_link->gate.TryReserve(kReservedBytes);
+    m_capacity = m_reservation ? kRelayBufferBytes : m_capacity;
+  }
+
+  std::size_t capacity() const { return m_capacity; }
+  BodyBuffer& body() { return m_body; }
+
+ private:
+  static constexpr std::size_t kReservedBytes =
+      kRelayBufferBytes - kLargeResponseBytes;
+
+  const LinkUse* m_link;
+  std::size_t m_capacity;
+  std::shared_ptr<const void> m_reservation;
+  BodyBuffer m_body;
+};
+
+/// Waits for the turn of the next part of a body. Returns false after the
+/// deadline.
+asio::awaitable<bool> AwaitTurn(const LinkUse& link,
+                                std::size_t bytes,
+                                TimePoint deadline) {
+  if (bytes == 0) {
+    co_return true;
+  }
+  const LinkSlice slice{.response = link.response,
+                        .admitted_at = link.admitted_at,
+                        .bytes = bytes,
+                        .is_nested_call = link.is_nested_call};
+  co_return co_await link.gate.AwaitTurn(slice, deadline);
+}
+
+/// Sends a response whose body arrives while it is sent, or is sent in slices.
+/// `link` is null if it needs no turns.
+asio::awaitable<RelayOutcome> SendInParts(
+    Attempt& attempt,
+    Downstream& downstream,
+    http::response<http::buffer_body>& message,
+    RelayBuffer& buffer,
+    const LinkUse* link,
+    TimePoint deadline) {
+  Attempt::ResponseParser& parser = *attempt.response;
+  BodyBuffer& body = buffer.body();
+  http::response_serializer<http::buffer_body> serializer(message);
+  boost::system::error_code error;
+  std::size_t sent = 0;
+  while (true) {
+    const std::size_t left = body.size - sent;
+    const std::size_t part =
+        link != nullptr ? std::min(left, link->gate.slice_bytes()) : left;
+    bool has_turn = true;
+    if (link != nullptr) {
+      has_turn = co_await AwaitTurn(*link, part, deadline);
+    }
+    if (!has_turn && !serializer.is_header_done()) {
+      co_return RelayOutcome::kNothingSent;
+    }
+    if (!has_turn) {
+      break;
+    }
+    SetBodyPart(message.body(), body.bytes.data() + sent, part,
+                parser.is_done() && part == left);
+    co_await http::async_write(
+        downstream.stream, serializer,
+        asio::redirect_error(asio::use_awaitable, error));
+    if (error && error != http::error::need_buffer) {
+      downstream.must_close = true;
+      co_return RelayOutcome::kCallerDisconnected;
+    }
+    if (serializer.is_done()) {
+      co_return RelayOutcome::kComplete;
+    }
+    sent += part;
+    if (sent < body.size) {
+      continue;
+    }
+    sent = 0;
+    body.size = 0;
+    error = co_await FillBuffer(attempt, body, buffer.capacity(), deadline);
+    if (error) {
+      break;
+    }
+  }
+  Close(downstream.stream);
+  downstream.must_close = true;
+  co_return RelayOutcome::kTruncated;
+}
+
 }  // namespace
 
 asio::awaitable<RelayOutcome> RelayResponse(Attempt& attempt,
                                             Downstream& downstream,
                                             http::response_header<> head,
                                             bool keep_alive,
-                                            TimePoint deadline) {
+                                            TimePoint deadline,
+                                            const LinkUse* link) {
   Attempt::ResponseParser& parser = *attempt.response;
   const bool delimited_by_close = parser.need_eof();
-  BodyBuffer buffer;
+  RelayBuffer buffer(link);
   boost::system::error_code error =
-      co_await FillBuffer(attempt, buffer, deadline);
+      co_await FillBuffer(attempt, buffer.body(), buffer.capacity(), deadline);
+  const bool needs_turns = link != nullptr && !parser.is_done();
+  if (needs_turns && !error) {
+    buffer.Extend();
+    error = co_await FillBuffer(attempt, buffer.body(), buffer.capacity(),
+                                deadline);
+  }
   if (error) {
     co_return RelayOutcome::kNothingSent;
   }
   http::response<http::buffer_body> message(std::move(head));
   message.version(11);
   message.keep_alive(keep_alive);
-  SetFraming(message, parser, buffer);
+  SetFraming(message, parser, buffer.body());
   downstream.stream.expires_at(deadline);
-  if (parser.is_done()) {
-    const bool sent = co_await SendBuffered(downstream, message, buffer);
+  if (parser.is_done() && !needs_turns) {
+    if (link != nullptr) {
+      link->gate.Book(buffer.body().size);
+    }
+    const bool sent = co_await SendBuffered(downstream, message, buffer.body());
     if (!sent) {
       downstream.must_close = true;
       co_return RelayOutcome::kCallerDisconnected;
@@ -138,29 +246,13 @@
     MarkResponseRead(attempt, delimited_by_close);
     co_return RelayOutcome::kComplete;
   }
-  http::response_serializer<http::buffer_body> serializer(message);
-  while (true) {
-    SetBodyPart(message.body(), buffer.bytes.data(), buffer.size,
-                parser.is_done());
-    co_await http::async_write(
-        downstream.stream, serializer,
-        asio::redirect_error(asio::use_awaitable, error));
-    if (error && error != http::error::need_buffer) {
-      downstream.must_close = true;
-      co_return RelayOutcome::kCallerDisconnected;
-    }
-    if (serializer.is_done()) {
-      break;
-    }
-    error = co_await FillBuffer(attempt, buffer, deadline);
-    if (error) {
-      Close(downstream.stream);
-      downstream.must_close = true;
-      co_return RelayOutcome::kTruncated;
-    }
+  const RelayOutcome outcome =
+      co_await SendInParts(attempt, downstream, message, buffer,
+                           needs_turns ? link : nullptr, deadline);
+  if (outcome == RelayOutcome::kComplete) {
+    MarkResponseRead(attempt, delimited_by_close);
   }
-  MarkResponseRead(attempt, delimited_by_close);
-  co_return RelayOutcome::kComplete;
+  co_return outcome;
 }
 
 }  // namespace banyantrail
--- a/packages/proxy/banyantrail/proxy/response_relay.h
+++ b/packages/proxy/banyantrail/proxy/response_relay.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "banyantrail/proxy/attempt.h"
+#include "banyantrail/proxy/link_gate.h"
 
 namespace banyantrail {
 
@@ -20,11 +21,14 @@
 };
 
 /// Forwards the response of an attempt to the downstream connection with the
-/// given head. The body streams with back-pressure.
+/// given head. The body streams with back-pressure. With `link`, a large body
+/// is sent in slices that wait for their turn; null if the response uses no
+/// low-bandwidth link.
 asio::awaitable<RelayOutcome> RelayResponse(Attempt& attempt,
                                             Downstream& downstream,
                                             http::response_header<> head,
                                             bool keep_alive,
-                                            TimePoint deadline);
+                                            TimePoint deadline,
+                                            const LinkUse* link = nullptr);
 
 }  // namespace banyantrail
--- a/tests/proxy/request_path.h
+++ b/tests/proxy/request_path.h
@@ -37,12 +37,16 @@
   using BackendHandler =
       std::function<asio::awaitable<void>(beast::tcp_stream&)>;
 
-  /// Callers and the backend server use the header names of `dialect`.
-  explicit RequestPath(BackendHandler handler, EdgeDialect dialect = {})
+  /// Callers and the backend server use the header names of `dialect`. With a
+  /// bandwidth, the owner node has an address of its own, as on another VM.
+  explicit RequestPath(BackendHandler handler,
+                       EdgeDialect dialect = {},
+                       std::uint64_t link_bytes_per_s = 0)
       : m_handler(std::move(handler)),
         m_dialect(std::move(dialect)),
+        m_link_bytes_per_s(link_bytes_per_s),
         m_backend(FreeEndpoint(io)),
-        m_mesh(FreeEndpoint(io)),
+        m_mesh(MeshEndpoint()),
         m_caller(FreeEndpoint(io)),
         m_pool(io.get_executor(), {}),
         m_owner(io.get_executor(), m_pool, m_running, OwnerOptions()),
@@ -154,16 +158,30 @@
   bool allow_anonymous = false;
 
  private:
+  IpEndpoint MeshEndpoint() {
+    IpEndpoint endpoint = FreeEndpoint(io);
+    if (m_link_bytes_per_s > 0) {
+      endpoint.address = "127.0.0.2";
+    }
+    return endpoint;
+  }
+
   OwnerStage::Options OwnerOptions() {
-    return {.hooks = {.count_refusal =
-                          [this](RefusalReason reason) {
-                            refusals.emplace_back(ToString(reason));
-                          },
-                      .on_unreachable = [](const BackendServerId&) {},
-                      .on_crash = [this](const ServiceName&,
-                                         auto) { ++crash_reports; }},
-            .dialect = m_dialect,
-            .max_send_after_departure = kMaxSendAfterDeparture};
+    OwnerStage::Options options{
+        .hooks = {
+            .count_refusal =
+                [this](RefusalReason reason) {
+                  refusals.emplace_back(ToString(reason));
+                },
+            .on_unreachable = [](const BackendServerId&) {},
+            .on_crash = [this](const ServiceName&, auto) { ++crash_reports; }},
+        .dialect = m_dialect,
+        .max_send_after_departure = kMaxSendAfterDeparture,
+        .link_bytes_per_s = m_link_bytes_per_s};
+    // All slots are free from the start, so that responses compete for the
+    // link.
+    options.admission.limit.adaptive = m_link_bytes_per_s == 0;
+    return options;
   }
 
   EntryStage::Options EntryOptions() {
@@ -234,6 +252,7 @@
 
   BackendHandler m_handler;
   EdgeDialect m_dialect;
+  std::uint64_t m_link_bytes_per_s;
   IpEndpoint m_backend;
   IpEndpoint m_mesh;
   IpEndpoint m_caller;
