--- a/packages/proxy/banyantrail/proxy/entry_responses.cc
+++ b/packages/proxy/banyantrail/proxy/entry_responses.cc
@@ -38,7 +38,8 @@
   boost::system::error_code error;
   if (is_small && context.turn.ReserveResponse(*length)) {
     context.turn.upstream = attempt.upstream.get();
-    error = co_await FillBuffer(attempt, read_before, context.deadline);
+    error = co_await FillBuffer(attempt, read_before, kRelayBufferBytes,
+                                context.deadline);
     context.turn.upstream = nullptr;
   }
   if (!co_await context.turn.Wait()) {
@@ -79,9 +80,10 @@
   const TimePoint deadline =
       waits ? std::max(context.deadline, SystemClock().Now() + kMinWriteTime)
             : context.deadline;
+  RelayOptions options{.read_before = std::move(read_before)};
   const RelayOutcome outcome =
       co_await RelayResponse(attempt, downstream, std::move(head), keep_alive,
-                             deadline, std::move(read_before));
+                             deadline, std::move(options));
   switch (outcome) {
     case RelayOutcome::kComplete:
       ReportResponse(context, status);
--- a/packages/proxy/banyantrail/proxy/response_relay.h
+++ b/packages/proxy/banyantrail/proxy/response_relay.h
@@ -3,6 +3,7 @@
 #include <vector>
 
 #include "banyantrail/proxy/attempt.h"
+#include "banyantrail/proxy/link_gate.h"
 
 namespace banyantrail {
 
@@ -32,21 +33,30 @@
   kCallerDisconnected,
 };
 
-/// Reads until the buffer is full or the body has ended. Fails with a time-out
-/// after the deadline: that of the stream does not fire while data is always
-/// there.
+/// Reads until the buffer holds `capacity` bytes or the body has ended. Fails
+/// with a time-out after the deadline: that of the stream does not fire while
+/// data is always there.
 asio::awaitable<boost::system::error_code> FillBuffer(Attempt& attempt,
                                                       BodyBuffer& buffer,
+                                                      std::size_t capacity,
                                                       TimePoint deadline);
 
+/// What the caller of RelayResponse knows of the response.
+struct RelayOptions {
+  /// The whole body if it was read already.
+  BodyBuffer read_before = {};
+  /// With it, a large body is sent in slices that wait for their turn. Null if
+  /// the response uses no low-bandwidth link.
+  const LinkUse* link = nullptr;
+};
+
 /// Forwards the response of an attempt to the downstream connection with the
-/// given head. The body streams with back-pressure. `read_before` holds the
-/// whole body if it was read already.
+/// given head. The body streams with back-pressure.
 asio::awaitable<RelayOutcome> RelayResponse(Attempt& attempt,
                                             Downstream& downstream,
                                             http::response_header<> head,
                                             bool keep_alive,
                                             TimePoint deadline,
-                                            BodyBuffer read_before = {});
+                                            RelayOptions options = {});
 
 }  // namespace banyantrail
