Tell the version of a backend server to all nodes

Roll-outs choose among the versions of a service, which heartbeats name and nodes passed over. BackendServerRecord and ServiceEndpoint get a field for it, appended, so that records of earlier builds stay readable. The messages of roll-outs are appended to PeerMessage.

--- a/packages/traffic/banyantrail/traffic/routing_snapshot.cc
+++ b/packages/traffic/banyantrail/traffic/routing_snapshot.cc
@@ -185,7 +185,8 @@
          .region = member.region,
          .mesh_address = member.mesh_address,
          .slots = server.slots,
-         .mesh_version = member.mesh_version});
+         .mesh_version = member.mesh_version,
+         .version = server.version});
   }
 }
 
--- a/packages/traffic/banyantrail/traffic/routing_snapshot.h
+++ b/packages/traffic/banyantrail/traffic/routing_snapshot.h
@@ -30,6 +30,8 @@
   std::uint32_t slots = 0;
   /// Version of the messages that the owner node understands, see kMeshVersion.
   std::uint32_t mesh_version = 0;
+  /// Version of the service that the backend server runs; empty if unknown.
+  std::string version;
 
   friend bool operator==(const ServiceEndpoint&,
                          const ServiceEndpoint&) = default;
--- a/packages/wire/banyantrail/wire/member_record.h
+++ b/packages/wire/banyantrail/wire/member_record.h
@@ -31,11 +31,14 @@
   /// Number of requests that it runs concurrently, as reported by itself.
   std::uint32_t slots = 0;
   BackendServerState state = BackendServerState::kServing;
+  /// Version of the service that it runs; empty if unknown. Builds from before
+  /// this field do not send it.
+  std::string version;
 
   friend bool operator==(const BackendServerRecord&,
                          const BackendServerRecord&) = default;
 
-  MSGPACK_DEFINE(id, service, labels, address, slots, state)
+  MSGPACK_DEFINE(id, service, labels, address, slots, state, version)
 };
 
 /// The state of a node, as other members see it. The order matters: at equal
--- a/packages/wire/banyantrail/wire/peer_messages.h
+++ b/packages/wire/banyantrail/wire/peer_messages.h
@@ -8,6 +8,7 @@
 
 #include "banyantrail/core/ids.h"
 #include "banyantrail/wire/member_record.h"
+#include "banyantrail/wire/rollout_messages.h"
 
 namespace banyantrail {
 
@@ -218,6 +219,8 @@
                                  ProbeAckMessage,
                                  StatusReportMessage,
                                  CrashReportMessage,
-                                 StoreHeadMessage>;
+                                 StoreHeadMessage,
+                                 RolloutDirectiveMessage,
+                                 RolloutReportMessage>;
 
 }  // namespace banyantrail
--- a/tests/platform/announcements_test.cc
+++ b/tests/platform/announcements_test.cc
@@ -67,6 +67,7 @@
   CHECK(announced->generation == 1767225600000);
   CHECK(announced->sequence == 4);
   CHECK(announced->warm_up_remaining == milliseconds(1200));
+  STRCMP_EQUAL("v1", announced->record.version.c_str());
 }
 
 TEST(Announcements, ParsesDrainingHeartbeat) {
