Judge a new version against the others and direct its roll-out

Good versions are to be completed and bad ones rolled back before the time limit, from few responses of the new version.

RolloutJudge goes from canary to promoted to completed or rolled back, RolloutDirector keeps the roll-outs of the store, the directives and the conditional writes, and RolloutStoreTask carries the calls of the store out. A fixed sample, compared once, was ruled out, since it misses what becomes bad later.

--- /dev/null
+++ b/packages/distribution/banyantrail/distribution/rollout_director.cc
@@ -0,0 +1,230 @@
+#include "banyantrail/distribution/rollout_director.h"
+
+#include <algorithm>
+#include <chrono>
+#include <limits>
+#include <set>
+#include <utility>
+
+namespace banyantrail {
+namespace {
+
+bool IsFinal(RolloutState state) {
+  return state == RolloutState::kCompleted ||
+         state == RolloutState::kRolledBack;
+}
+
+bool IsFinal(RolloutPhase phase) {
+  return phase == RolloutPhase::kCompleted ||
+         phase == RolloutPhase::kRolledBack;
+}
+
+RolloutPhase PhaseOf(RolloutState state) {
+  return state == RolloutState::kCompleted ? RolloutPhase::kCompleted
+                                           : RolloutPhase::kRolledBack;
+}
+
+/// Whether the object is the roll-out that the directive was about, and not a
+/// later one of the same version.
+bool IsSameRollout(const RolloutObject& object,
+                   const RolloutDirectiveMessage& directive) {
+  if (object.target_version != directive.target_version) {
+    return false;
+  }
+  return object.state != RolloutState::kNone ||
+         object.revision == directive.rollout;
+}
+
+}  // namespace
+
+void RolloutDirector::OnRead(const RolloutReadResult& read,
+                             bool is_list,
+                             const KnownRollouts& known,
+                             TimePoint now) {
+  std::set<ServiceName> found;
+  for (const RolloutChange& change : read.changes) {
+    const ServiceName& service = change.object.service;
+    found.insert(service);
+    const auto rollout = m_rollouts.find(service);
+    if (!change.deleted) {
+      OnObject(change.object, known, now);
+    } else if (rollout != m_rollouts.end() &&
+               change.object.revision >= rollout->second.object.revision) {
+      Withdraw(rollout->second);
+    }
+  }
+  for (auto& [service, rollout] : m_rollouts) {
+    if (is_list && !found.contains(service)) {
+      Withdraw(rollout);
+    }
+  }
+}
+
+void RolloutDirector::OnObject(const RolloutObject& object,
+                               const KnownRollouts& known,
+                               TimePoint now) {
+  const auto found = m_rollouts.find(object.service);
+  if (found == m_rollouts.end()) {
+    Start(object, known, now);
+    return;
+  }
+  Rollout& rollout = found->second;
+  if (!rollout.writing) {
+    rollout.is_in_doubt = false;
+    rollout.may_be_completed = false;
+  }
+  if (object.revision < rollout.object.revision) {
+    return;
+  }
+  const bool is_restarted = object.state == RolloutState::kNone &&
+                            object.revision > rollout.object.revision &&
+                            rollout.object.state != RolloutState::kNone;
+  if (rollout.withdrawn || is_restarted ||
+      object.target_version != rollout.object.target_version) {
+    m_rollouts.erase(found);
+    Start(object, {}, now);
+    return;
+  }
+  rollout.object = object;
+  rollout.judge.SetDuration(object.duration);
+  if (IsFinal(object.state)) {
+    rollout.judge.SetFinalPhase(PhaseOf(object.state),
+                                "the store has this state");
+  }
+}
+
+/// Continues the roll-out with the phase that an earlier judge has directed, or
+/// starts it.
+void RolloutDirector::Start(const RolloutObject& object,
+                            const KnownRollouts& known,
+                            TimePoint now) {
+  std::uint64_t id = object.revision;
+  RolloutJudge::Options options{.started = now, .duration = object.duration};
+  const auto earlier = known.find(object.service);
+  if (earlier != known.end() &&
+      IsSameRollout(object, earlier->second.directive)) {
+    id = earlier->second.directive.rollout;
+    options.started = earlier->second.started;
+    options.phase = earlier->second.directive.phase;
+  }
+  if (IsFinal(object.state)) {
+    options.phase = PhaseOf(object.state);
+  }
+  m_rollouts.insert_or_assign(
+      object.service,
+      Rollout{.object = object, .id = id, .judge = RolloutJudge(options)});
+}
+
+void RolloutDirector::Withdraw(Rollout& rollout) {
+  rollout.withdrawn = true;
+  rollout.judge.SetFinalPhase(RolloutPhase::kRolledBack,
+                              "the roll-out was withdrawn");
+}
+
+void RolloutDirector::OnReport(const NodeId& node,
+                               const RolloutReportMessage& report,
+                               TimePoint now) {
+  const auto found = m_rollouts.find(report.service);
+  if (found != m_rollouts.end() && found->second.id == report.rollout) {
+    found->second.judge.OnReport(node, report, now);
+  }
+}
+
+std::vector<RolloutDirector::DueDirective> RolloutDirector::Tick(
+    const std::vector<RolloutJudge::RequiredNode>& required,
+    TimePoint now) {
+  std::vector<DueDirective> due;
+  for (auto& [service, rollout] : m_rollouts) {
+    if (!rollout.may_be_completed) {
+      rollout.decision = rollout.judge.Decide(required, now);
+    }
+    const RolloutPhase phase = rollout.decision.phase;
+    const bool is_new_phase = rollout.directed != phase;
+    const bool is_repeated =
+        !IsFinal(phase) && now - rollout.directed_at >= RepeatInterval(rollout);
+    if (!is_new_phase && !is_repeated) {
+      continue;
+    }
+    rollout.directed = phase;
+    rollout.directed_at = now;
+    due.push_back({.message = DirectiveFor(rollout, now),
+                   .is_new_phase = is_new_phase,
+                   .reason = rollout.decision.reason});
+  }
+  return due;
+}
+
+Duration RolloutDirector::RepeatInterval(const Rollout& rollout) const {
+  return rollout.decision.phase == RolloutPhase::kPromoted
+             ? m_options.promoted_repeat_interval
+             : m_options.repeat_interval;
+}
+
+RolloutDirectiveMessage RolloutDirector::DirectiveFor(const Rollout& rollout,
+                                                      TimePoint now) const {
+  const auto age =
+      std::chrono::duration_cast<milliseconds>(now - rollout.judge.started());
+  return {.service = rollout.object.service,
+          .target_version = rollout.object.target_version,
+          .rollout = rollout.id,
+          .age_ms = static_cast<std::uint32_t>(std::clamp<std::int64_t>(
+              age.count(), 0, std::numeric_limits<std::uint32_t>::max())),
+          .phase = rollout.decision.phase,
+          .judge = m_options.self};
+}
+
+std::vector<RolloutDirectiveMessage> RolloutDirector::All(TimePoint now) const {
+  std::vector<RolloutDirectiveMessage> directives;
+  for (const auto& [service, rollout] : m_rollouts) {
+    if (rollout.directed) {
+      directives.push_back(DirectiveFor(rollout, now));
+    }
+  }
+  return directives;
+}
+
+/// The state that the store should have.
+RolloutState RolloutDirector::WantedState(const Rollout& rollout) {
+  if (rollout.decision.phase == RolloutPhase::kRolledBack) {
+    return RolloutState::kRolledBack;
+  }
+  return rollout.decision.may_complete ? RolloutState::kCompleted
+                                       : RolloutState::kRunning;
+}
+
+std::optional<RolloutWrite> RolloutDirector::NextWrite() {
+  for (auto& [service, rollout] : m_rollouts) {
+    const RolloutState wanted = WantedState(rollout);
+    const bool is_due = rollout.directed && !rollout.withdrawn &&
+                        !rollout.writing && !rollout.is_in_doubt &&
+                        !IsFinal(rollout.object.state) &&
+                        rollout.object.state != wanted;
+    if (is_due) {
+      rollout.writing = wanted;
+      rollout.may_be_completed = wanted == RolloutState::kCompleted;
+      return RolloutWrite{.object = rollout.object, .state = wanted};
+    }
+  }
+  return std::nullopt;
+}
+
+void RolloutDirector::OnWritten(const RolloutWrite& write,
+                                std::optional<bool> written) {
+  const auto found = m_rollouts.find(write.object.service);
+  if (found == m_rollouts.end()) {
+    return;
+  }
+  Rollout& rollout = found->second;
+  rollout.writing.reset();
+  rollout.is_in_doubt = !written.value_or(false);
+  if (rollout.is_in_doubt) {
+    return;
+  }
+  rollout.may_be_completed = false;
+  rollout.object.state = write.state;
+  if (IsFinal(write.state)) {
+    rollout.judge.SetFinalPhase(PhaseOf(write.state), rollout.decision.reason);
+  }
+}
+
+}  // namespace banyantrail
--- /dev/null
+++ b/packages/distribution/banyantrail/distribution/rollout_store_task.h
@@ -0,0 +1,171 @@
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "banyantrail/core/logging.h"
+#include "banyantrail/distribution/rollout_store.h"
+#include "banyantrail/net/asio.h"
+
+namespace banyantrail {
+
+/// A conditional write of the state of a roll-out.
+struct RolloutWrite {
+  RolloutObject object;
+  RolloutState state = RolloutState::kNone;
+};
+
+struct RolloutStoreTaskOptions {
+  /// Number of the term for which this node is the judge; 0 if it is not, and
+  /// then makes no calls to the store. All roll-outs are listed in each term.
+  std::function<std::uint64_t()> judge_term;
+  /// Receives all roll-outs, or changes of them.
+  std::function<void(const RolloutReadResult&, bool is_list)> on_read;
+  /// Returns the next write that is due.
+  std::function<std::optional<RolloutWrite>()> next_write;
+  /// The result of a write: whether it took effect; empty if that is unknown,
+  /// until the next list.
+  std::function<void(const RolloutWrite&, std::optional<bool>)> on_written;
+  /// Maximum duration of a watch. A store that recovers from an outage may
+  /// never respond to watches that started before it.
+  milliseconds watch_wait{2000};
+  /// How often a node checks whether it is the judge or a write is due.
+  Duration poll_interval = milliseconds(50);
+  /// Delay before a failed call is repeated.
+  Duration retry_delay = milliseconds(400);
+  /// Counts an event of the given name in the metrics.
+  std::function<void(const std::string&)> count_event = [](const std::string&) {
+  };
+};
+
+/// Reads the roll-outs from the store and writes their states while this node
+/// is the judge. Runs on the store's executor and keeps itself alive until its
+/// coroutines have ended; `store` must outlive them.
+template <RolloutStore Store>
+class RolloutStoreTask
+    : public std::enable_shared_from_this<RolloutStoreTask<Store>> {
+ public:
+  RolloutStoreTask(asio::any_io_executor executor,
+                   Store& store,
+                   RolloutStoreTaskOptions options)
+      : m_executor(std::move(executor)),
+        m_store(store),
+        m_options(std::move(options)) {}
+
+  void Start() {
+    asio::co_spawn(
+        m_executor, [self = this->shared_from_this()] { return self->Read(); },
+        asio::detached);
+    asio::co_spawn(
+        m_executor, [self = this->shared_from_this()] { return self->Write(); },
+        asio::detached);
+  }
+
+  void Stop() { m_stopped = true; }
+
+ private:
+  asio::awaitable<void> Read() {
+    while (!m_stopped) {
+      if (m_options.judge_term() == 0) {
+        co_await Sleep(m_options.poll_interval);
+        continue;
+      }
+      bool failed = false;
+      try {
+        co_await ReadOnce();
+      } catch (const std::exception& error) {
+        kLog.Warn("Reading the roll-outs from the store failed: " +
+                  std::string(error.what()) + ".");
+        failed = true;
+      }
+      if (failed) {
+        m_options.count_event("rollouts_unreadable");
+        m_listed_term = 0;
+        co_await Sleep(m_options.retry_delay);
+      }
+    }
+  }
+
+  asio::awaitable<void> ReadOnce() {
+    const std::uint64_t term = m_options.judge_term();
+    if (term != m_listed_term) {
+      co_await List();
+      m_listed_term = term;
+      co_return;
+    }
+    const RolloutReadResult read =
+        co_await m_store.AwaitRollouts(m_watch_revision, m_options.watch_wait);
+    m_listed_term = read.history_compacted ? 0 : m_listed_term;
+    m_watch_revision = std::max(m_watch_revision, read.resume_after);
+    m_options.on_read(read, false);
+  }
+
+  asio::awaitable<void> List() {
+    const RolloutReadResult read = co_await m_store.ListRollouts();
+    m_watch_revision = std::max(m_watch_revision, read.resume_after);
+    m_options.on_read(read, true);
+  }
+
+  asio::awaitable<void> Write() {
+    while (!m_stopped) {
+      const std::optional<RolloutWrite> write =
+          m_options.judge_term() != 0 ? m_options.next_write() : std::nullopt;
+      if (write) {
+        co_await WriteOnce(*write);
+      } else {
+        co_await Sleep(m_options.poll_interval);
+      }
+    }
+  }
+
+  /// After a conflict or an unknown outcome, reads what the store holds.
+  asio::awaitable<void> WriteOnce(RolloutWrite write) {
+    std::optional<bool> written;
+    try {
+      written = co_await m_store.WriteRolloutState(write.object, write.state);
+    } catch (const std::exception& error) {
+      kLog.Warn("Writing the state of the roll-out of " +
+                write.object.service.str() +
+                " failed and is repeated: " + std::string(error.what()) + ".");
+    }
+    m_options.on_written(write, written);
+    if (written.value_or(false)) {
+      co_return;
+    }
+    m_options.count_event("rollout_write_failed");
+    bool listed = false;
+    while (!listed && !m_stopped) {
+      try {
+        co_await List();
+        listed = true;
+      } catch (const std::exception&) {
+        m_options.count_event("rollouts_unreadable");
+      }
+      co_await Sleep(listed ? m_options.poll_interval : m_options.retry_delay);
+    }
+  }
+
+  asio::awaitable<void> Sleep(Duration duration) {
+    asio::steady_timer timer(m_executor);
+    timer.expires_after(duration);
+    co_await timer.async_wait(asio::use_awaitable);
+  }
+
+  inline static const ComponentLogger kLog{"rollout"};
+
+  asio::any_io_executor m_executor;
+  Store& m_store;
+  RolloutStoreTaskOptions m_options;
+  Revision m_watch_revision = 0;
+  /// The term for which all roll-outs were listed. 0 until then, and after a
+  /// failed watch: changes may have been missed.
+  std::uint64_t m_listed_term = 0;
+  bool m_stopped = false;
+};
+
+}  // namespace banyantrail
--- /dev/null
+++ b/tests/distribution/rollout_director_test.cc
@@ -0,0 +1,190 @@
+#include "banyantrail/distribution/rollout_director.h"
+
+#include <CppUTest/TestHarness.h>
+
+using banyantrail::Duration;
+using banyantrail::KnownRollouts;
+using banyantrail::milliseconds;
+using banyantrail::NodeId;
+using banyantrail::Revision;
+using banyantrail::RolloutChange;
+using banyantrail::RolloutDirectiveMessage;
+using banyantrail::RolloutDirector;
+using banyantrail::RolloutObject;
+using banyantrail::RolloutPhase;
+using banyantrail::RolloutState;
+using banyantrail::RolloutWrite;
+using banyantrail::seconds;
+using banyantrail::ServiceName;
+using banyantrail::TimePoint;
+
+namespace {
+
+const ServiceName kService("orders");
+const NodeId kSelf("n1");
+
+RolloutObject Object(Revision revision,
+                     RolloutState state = RolloutState::kNone) {
+  return {.service = kService,
+          .target_version = "v2",
+          .duration = seconds(12),
+          .revision = revision,
+          .state = state};
+}
+
+}  // namespace
+
+TEST_GROUP(RolloutDirector) {
+  RolloutDirector director{{.self = kSelf}};
+  TimePoint now{};
+  std::uint64_t sequence = 0;
+
+  void Read(const RolloutObject& object, const KnownRollouts& known = {},
+            bool deleted = false) {
+    director.OnRead({.changes = {{.object = object, .deleted = deleted}}},
+                    false, known, now);
+  }
+
+  std::vector<RolloutDirector::DueDirective> Tick() {
+    return director.Tick({{.node = kSelf, .incarnation = 1}}, now);
+  }
+
+  /// Responses of the new version of which all failed.
+  void ReportFailures() {
+    const auto number = [](bool is_target) {
+      return ToNumber({.is_target_version = is_target, .failed = is_target});
+    };
+    director.OnReport(kSelf,
+                      {.service = kService,
+                       .rollout = 5,
+                       .incarnation = 1,
+                       .sequence = ++sequence,
+                       .counts = {number(true), 20, number(false), 400}},
+                      now);
+    now += milliseconds(500);
+  }
+
+  void Confirm() {
+    director.OnReport(kSelf,
+                      {.service = kService,
+                       .rollout = 5,
+                       .incarnation = 1,
+                       .sequence = ++sequence,
+                       .phase = RolloutPhase::kPromoted},
+                      now);
+  }
+
+  /// The new version has been promoted, and this was confirmed.
+  void ReachConfirmation() {
+    Read(Object(5));
+    Tick();
+    director.OnWritten(*director.NextWrite(), true);
+    now += seconds(9);
+    Tick();
+    Confirm();
+    Tick();
+  }
+};
+
+TEST(RolloutDirector, WritesRunningOnceAndRepeatsDirectives) {
+  Read(Object(5));
+  const auto first = Tick();
+  LONGS_EQUAL(1, first.size());
+  CHECK(first.front().message.phase == RolloutPhase::kCanary);
+  LONGS_EQUAL(5, first.front().message.rollout);
+  CHECK(Tick().empty());
+  const std::optional<RolloutWrite> write = director.NextWrite();
+  CHECK(write->state == RolloutState::kRunning);
+  CHECK_FALSE(director.NextWrite().has_value());
+  director.OnWritten(*write, true);
+  CHECK_FALSE(director.NextWrite().has_value());
+  now += milliseconds(1500);
+  LONGS_EQUAL(1, Tick().size());
+}
+
+TEST(RolloutDirector, RollsBackAtOnceWhileTheStoreDoesNotRespond) {
+  Read(Object(5));
+  Tick();
+  director.OnWritten(*director.NextWrite(), std::nullopt);
+  ReportFailures();
+  const auto due = Tick();
+  CHECK(due.front().message.phase == RolloutPhase::kRolledBack);
+  // Nothing is written until the object was read again.
+  CHECK_FALSE(director.NextWrite().has_value());
+  Read(Object(6, RolloutState::kRunning));
+  CHECK(director.NextWrite()->state == RolloutState::kRolledBack);
+}
+
+TEST(RolloutDirector, CompletesAfterConfirmation) {
+  ReachConfirmation();
+  const std::optional<RolloutWrite> write = director.NextWrite();
+  CHECK(write->state == RolloutState::kCompleted);
+  director.OnWritten(*write, true);
+  CHECK(Tick().front().message.phase == RolloutPhase::kCompleted);
+}
+
+// Guards against a rollback after the store has accepted the completion, which
+// has stopped the old servers, and lost the response.
+TEST(RolloutDirector, KeepsThePromotionWhileTheCompletionIsInDoubt) {
+  ReachConfirmation();
+  director.OnWritten(*director.NextWrite(), std::nullopt);
+  now += seconds(20);
+  ReportFailures();
+  for (const auto& due : Tick()) {
+    CHECK(due.message.phase == RolloutPhase::kPromoted);
+  }
+  CHECK_FALSE(director.NextWrite().has_value());
+  Read(Object(7, RolloutState::kCompleted));
+  CHECK(Tick().front().message.phase == RolloutPhase::kCompleted);
+  CHECK_FALSE(director.NextWrite().has_value());
+}
+
+// Guards against two final states: after a conflict the state in the store
+// counts.
+TEST(RolloutDirector, StateOfAnotherJudgeCounts) {
+  ReachConfirmation();
+  director.OnWritten(*director.NextWrite(), false);
+  Read(Object(7, RolloutState::kRolledBack));
+  CHECK(Tick().front().message.phase == RolloutPhase::kRolledBack);
+  CHECK_FALSE(director.NextWrite().has_value());
+}
+
+// Guards against a roll-out that starts anew, with new exposure and a new time
+// limit, when the judge is killed.
+TEST(RolloutDirector, NextJudgeContinues) {
+  now += seconds(4);
+  const KnownRollouts known{{kService,
+                             {.directive = {.service = kService,
+                                            .target_version = "v2",
+                                            .rollout = 5,
+                                            .phase = RolloutPhase::kRolledBack},
+                              .started = TimePoint{}}}};
+  Read(Object(6, RolloutState::kRunning), known);
+  const RolloutDirectiveMessage message = Tick().front().message;
+  LONGS_EQUAL(5, message.rollout);
+  LONGS_EQUAL(4000, message.age_ms);
+  CHECK(message.phase == RolloutPhase::kRolledBack);
+  CHECK(director.NextWrite()->state == RolloutState::kRolledBack);
+}
+
+TEST(RolloutDirector, WithdrawnRollOutIsRolledBackWithoutAWrite) {
+  Read(Object(5));
+  Tick();
+  director.OnWritten(*director.NextWrite(), true);
+  Read(Object(8, RolloutState::kRunning), {}, true);
+  CHECK(Tick().front().message.phase == RolloutPhase::kRolledBack);
+  CHECK_FALSE(director.NextWrite().has_value());
+}
+
+TEST(RolloutDirector, ReplacedRollOutStartsAnew) {
+  Read(Object(5));
+  Tick();
+  director.OnWritten(*director.NextWrite(), true);
+  RolloutObject other = Object(9);
+  other.target_version = "v3";
+  Read(other);
+  const RolloutDirectiveMessage message = Tick().front().message;
+  STRCMP_EQUAL("v3", message.target_version.c_str());
+  LONGS_EQUAL(9, message.rollout);
+  CHECK(director.NextWrite()->state == RolloutState::kRunning);
+}
