Run roll-outs in the node: choice, reports, judge and store

The entry stage asks the exposure control for each new request and counts the responses by route and version; retries never go to a limited version. Without exposure_share nothing of this is created and versions are ignored.

ObjectStore lists, watches and conditionally writes roll-outs; its stand-in got the conditional write of a status.

--- a/packages/node/banyantrail/node/control_plane.cc
+++ b/packages/node/banyantrail/node/control_plane.cc
@@ -210,6 +210,11 @@
     m_hooks.on_crash_report(*crash);
     return;
   }
+  if (std::holds_alternative<RolloutDirectiveMessage>(message) ||
+      std::holds_alternative<RolloutReportMessage>(message)) {
+    m_hooks.on_rollout_message(from, message);
+    return;
+  }
   if (IsForDistribution(message)) {
     caf::anon_send(m_distribution_actor,
                    PeerMessageReceived{from, std::move(message)});
--- a/packages/node/banyantrail/node/control_plane.h
+++ b/packages/node/banyantrail/node/control_plane.h
@@ -24,6 +24,9 @@
   std::function<void(std::shared_ptr<const RoutingSnapshot>)> on_snapshot;
   std::function<void(std::shared_ptr<const MembershipView>)> on_members;
   std::function<void(const CrashReportMessage&)> on_crash_report;
+  /// A RolloutDirectiveMessage or RolloutReportMessage arrived.
+  std::function<void(const NodeId&, const PeerMessage&)> on_rollout_message =
+      [](const NodeId&, const PeerMessage&) {};
 };
 
 /// Runs the actors for membership, release distribution and the compilation of
@@ -71,6 +74,10 @@
   /// service crashed to the nodes that own backend servers of this service.
   void ReportCrash(const ServiceName& service,
                    std::vector<std::uint64_t> suspects);
+  /// Sends a message to another node.
+  void Send(const NodeId& node, const PeerMessage& message) {
+    m_transport.Send(node, message);
+  }
   /// Announces to the fleet that this node accepts no new requests.
   void StartDrain();
   /// Announces the departure of this node to the fleet. Sending is
--- a/packages/node/banyantrail/node/data_plane.cc
+++ b/packages/node/banyantrail/node/data_plane.cc
@@ -1,5 +1,6 @@
 #include "banyantrail/node/data_plane.h"
 
+#include <set>
 #include <utility>
 
 #include <nlohmann/json.hpp>
@@ -120,9 +121,23 @@
   };
 }
 
+/// Number of nodes that own a backend server.
+std::size_t CountOwners(const RoutingSnapshot& snapshot) {
+  std::set<NodeId> owners;
+  for (const RoutedService& service : snapshot.services()) {
+    for (const ServiceEndpoint& endpoint : service.endpoints) {
+      owners.insert(endpoint.owner);
+    }
+  }
+  return owners.size();
+}
+
 EntryStage::Options EntryStageOptions(Metrics& metrics,
                                       const NodeSettings& settings,
-                                      const DataPlane::Options& options) {
+                                      const DataPlane::Options& options,
+                                      ExposureControl& exposure,
+                                      RolloutCounter& rollout_counter) {
+  const bool limits_versions = exposure.is_enabled();
   return {
       .choice = {.domain = settings.domain, .region = settings.region},
       .retries = RetryPolicyFor(settings.retry_budget),
@@ -148,7 +163,9 @@
       .dialect = options.dialect,
       .local_service = settings.local_service,
       .attempt_prefix = AttemptIdPrefix(settings),
-      .seed = Hash64(settings.node.str())};
+      .seed = Hash64(settings.node.str()),
+      .exposure = limits_versions ? &exposure : nullptr,
+      .rollout_counter = limits_versions ? &rollout_counter : nullptr};
 }
 
 }  // namespace
@@ -162,6 +179,10 @@
       m_backend_servers({.heartbeat_timeout = kMaxMissedHeartbeats *
                                               settings.heartbeat_interval}),
       m_upstream_pool(io.get_executor(), {}),
+      m_exposure({.share = settings.rollouts.exposure_share,
+                  .slack = settings.rollouts.exposure_slack,
+                  .max_silence = settings.rollouts.rollback * 7 / 10,
+                  .seed = Hash64(AttemptIdPrefix(settings))}),
       m_owner_stage(io.get_executor(),
                     m_upstream_pool,
                     m_running_requests,
@@ -174,7 +195,11 @@
       m_entry_stage(io.get_executor(),
                     m_upstream_pool,
                     m_running_requests,
-                    EntryStageOptions(metrics, settings, m_options)),
+                    EntryStageOptions(metrics,
+                                      settings,
+                                      m_options,
+                                      m_exposure,
+                                      m_rollout_counter)),
       m_housekeeping_timer(io) {
   TcpListener::Options caller{
       .endpoint = settings.listen.caller,
@@ -209,6 +234,10 @@
         {.priority = rank.priority, .share_percent = rank.share_percent});
   }
   m_owner_stage.SetRanks(std::move(ranks));
+  if (m_exposure.is_enabled()) {
+    m_exposure.SetServices(m_snapshot->services(), CountOwners(*m_snapshot),
+                           SystemClock().Now());
+  }
   m_entry_stage.SetSnapshot(m_snapshot);
 }
 
--- a/packages/node/banyantrail/node/data_plane.h
+++ b/packages/node/banyantrail/node/data_plane.h
@@ -61,6 +61,9 @@
     m_owner_stage.OnCrashReport(report);
   }
 
+  ExposureControl& exposure() { return m_exposure; }
+  RolloutCounter& rollout_counter() { return m_rollout_counter; }
+
   /// First step of a graceful shutdown: marks this node's backend servers as
   /// draining and asks callers to reconnect to other nodes. Requests in
   /// progress continue.
@@ -85,6 +88,8 @@
   bool m_has_pending_change = false;
   UpstreamPool m_upstream_pool;
   RunningRequests m_running_requests;
+  ExposureControl m_exposure;
+  RolloutCounter m_rollout_counter;
   OwnerStage m_owner_stage;
   EntryStage m_entry_stage;
   std::unique_ptr<TcpListener> m_caller_listener;
--- a/packages/node/banyantrail/node/node.cc
+++ b/packages/node/banyantrail/node/node.cc
@@ -12,6 +12,7 @@
 #include "banyantrail/node/data_plane.h"
 #include "banyantrail/node/metrics.h"
 #include "banyantrail/node/platform_tasks.h"
+#include "banyantrail/node/rollout_coordinator.h"
 #include "banyantrail/store/store_client.h"
 #include "banyantrail/traffic/idempotency_ledger.h"
 
@@ -67,6 +68,8 @@
   std::unique_ptr<ControlPlane> control;
   std::unique_ptr<DataPlane> data;
   std::unique_ptr<PlatformTasks> platform_tasks;
+  /// Null if the settings disable roll-outs.
+  std::unique_ptr<RolloutCoordinator> rollouts;
   std::unique_ptr<AdminApi> admin;
   std::unique_ptr<HttpServer> admin_server;
   asio::signal_set signals;
@@ -111,7 +114,18 @@
           .on_crash_report =
               [&components](const CrashReportMessage& report) {
                 components.data->OnCrashReport(report);
+              },
+          .on_rollout_message =
+              [&components](const NodeId& from, const PeerMessage& message) {
+                if (components.rollouts) {
+                  components.rollouts->OnMessage(from, message);
+                }
               }});
+  if (m_settings.rollouts.exposure_share > 0) {
+    components.rollouts = std::make_unique<RolloutCoordinator>(
+        m_io, m_settings.node, *components.control, *components.data,
+        components.metrics);
+  }
   components.platform_tasks =
       std::make_unique<PlatformTasks>(m_io, m_settings, components.platform,
                                       *components.control, components.metrics);
@@ -145,7 +159,7 @@
 
 NodeServices Node::MakeServices() {
   Components& components = *m_components;
-  return {
+  NodeServices services{
       .io = m_io,
       .settings = m_settings,
       .metrics = components.metrics,
@@ -186,6 +200,20 @@
             components.control->SetSeeds(std::move(seeds));
           },
       .membership = [&components] { return components.control->membership(); }};
+  if (components.rollouts) {
+    RolloutCoordinator& rollouts = *components.rollouts;
+    services.rollout_judge_term = [&rollouts] { return rollouts.judge_term(); };
+    services.on_rollouts_read = [&rollouts](const RolloutReadResult& read,
+                                            bool is_list) {
+      rollouts.OnRead(read, is_list);
+    };
+    services.next_rollout_write = [&rollouts] { return rollouts.NextWrite(); };
+    services.on_rollout_written = [&rollouts](const RolloutWrite& write,
+                                              std::optional<bool> written) {
+      rollouts.OnWritten(write, written);
+    };
+  }
+  return services;
 }
 
 Node::~Node() = default;
--- a/packages/node/banyantrail/node/node_services.h
+++ b/packages/node/banyantrail/node/node_services.h
@@ -2,9 +2,11 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include "banyantrail/config/release.h"
+#include "banyantrail/distribution/rollout_store_task.h"
 #include "banyantrail/distribution/store_follower.h"
 #include "banyantrail/net/asio.h"
 #include "banyantrail/node/control_messages.h"
@@ -49,6 +51,13 @@
   /// Sets the addresses of peers used to join the membership.
   std::function<void(std::vector<IpEndpoint>)> set_seeds;
   std::function<std::shared_ptr<const MembershipView>()> membership;
+  /// See RolloutStoreTaskOptions. Empty functions if the settings disable
+  /// roll-outs.
+  std::function<std::uint64_t()> rollout_judge_term;
+  std::function<void(const RolloutReadResult&, bool)> on_rollouts_read;
+  std::function<std::optional<RolloutWrite>()> next_rollout_write;
+  std::function<void(const RolloutWrite&, std::optional<bool>)>
+      on_rollout_written;
 };
 
 /// The environment of a node. Lives as long as the node.
--- a/packages/node/banyantrail/node/settings.h
+++ b/packages/node/banyantrail/node/settings.h
@@ -70,6 +70,21 @@
                          const RetryBudgetSettings&) = default;
 };
 
+/// Limits on the requests to a new version of a service during its roll-out.
+struct RolloutSettings {
+  /// Share of the service's requests that a bad version may get. 0 disables
+  /// roll-outs; versions are then ignored.
+  double exposure_share = 0;
+  /// Requests that it may get in addition.
+  double exposure_slack = 0;
+  /// Time after the 50th bad response within which a bad version must no longer
+  /// get requests.
+  Duration rollback = seconds(5);
+
+  friend bool operator==(const RolloutSettings&,
+                         const RolloutSettings&) = default;
+};
+
 /// The settings of a node.
 struct NodeSettings {
   NodeId node;
@@ -99,6 +114,7 @@
   ServiceName local_service;
   ShutdownSettings shutdown;
   RetryBudgetSettings retry_budget;
+  RolloutSettings rollouts;
   /// Admission control for the backend servers of this node.
   AdmissionOptions admission;
   /// Interval at which backend servers send heartbeats.
--- a/packages/proxy/banyantrail/proxy/entry_stage.cc
+++ b/packages/proxy/banyantrail/proxy/entry_stage.cc
@@ -82,6 +82,8 @@
   Upstream* upstream = nullptr;
   /// Number of attempts that may have reached a backend server.
   std::uint32_t sends = 0;
+  /// Versions of the service that the next attempt may be sent to.
+  VersionChoice versions;
   /// Reason of the last attempt that may have run.
   std::optional<RefusalReason> may_have_run;
 };
@@ -411,6 +413,8 @@
                                     : RefusalReason::kNoBackendServer);
       co_return;
     }
+    const RolloutCounter::InFlight in_flight(
+        m_options.rollout_counter, context.service->name, endpoint->version);
     Attempt attempt = co_await TryEndpoint(downstream, context, *endpoint);
     if (attempt.result == UpstreamResult::kCallerDisconnected) {
       downstream.must_close = true;
@@ -431,10 +435,31 @@
   }
 }
 
+/// Chooses among the endpoints of the versions that the request may be sent to.
+/// A request that no server of a limited version can take, and a retry, go to
+/// the others.
+const ServiceEndpoint* EntryStage::ChooseEndpointFor(RequestContext& context) {
+  ExposureControl* const exposure = m_options.exposure;
+  if (exposure == nullptr) {
+    return ChooseAmongVersions(context);
+  }
+  const TimePoint now = SystemClock().Now();
+  const ServiceName& service = context.service->name;
+  context.versions = context.tried.empty()
+                         ? exposure->Next(service, now)
+                         : exposure->WithoutLimited(service, now);
+  const ServiceEndpoint* endpoint = ChooseAmongVersions(context);
+  if (endpoint == nullptr && context.versions.only) {
+    context.versions = exposure->WithoutLimited(service, now);
+    endpoint = ChooseAmongVersions(context);
+  }
+  return endpoint;
+}
+
 /// Chooses among the endpoints that were not tried yet and are not known to
 /// have no capacity before the deadline. Nested calls are still sent to the
 /// latter, because the owner node admits them ahead of new requests.
-const ServiceEndpoint* EntryStage::ChooseEndpointFor(
+const ServiceEndpoint* EntryStage::ChooseAmongVersions(
     const RequestContext& context) {
   const TimePoint now = SystemClock().Now();
   const RequestUrgency urgency{.priority = context.priority,
@@ -446,15 +471,43 @@
       .expected_duration = m_response_times[context.route->rule].Mean(now),
       .kind = KindOf(*context.route)};
   const bool is_large = request.body_bytes > m_options.choice.max_spill_bytes;
-  if (!context.is_nested_call && !is_large) {
+  const bool is_refusal_known = !context.is_nested_call && !is_large;
+  if (is_refusal_known || m_options.exposure != nullptr) {
     request.is_excluded = [&](const ServiceEndpoint& endpoint) {
-      return m_refusals.WouldRefuse(endpoint, urgency, now);
+      return !context.versions.Allows(endpoint) ||
+             (is_refusal_known &&
+              m_refusals.WouldRefuse(endpoint, urgency, now));
     };
   }
   return ChooseEndpoint(context.service->endpoints, m_loads, m_options.choice,
                         now, m_rng, request);
 }
 
+/// Counts a response for the roll-out of its service, if there is one. Refusals
+/// by the owner node say nothing about the version.
+void EntryStage::RecordVersion(const RequestContext& context,
+                               const ServiceEndpoint& endpoint,
+                               EndpointOutcome outcome,
+                               Duration latency) {
+  const ServiceName& service = context.service->name;
+  const RolloutDirectiveMessage* rollout =
+      m_options.exposure == nullptr ? nullptr
+                                    : m_options.exposure->RolloutOf(service);
+  const bool is_response = outcome == EndpointOutcome::kSuccess ||
+                           outcome == EndpointOutcome::kFailed;
+  if (rollout == nullptr || !is_response) {
+    return;
+  }
+  m_options.rollout_counter->Record(
+      {.service = service,
+       .rule = context.route->rule,
+       .is_target_version = endpoint.version == rollout->target_version,
+       .failed = outcome == EndpointOutcome::kFailed,
+       .is_warming_up = m_options.exposure->IsWarmingUp(
+           service, endpoint.version, SystemClock().Now()),
+       .latency = latency});
+}
+
 /// The time for a response of full use, or until the deadline when the target
 /// has passed or none is declared.
 Duration EntryStage::TimeLeft(const RequestContext& context, TimePoint now) {
@@ -520,6 +573,7 @@
   EndpointResult result = ResultOf(attempt, now - started);
   result.kind = KindOf(*context.route);
   m_loads.OnResult(endpoint, result, now);
+  RecordVersion(context, endpoint, result.outcome, now - started);
   if (IsBackendResponse(attempt)) {
     m_response_times[context.route->rule].Record(now - started, now);
   }
--- a/packages/proxy/banyantrail/proxy/entry_stage.h
+++ b/packages/proxy/banyantrail/proxy/entry_stage.h
@@ -14,10 +14,12 @@
 #include "banyantrail/proxy/upstream_pool.h"
 #include "banyantrail/traffic/caller_timeout_estimator.h"
 #include "banyantrail/traffic/choose_endpoint.h"
+#include "banyantrail/traffic/exposure_control.h"
 #include "banyantrail/traffic/idempotency_ledger.h"
 #include "banyantrail/traffic/load_table.h"
 #include "banyantrail/traffic/refusal_cache.h"
 #include "banyantrail/traffic/retry_policy.h"
+#include "banyantrail/traffic/rollout_counter.h"
 #include "banyantrail/traffic/routing_snapshot.h"
 #include "banyantrail/traffic/running_requests.h"
 #include "banyantrail/traffic/service_time.h"
@@ -94,6 +96,10 @@
     /// Makes attempt names unique across nodes and restarts.
     std::string attempt_prefix;
     std::uint64_t seed = 0;
+    /// Limits the requests to new versions of services, and counts responses by
+    /// version. Null to ignore versions.
+    ExposureControl* exposure = nullptr;
+    RolloutCounter* rollout_counter = nullptr;
   };
 
   /// `running` holds the requests that run at the backend servers of this node.
@@ -155,7 +161,12 @@
                                        const ServiceEndpoint& endpoint);
   bool ShouldRetry(const RequestContext& context, const Attempt& attempt);
   void UpdateRetryBurst();
-  const ServiceEndpoint* ChooseEndpointFor(const RequestContext& context);
+  const ServiceEndpoint* ChooseEndpointFor(RequestContext& context);
+  const ServiceEndpoint* ChooseAmongVersions(const RequestContext& context);
+  void RecordVersion(const RequestContext& context,
+                     const ServiceEndpoint& endpoint,
+                     EndpointOutcome outcome,
+                     Duration latency);
   static Duration TimeLeft(const RequestContext& context, TimePoint now);
   static bool IsFreeRetry(const RequestContext& context, RefusalReason reason);
   void ReportDecision(const RequestContext& context,
--- a/tests/platform/deployment_test.cc
+++ b/tests/platform/deployment_test.cc
@@ -100,3 +100,15 @@
     CHECK_TEXT(!ParseDuration(text), text);
   }
 }
+
+TEST(Deployment, RollOutsAreOffWithoutTheirBounds) {
+  const Deployment off = ParseDeployment(kSettings, "local.json");
+  CHECK(off.node.rollouts == banyantrail::RolloutSettings{});
+  json settings = json::parse(kSettings);
+  settings["bounds"] = {"exposure_share=0.1", "exposure_slack=50",
+                        "rollback=4000ms"};
+  const Deployment on = ParseDeployment(settings.dump(), "local.json");
+  DOUBLES_EQUAL(0.1, on.node.rollouts.exposure_share, 1e-9);
+  DOUBLES_EQUAL(50, on.node.rollouts.exposure_slack, 1e-9);
+  CHECK(on.node.rollouts.rollback == seconds(4));
+}
--- a/tests/platform/object_store_stand_in.cc
+++ b/tests/platform/object_store_stand_in.cc
@@ -107,6 +107,12 @@
 HttpResponse ObjectStoreStandIn::ApplyChange(const HttpRequest& request,
                                              const Key& key) {
   const json body = json::parse(request.body(), nullptr, false);
+  constexpr std::string_view kStatus = "/status";
+  if (key.second.ends_with(kStatus)) {
+    return WriteStatus(
+        {key.first, key.second.substr(0, key.second.size() - kStatus.size())},
+        body);
+  }
   Key written = key;
   if (request.method() == http::verb::post) {
     written.second = body["metadata"]["name"].get<std::string>();
@@ -128,6 +134,23 @@
   return MakeResponse(200, json::object());
 }
 
+/// Replaces the status of an object that has the revision in `body`.
+HttpResponse ObjectStoreStandIn::WriteStatus(const Key& key, const json& body) {
+  const auto found = m_objects.find(key);
+  if (found == m_objects.end()) {
+    return MakeResponse(404, json::object());
+  }
+  json& object = found->second;
+  if (body["metadata"]["revision"] != object["metadata"]["revision"]) {
+    return MakeResponse(409, object);
+  }
+  object["status"] = body["status"];
+  object["metadata"]["revision"] = ++m_revision;
+  m_changes.push_back(
+      {.revision = m_revision, .kind = key.first, .object = object});
+  return MakeResponse(200, object);
+}
+
 json ObjectStoreStandIn::EventsAfter(const std::string& kind,
                                      std::uint64_t after) const {
   json events = json::array();
--- a/tests/platform/object_store_stand_in.h
+++ b/tests/platform/object_store_stand_in.h
@@ -61,6 +61,7 @@
   asio::awaitable<void> NeverRespond();
   asio::awaitable<HttpResponse> Handle(HttpRequest request);
   HttpResponse ApplyChange(const HttpRequest& request, const Key& key);
+  HttpResponse WriteStatus(const Key& key, const nlohmann::json& body);
   asio::awaitable<HttpResponse> Watch(std::string kind,
                                       std::uint64_t after,
                                       milliseconds wait);
--- a/tests/platform/object_store_test.cc
+++ b/tests/platform/object_store_test.cc
@@ -22,6 +22,7 @@
 namespace asio = banyantrail::asio;
 
 static_assert(ConfigurationStore<ObjectStore>);
+static_assert(banyantrail::RolloutStore<ObjectStore>);
 
 namespace {
 
@@ -201,3 +202,40 @@
                        R"("specification":{"version":1e999}}},[[[[]]]],7)";
   LONGS_EQUAL(last, Await(first).release->revision);
 }
+
+TEST(ObjectStore, ReadsRollOutsAndWritesTheirStateConditionally) {
+  const json specification = {
+      {"service", "huvo11a"}, {"target_version", "v2"}, {"duration", "12s"}};
+  const std::uint64_t revision =
+      stand_in.Write("rollouts", "huvo11a", specification);
+  stand_in.Write("rollouts", "odd", {{"service", "odd"}});
+  banyantrail::RolloutReadResult read;
+  const auto list = [&]() -> asio::awaitable<void> {
+    read = co_await store.ListRollouts();
+  };
+  CHECK_FALSE(Run(list).has_value());
+  LONGS_EQUAL(1, read.changes.size());
+  const banyantrail::RolloutObject object = read.changes.front().object;
+  const banyantrail::RolloutObject expected{
+      .service = banyantrail::ServiceName("huvo11a"),
+      .target_version = "v2",
+      .duration = banyantrail::seconds(12),
+      .revision = revision};
+  CHECK(object == expected);
+
+  bool first_written = false;
+  bool second_written = true;
+  const auto write = [&]() -> asio::awaitable<void> {
+    first_written = co_await store.WriteRolloutState(
+        object, banyantrail::RolloutState::kRunning);
+    // The object has another revision now.
+    second_written = co_await store.WriteRolloutState(
+        object, banyantrail::RolloutState::kCompleted);
+    read = co_await store.AwaitRollouts(read.resume_after, milliseconds(500));
+  };
+  CHECK_FALSE(Run(write).has_value());
+  CHECK(first_written);
+  CHECK_FALSE(second_written);
+  CHECK(read.changes.front().object.state ==
+        banyantrail::RolloutState::kRunning);
+}
