--- a/packages/distribution/banyantrail/distribution/rollout_judge.cc
+++ b/packages/distribution/banyantrail/distribution/rollout_judge.cc
@@ -100,9 +100,13 @@
   const Duration elapsed = now - m_options.started;
   const Duration promotion = std::max(PartOfDuration(m_options.canary_part),
                                       m_options.duration - m_options.max_end);
+  const bool is_judged_by_any =
+      m_evidence.target_responses() > 0 ||
+      m_evidence.other_responses() < m_options.max_others_without_target;
   const bool is_judged_by_enough =
       m_evidence.target_responses() >= m_options.min_responses ||
-      elapsed >= PartOfDuration(m_options.latest_promotion);
+      (elapsed >= PartOfDuration(m_options.latest_promotion) &&
+       is_judged_by_any);
   if (m_evidence.is_bad()) {
     SetPhase(RolloutPhase::kRolledBack,
              "bad in the canary phase: " + EvidenceText());
--- a/packages/distribution/banyantrail/distribution/rollout_judge.h
+++ b/packages/distribution/banyantrail/distribution/rollout_judge.h
@@ -49,6 +49,9 @@
     /// new version, up to the part `latest_promotion` of the duration.
     std::uint64_t min_responses = 30;
     double latest_promotion = 0.72;
+    /// A version without any response is not promoted after this many responses
+    /// of the others: its servers have probably not started.
+    std::uint64_t max_others_without_target = 200;
     /// Parts of the duration after which a version that is not promoted, or not
     /// confirmed by all nodes, is rolled back.
     double latest_verdict = 0.8;
--- a/packages/distribution/banyantrail/distribution/version_evidence.cc
+++ b/packages/distribution/banyantrail/distribution/version_evidence.cc
@@ -55,7 +55,8 @@
   } else {
     sample.latencies.at(response.latency) += count;
   }
-  m_target_responses += response.is_target_version ? count : 0;
+  (response.is_target_version ? m_target_responses : m_other_responses) +=
+      count;
 }
 
 void VersionEvidence::EndWindow() {
--- a/packages/distribution/banyantrail/distribution/version_evidence.h
+++ b/packages/distribution/banyantrail/distribution/version_evidence.h
@@ -48,8 +48,9 @@
   /// What the greatest sum is about: "failures" or "latency".
   std::string_view worst_kind() const { return m_worst_kind; }
 
-  /// All responses of the new version so far.
+  /// All responses of the new version, and of the others, so far.
   std::uint64_t target_responses() const { return m_target_responses; }
+  std::uint64_t other_responses() const { return m_other_responses; }
 
  private:
   using Latencies = std::array<double, ResponseClass::kLatencyClasses>;
@@ -84,6 +85,7 @@
   double m_worst = 0;
   std::string_view m_worst_kind = "failures";
   std::uint64_t m_target_responses = 0;
+  std::uint64_t m_other_responses = 0;
 };
 
 }  // namespace banyantrail
--- a/tests/distribution/rollout_director_test.cc
+++ b/tests/distribution/rollout_director_test.cc
@@ -52,7 +52,8 @@
   /// Responses of the new version of which all failed.
   void ReportFailures() {
     const auto number = [](bool is_target) {
-      return ToNumber({.is_target_version = is_target, .failed = is_target});
+      return banyantrail::ToNumber(
+          {.is_target_version = is_target, .failed = is_target});
     };
     director.OnReport(kSelf,
                       {.service = kService,
--- a/tests/distribution/rollout_judge_test.cc
+++ b/tests/distribution/rollout_judge_test.cc
@@ -300,3 +300,14 @@
   CHECK(decision.phase == RolloutPhase::kRolledBack);
   STRCMP_CONTAINS("n1", decision.reason.c_str());
 }
+
+// Guards against the promotion of a version whose servers have not started.
+TEST(RolloutJudge, VersionWithoutResponsesIsNotPromoted) {
+  RolloutJudge judge({.started = TimePoint{}, .duration = kDuration});
+  judge.OnReport(kNode, {.incarnation = 1, .sequence = 1, .counts = {0, 500}},
+                 TimePoint{});
+  CHECK(judge.Decide({}, TimePoint{} + seconds(9)).phase ==
+        RolloutPhase::kCanary);
+  CHECK(judge.Decide({}, TimePoint{} + seconds(10)).phase ==
+        RolloutPhase::kRolledBack);
+}
