--- a/tests/process/platform_fleet.py
+++ b/tests/process/platform_fleet.py
@@ -53,6 +53,10 @@
     def store(self):
         return self._fleet.store
 
+    @property
+    def nodes(self):
+        return self._fleet.nodes
+
     def settings_path(self, node):
         return pathlib.Path(self._fleet.folder) / f"{node.name}.json"
 
--- a/tests/process/rollout_process_test.py
+++ b/tests/process/rollout_process_test.py
@@ -155,6 +155,31 @@
                              [])
         self.assertGreater(sum(len(server.runs) for server in new), 0)
 
+    def judge(self):
+        """The node whose log says last that it became the judge."""
+        for node in self.fleet.nodes:
+            log = self.fleet.settings_path(node).with_suffix(".log")
+            events = [json.loads(line) for line in
+                      log.read_text(errors="replace").splitlines()
+                      if '"rollout_judge"' in line]
+            if events and events[-1]["is_judge"]:
+                return node
+        return None
+
+    # Guards against a roll-out that stays undecided, or starts anew, when the
+    # node that judges it is killed.
+    def test_roll_out_survives_the_judge(self):
+        self.start_load()
+        self.add_new_servers(lambda: False)
+        time.sleep(2.5)
+        self.start_rollout()
+        time.sleep(3)
+        self.judge().kill()
+        decided, _ = self.await_final_state()
+        self.assertEqual([state for _, state in self.states],
+                         ["running", "completed"])
+        self.assertLess(decided - self.started, DURATION_S)
+
     # Guards against a bad version that stays, or gets more than its share.
     def test_bad_version_is_rolled_back(self):
         self.start_load()
