Allow for slow VMs when a new version is judged

Backend servers differ in speed by a factor of up to three, and the first canary requests went to a single server.

The margin above the usual 0.9 quantile is now a factor of 2 to 2.8, and the canary requests go to at least three servers.

--- a/packages/distribution/banyantrail/distribution/version_evidence.cc
+++ b/packages/distribution/banyantrail/distribution/version_evidence.cc
@@ -95,9 +95,11 @@
 /// Compares how many responses take longer than almost all of those of the
 /// other versions.
 double VersionEvidence::LatencyRatio(const Route& route) const {
-  /// A response is slow from one class above the class that holds this quantile
-  /// of the others.
+  /// A response is slow from some classes above the class that holds this
+  /// quantile of the others. The margin, a factor of 2 to 2.8, allows for new
+  /// servers on VMs of lower speed.
   constexpr double kQuantile = 0.9;
+  constexpr std::size_t kMarginClasses = 2;
   constexpr double kMinUsual = 0.06;
   constexpr double kAdditional = 0.3;
   Latencies known{};
@@ -113,7 +115,7 @@
   while (CountFrom(known, first_slow) > (1 - kQuantile) * total) {
     ++first_slow;
   }
-  ++first_slow;
+  first_slow += kMarginClasses;
   const double usual = std::clamp(
       UsualRate(CountFrom(route.others.latencies, first_slow),
                 CountFrom(route.others.latencies, 0),
--- a/packages/traffic/banyantrail/traffic/exposure_control.cc
+++ b/packages/traffic/banyantrail/traffic/exposure_control.cc
@@ -224,17 +224,19 @@
 }
 
 /// The servers that get the requests of a limited version: few enough for each
-/// to see the load of an ordinary server, the same ones at all nodes.
+/// to see much of the load of an ordinary server, but more than one, which
+/// might run on a slow VM; the same ones at all nodes.
 std::set<BackendServerId> ExposureControl::CanaryServers(
     const Service& service,
     const std::string& name) const {
+  constexpr double kMinServers = 3;
   std::size_t others = 0;
   for (const auto& [other, version] : service.versions) {
     others += other == name ? 0 : version.endpoints;
   }
   const double share = m_options.share * m_options.canary_part;
   const auto count = static_cast<std::size_t>(
-      std::max(1.0, std::ceil(share * static_cast<double>(others))));
+      std::max(kMinServers, std::ceil(share * static_cast<double>(others))));
   const std::set<BackendServerId>& servers = service.versions.at(name).servers;
   std::vector<BackendServerId> order(servers.begin(), servers.end());
   std::ranges::sort(order, {}, [](const BackendServerId& id) {
--- a/tests/distribution/rollout_judge_test.cc
+++ b/tests/distribution/rollout_judge_test.cc
@@ -232,6 +232,12 @@
   }});
 }
 
+// Guards against the rollback of a good version whose first servers run on VMs
+// of half the usual speed.
+TEST(RolloutJudge, GoodVersionOnSlowVmsIsCompleted) {
+  CheckGood({.latency_factor = TargetOnly(1, 2)});
+}
+
 TEST(RolloutJudge, VersionThatIsBadAtOnceIsRolledBack) {
   CheckBad({.failure_rate = TargetOnly(0.02, 0.3)});
   CheckBad({.failure_rate = TargetOnly(0.02, 1)});
