--- a/packages/node/banyantrail/node/settings.h
+++ b/packages/node/banyantrail/node/settings.h
@@ -89,6 +89,21 @@
                          const RevocationSettings&) = default;
 };
 
+/// Limits on the requests to a new version of a service during its roll-out.
+struct RolloutSettings {
+  /// Share of the service's requests that a bad version may get. 0 disables
+  /// roll-outs; versions are then ignored.
+  double exposure_share = 0;
+  /// Requests that it may get in addition.
+  double exposure_slack = 0;
+  /// Time after the 50th bad response within which a bad version must no longer
+  /// get requests.
+  Duration rollback = seconds(5);
+
+  friend bool operator==(const RolloutSettings&,
+                         const RolloutSettings&) = default;
+};
+
 /// The settings of a node.
 struct NodeSettings {
   NodeId node;
@@ -121,6 +136,7 @@
   RevocationSettings revocation;
   /// Bound on the requests of teams with a rate limit.
   QuotaBound quota_bound;
+  RolloutSettings rollouts;
   /// Admission control for the backend servers of this node.
   AdmissionOptions admission;
   /// Whether the pace at which a backend server gets requests after a start or
--- a/packages/proxy/banyantrail/proxy/entry_forwarding.cc
+++ b/packages/proxy/banyantrail/proxy/entry_forwarding.cc
@@ -76,6 +76,8 @@
                                     : RefusalReason::kNoBackendServer);
       co_return;
     }
+    const RolloutCounter::InFlight in_flight(
+        m_options.rollout_counter, context.service->name, endpoint->version);
     Attempt attempt = co_await TryEndpoint(downstream, context, *endpoint);
     if (attempt.result == UpstreamResult::kCallerDisconnected) {
       downstream.must_close = true;
@@ -122,6 +124,7 @@
   EndpointResult result = ResultOf(attempt, now - started);
   result.kind = KindOf(*context.route);
   m_loads.OnResult(endpoint, result, now);
+  RecordVersion(context, endpoint, result.outcome, now - started);
   if (IsBackendResponse(attempt)) {
     m_response_times[context.route->rule].Record(now - started, now);
   }
--- a/packages/proxy/banyantrail/proxy/entry_request_context.h
+++ b/packages/proxy/banyantrail/proxy/entry_request_context.h
@@ -39,6 +39,8 @@
   std::optional<ReportedLoad> last_load;
   /// Number of attempts that may have reached a backend server.
   std::uint32_t sends = 0;
+  /// Versions of the service that the next attempt may be sent to.
+  VersionChoice versions;
   /// Reason of the last attempt that may have run.
   std::optional<RefusalReason> may_have_run;
   /// The request took a token of its team's rate limit.
--- a/packages/wire/banyantrail/wire/peer_messages.h
+++ b/packages/wire/banyantrail/wire/peer_messages.h
@@ -8,6 +8,7 @@
 
 #include "banyantrail/core/ids.h"
 #include "banyantrail/wire/member_record.h"
+#include "banyantrail/wire/rollout_messages.h"
 
 namespace banyantrail {
 
@@ -275,6 +276,8 @@
                                  ConfirmationRequestMessage,
                                  ConfirmationReplyMessage,
                                  QuotaRequestMessage,
-                                 QuotaReplyMessage>;
+                                 QuotaReplyMessage,
+                                 RolloutDirectiveMessage,
+                                 RolloutReportMessage>;
 
 }  // namespace banyantrail
--- a/tests/process/platform_fleet.py
+++ b/tests/process/platform_fleet.py
@@ -56,6 +56,10 @@
     def allocate_port(self):
         return self._ports.allocate()
 
+    @property
+    def nodes(self):
+        return self._fleet.nodes
+
     def settings_path(self, node):
         return pathlib.Path(self._fleet.folder) / f"{node.name}.json"
 
