Test the share of a team through both nodes

That a refusal by team share is 503, not run and outside the refusal cache, and that a team claimed by a caller is ignored, depends on both stages.

RequestPath tells the owner stage whether teams are declared, as the node does.

--- a/tests/proxy/request_path.h
+++ b/tests/proxy/request_path.h
@@ -85,6 +85,7 @@
          .deadline = std::chrono::duration_cast<milliseconds>(deadline),
          .allow_anonymous = allow_anonymous});
     config.teams = teams;
+    m_owner.SetHasTeams(!teams.empty());
     const MemberRecord member{
         .node = NodeId("n1"),
         .mesh_address = m_mesh,
