Forget the tags of teams when a band is idle

Cause: a team whose request took longer than expected while nobody else waited kept that debt until the virtual time caught up, and a band that only saw new names never forgot any: 10,000 names gave 10,000 records.

Ruled out: advancing the virtual time to the highest finish tag when the band is idle; it has the same effect as forgetting, and keeps the records.

--- a/packages/traffic/banyantrail/traffic/team_queue.cc
+++ b/packages/traffic/banyantrail/traffic/team_queue.cc
@@ -87,6 +87,7 @@
   m_virtual_time = std::max(m_virtual_time, state.start);
   state.start += std::max(cost, kMinCostSeconds);
   ++state.in_flight;
+  ++m_in_flight;
 }
 
 void TeamQueue::OnReleased(TeamHash team, double cost, double slot_seconds) {
@@ -96,6 +97,11 @@
   }
   found->second.start += slot_seconds - std::max(cost, kMinCostSeconds);
   --found->second.in_flight;
+  --m_in_flight;
+  if (m_in_flight == 0 && m_by_urgency.empty()) {
+    m_teams.clear();
+    m_virtual_time = 0;
+  }
 }
 
 TeamHash TeamQueue::LargestBacklog(TeamHash newcomer) const {
@@ -126,13 +132,12 @@
   return m_teams[team];
 }
 
-/// A team that waits for nothing and has no start tag ahead of the virtual time
-/// is treated as an unknown one.
+/// Bounds the state when names change all the time. A forgotten team begins
+/// again at the virtual time.
 void TeamQueue::ForgetIdleTeams() {
-  std::erase_if(m_teams, [this](const auto& item) {
+  std::erase_if(m_teams, [](const auto& item) {
     const Team& team = item.second;
-    return team.queue.empty() && team.in_flight == 0 &&
-           team.start <= m_virtual_time;
+    return team.queue.empty() && team.in_flight == 0;
   });
 }
 
--- a/packages/traffic/banyantrail/traffic/team_queue.h
+++ b/packages/traffic/banyantrail/traffic/team_queue.h
@@ -50,12 +50,15 @@
 /// Each team has a start tag, which grows by the slot-seconds that it uses; the
 /// team with the lowest tag is served next, with its most urgent request. A
 /// team that begins to wait starts at the virtual time, which is the highest
-/// start tag that was served: unused shares are neither saved nor owed. With
-/// one team the order is that of the keys.
+/// start tag that was served: unused shares are neither saved nor owed. When
+/// nothing is queued or in flight, all tags are forgotten. With one team the
+/// order is that of the keys.
 class TeamQueue {
  public:
   bool empty() const { return m_by_urgency.empty(); }
   std::size_t size() const { return m_by_urgency.size(); }
+  /// Number of teams whose state is kept.
+  std::size_t known_teams() const { return m_teams.size(); }
 
   /// All requests, the most urgent one first. Must not be empty.
   const std::set<QueueKey>& by_urgency() const { return m_by_urgency; }
@@ -106,6 +109,7 @@
   std::set<QueueKey> m_by_urgency;
   TeamMap m_teams;
   double m_virtual_time = 0;
+  std::size_t m_in_flight = 0;
 };
 
 }  // namespace detail
