--- a/tests/proxy/request_path.h
+++ b/tests/proxy/request_path.h
@@ -89,6 +89,7 @@
          .allow_anonymous = allow_anonymous});
     std::ranges::copy(more_rules, std::back_inserter(config.routing_rules));
     config.teams = teams;
+    m_owner.SetHasTeams(!teams.empty());
     std::vector<MemberRecord> members = {
         {.node = NodeId("n1"),
          .mesh_address = m_mesh,
