Test the settings of pipelining

Cause: the limits of pipelining are settings that operators change.

Ruled out: only the process tests, which run with the defaults.

Change: a test reads both settings and rejects a value out of range.

--- a/tests/node/settings_test.cc
+++ b/tests/node/settings_test.cc
@@ -59,6 +59,17 @@
   STRCMP_CONTAINS("max_caller_connections", ErrorMessage().c_str());
 }
 
+TEST(Settings, ReadsTheLimitsOfPipelining) {
+  json["limits"] = {{"max_pipelined_requests", 3},
+                    {"max_pipelined_bytes", 2048}};
+  const banyantrail::NodeSettings settings =
+      ParseNodeSettings(json.dump(), "n1.json");
+  LONGS_EQUAL(3, settings.limits.max_pipelined_requests);
+  LONGS_EQUAL(2048, settings.limits.max_pipelined_bytes);
+  json["limits"]["max_pipelined_requests"] = 0;
+  STRCMP_CONTAINS("max_pipelined_requests", ErrorMessage().c_str());
+}
+
 TEST(Settings, RejectsInvalidJson) {
   CHECK_THROWS(Error, ParseNodeSettings("{", "n1.json"));
 }
