Limit the trailers and the chunk extensions of callers' bodies

Cause: the buffer of a connection cuts off an endless trailer section, but one that ends just below 64 KB was accepted. The parser keeps each of its fields in an allocation of its own while the request runs.

Ruled out: a smaller buffer, which slows uploads and leaves the count of fields open; a subclass of the parser, which cannot call the functions that it replaces.

Change: ChunkLimits, the parser's callback for chunk headers, limits a chunk extension to 1 KB and a trailer section to 8 KB and 64 fields. The connection is closed, counted as chunk_limit, and a log line names the limits.

--- a/packages/node/banyantrail/node/data_plane.cc
+++ b/packages/node/banyantrail/node/data_plane.cc
@@ -120,6 +120,24 @@
   };
 }
 
+/// Counts callers' bodies that exceed ChunkLimits, and logs them rate-limited.
+std::function<void()> ChunkLimitReporter(Metrics& metrics) {
+  const auto budget =
+      std::make_shared<LogRateLimiter>(LogRateLimiter::Options{});
+  return [budget, &metrics] {
+    constexpr const char* kReason = "chunk_limit";
+    metrics.CountRefusal("caller", kReason);
+    if (budget->TryAcquire(kReason, SystemClock().Now())) {
+      kLog.Warn(
+          "Closed the connection of a caller: a chunk extension exceeds " +
+          std::to_string(kMaxChunkExtensionBytes) +
+          " bytes, or a trailer section " + std::to_string(kMaxTrailerBytes) +
+          " bytes or " + std::to_string(kMaxTrailerFields) +
+          " fields. Callers should send metadata in the header.");
+    }
+  };
+}
+
 EntryStage::Options EntryStageOptions(Metrics& metrics,
                                       const NodeSettings& settings,
                                       const DataPlane::Options& options) {
@@ -144,6 +162,7 @@
                     priority, std::chrono::duration<double>(latency).count());
               },
           .on_decision = DecisionLogger(),
+          .on_chunk_limit = ChunkLimitReporter(metrics),
           .may_accept_keys = options.may_accept_keys},
       .idempotency = options.idempotency,
       .dialect = options.dialect,
--- a/packages/proxy/banyantrail/proxy/entry_stage.cc
+++ b/packages/proxy/banyantrail/proxy/entry_stage.cc
@@ -146,6 +146,9 @@
     }
     const CountInProgress in_progress(m_in_progress);
     co_await Handle(downstream, read.request);
+    if (read.request.exceeds_chunk_limits()) {
+      m_options.hooks.on_chunk_limit();
+    }
     downstream.has_unread_body = read.request.has_unread_body();
     downstream.must_close = downstream.must_close || m_draining ||
                             !read.request.parser->keep_alive();
--- a/packages/proxy/banyantrail/proxy/entry_stage.h
+++ b/packages/proxy/banyantrail/proxy/entry_stage.h
@@ -59,6 +59,8 @@
   std::function<void(unsigned, unsigned, Duration)> on_response;
   std::function<void(const RequestDecision&)> on_decision =
       [](const RequestDecision&) {};
+  /// A chunked body exceeded ChunkLimits; its connection is closed.
+  std::function<void()> on_chunk_limit = [] {};
   /// Whether keys may be accepted now by the configuration of this revision.
   std::function<bool(Revision)> may_accept_keys = [](Revision) { return true; };
 };
--- a/packages/proxy/banyantrail/proxy/inbound_request.cc
+++ b/packages/proxy/banyantrail/proxy/inbound_request.cc
@@ -149,6 +149,10 @@
     co_return result;
   }
 
+  if (request.parser->chunked()) {
+    request.chunk_limits = std::make_unique<ChunkLimits>(downstream.buffer);
+    request.parser->on_chunk_header(*request.chunk_limits);
+  }
   const auto length = request.parser->content_length();
   if (length && *length > limits.max_body_bytes) {
     result.outcome = ReadOutcome::kRefused;
--- a/packages/proxy/banyantrail/proxy/inbound_request.h
+++ b/packages/proxy/banyantrail/proxy/inbound_request.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "banyantrail/net/http_types.h"
+#include "banyantrail/proxy/chunk_limits.h"
 #include "banyantrail/proxy/connection.h"
 #include "banyantrail/proxy/header_rules.h"
 
@@ -22,6 +23,8 @@
   using Parser = http::request_parser<http::buffer_body>;
 
   std::unique_ptr<Parser> parser;
+  /// Checks a chunked body while the parser reads it; null for any other.
+  std::unique_ptr<ChunkLimits> chunk_limits;
   /// The whole body, unless it is streamed.
   std::string body;
   /// The body is streamed because it is larger than kMaxReplayBytes, of unknown
@@ -35,6 +38,10 @@
 
   const http::request_header<>& head() const { return parser->get(); }
 
+  bool exceeds_chunk_limits() const {
+    return chunk_limits && chunk_limits->is_exceeded();
+  }
+
   /// Part of the body is not received yet. What follows on the connection is
   /// the rest of it and no further request.
   bool has_unread_body() const { return is_streamed && !parser->is_done(); }
--- a/tests/proxy/request_path_test.cc
+++ b/tests/proxy/request_path_test.cc
@@ -896,6 +896,29 @@
   CHECK(received.ends_with("b\r\n0\r\n\r\n"));
 }
 
+// A trailer section that fits into the buffer, with fields of four bytes, took
+// many times its size in memory while the request ran.
+TEST(RequestPath, LargeTrailersAndChunkExtensionsAreNotAccepted) {
+  const std::string head =
+      "POST /orders HTTP/1.1\r\nHost: mesh\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n";
+  std::string many_fields;
+  for (int i = 0; i < 4000; ++i) {
+    many_fields += "a:\r\n";
+  }
+  RequestPath path(EchoHandler);
+  path.SetRule(seconds(5), false);
+  LONGS_EQUAL(200,
+              path.Send(head, "1;ab=c\r\nx\r\n0;d\r\na: b\r\n\r\n").status);
+  for (const std::string& body :
+       {"1\r\nx\r\n0\r\n" + many_fields + "\r\n",
+        "1\r\nx\r\n0\r\na: " + std::string(20'000, 'b') + "\r\n\r\n",
+        "1;a=" + std::string(20'000, 'b') + "\r\nx\r\n0\r\n\r\n"}) {
+    CHECK(path.Send(head, body).status != 200);
+    CHECK(path.RunUntil([&] { return path.owner_requests() == 0; }));
+  }
+}
+
 TEST(RequestPath, EmptyChunkedBodyArrivesComplete) {
   RequestPath path(EchoHandler);
   const CallerResponse response = path.Send(
