--- a/packages/proxy/banyantrail/proxy/entry_stage.cc
+++ b/packages/proxy/banyantrail/proxy/entry_stage.cc
@@ -77,6 +77,9 @@
       // The requests beside it must end before the connection is destroyed.
       failure = std::current_exception();
     }
+    if (read.request.exceeds_chunk_limits()) {
+      m_options.hooks.on_chunk_limit();
+    }
     downstream.has_unread_body = read.request.has_unread_body();
     downstream.must_close =
         downstream.must_close || failure || !read.request.parser->keep_alive();
