--- a/packages/distribution/banyantrail/distribution/version_evidence.cc
+++ b/packages/distribution/banyantrail/distribution/version_evidence.cc
@@ -94,7 +94,7 @@
 
 /// Compares how many responses take longer than almost all of those of the
 /// other versions.
-double VersionEvidence::LatencyRatio(const Route& route) const {
+double VersionEvidence::LatencyRatio(const Route& route) {
   /// A response is slow from some classes above the class that holds this
   /// quantile of the others. The margin, a factor of 2 to 2.8, allows for new
   /// servers on VMs of lower speed.
--- a/packages/distribution/banyantrail/distribution/version_evidence.h
+++ b/packages/distribution/banyantrail/distribution/version_evidence.h
@@ -73,7 +73,7 @@
   };
 
   static double FailureRatio(const Route& route);
-  double LatencyRatio(const Route& route) const;
+  static double LatencyRatio(const Route& route);
   void Remember(Route& route) const;
   void Judge(double sum, std::string_view kind);
 
--- a/packages/node/banyantrail/node/rollout_participant.cc
+++ b/packages/node/banyantrail/node/rollout_participant.cc
@@ -124,7 +124,7 @@
 /// other responses after an interval.
 bool RolloutParticipant::IsDue(const Reported& reported,
                                const RolloutReportMessage& report,
-                               TimePoint now) const {
+                               TimePoint now) {
   constexpr Duration kMinInterval = milliseconds(100);
   constexpr Duration kPromotedInterval = milliseconds(200);
   constexpr Duration kInterval = milliseconds(500);
--- a/packages/node/banyantrail/node/rollout_participant.h
+++ b/packages/node/banyantrail/node/rollout_participant.h
@@ -50,9 +50,9 @@
     VersionEvidence evidence;
   };
 
-  bool IsDue(const Reported& reported,
-             const RolloutReportMessage& report,
-             TimePoint now) const;
+  static bool IsDue(const Reported& reported,
+                    const RolloutReportMessage& report,
+                    TimePoint now);
   void JudgeOwnResponses(const ServiceName& service,
                          Reported& reported,
                          const ResponseCounts& counts);
