Declare the limits of pipelining in caller_limits

Cause: limits on callers are declared for the whole fleet; those of pipelining were settings of each node only.

Ruled out: required fields, which would make existing objects invalid. The optional fields are left out of the canonical text when they are not declared, so that releases keep their digests.

Change: max_pipelined_requests and max_pipelined_bytes of CallerLimitsObject; the entry stage prefers them to its settings.

--- a/packages/config/banyantrail/config/object_json.cc
+++ b/packages/config/banyantrail/config/object_json.cc
@@ -25,6 +25,8 @@
 constexpr std::uint64_t kMaxCallerHeaderBytes = 1U << 20U;
 constexpr std::uint64_t kMaxCallerBodyBytes = 1ULL << 40U;
 constexpr std::uint64_t kMaxCallerTimeoutMs = 60ULL * 60 * 1000;
+constexpr std::uint64_t kMaxPipelinedRequests = 1024;
+constexpr std::uint64_t kMaxPipelinedBytes = 16U << 20U;
 constexpr std::size_t kMaxTeamKeys = 64;
 constexpr std::uint64_t kMaxRequestsPerS = 10'000'000;
 constexpr std::uint64_t kMaxHoldForS = 31ULL * 24 * 60 * 60;
@@ -189,6 +191,11 @@
       reader.RequiredInteger("max_body_bytes", {.max = kMaxCallerBodyBytes});
   limits.header_timeout = ReadCallerTimeout(reader, "header_timeout_ms");
   limits.idle_timeout = ReadCallerTimeout(reader, "idle_timeout_ms");
+  limits.max_pipelined_requests =
+      static_cast<std::uint32_t>(reader.OptionalInteger(
+          "max_pipelined_requests", {.max = kMaxPipelinedRequests}, 0));
+  limits.max_pipelined_bytes = reader.OptionalInteger(
+      "max_pipelined_bytes", {.max = kMaxPipelinedBytes}, 0);
   return limits;
 }
 
@@ -352,6 +359,12 @@
   out["max_body_bytes"] = limits.max_body_bytes;
   out["header_timeout_ms"] = limits.header_timeout.count();
   out["idle_timeout_ms"] = limits.idle_timeout.count();
+  if (limits.max_pipelined_requests > 0) {
+    out["max_pipelined_requests"] = limits.max_pipelined_requests;
+  }
+  if (limits.max_pipelined_bytes > 0) {
+    out["max_pipelined_bytes"] = limits.max_pipelined_bytes;
+  }
 }
 
 void AddFields(const AlertRuleObject& rule, json& out) {
--- a/packages/config/banyantrail/config/objects.h
+++ b/packages/config/banyantrail/config/objects.h
@@ -129,6 +129,12 @@
   std::chrono::milliseconds header_timeout{0};
   /// Maximum idle time of a connection between requests.
   std::chrono::milliseconds idle_timeout{0};
+  /// Maximum number of requests of a connection that run at the same time; 1
+  /// disables pipelining. 0 leaves it to the settings of the node.
+  std::uint32_t max_pipelined_requests = 0;
+  /// Maximum bytes of such requests and of responses that wait for their turn.
+  /// 0 leaves it to the settings of the node.
+  std::uint64_t max_pipelined_bytes = 0;
 
   friend bool operator==(const CallerLimitsObject&,
                          const CallerLimitsObject&) = default;
--- a/packages/proxy/banyantrail/proxy/entry_stage.cc
+++ b/packages/proxy/banyantrail/proxy/entry_stage.cc
@@ -53,6 +53,21 @@
   }
 }
 
+PipelineLimits EntryStage::CurrentPipelineLimits() const {
+  PipelineLimits limits = m_options.pipelining;
+  if (!m_snapshot || !m_snapshot->caller_limits()) {
+    return limits;
+  }
+  const CallerLimitsObject& declared = *m_snapshot->caller_limits();
+  if (declared.max_pipelined_requests > 0) {
+    limits.max_requests = declared.max_pipelined_requests;
+  }
+  if (declared.max_pipelined_bytes > 0) {
+    limits.max_bytes = declared.max_pipelined_bytes;
+  }
+  return limits;
+}
+
 asio::awaitable<void> EntryStage::Serve(beast::tcp_stream stream) {
   Downstream downstream(std::move(stream));
   CallerPipeline pipeline(downstream, PipelineOptions(downstream));
@@ -67,7 +82,8 @@
       co_await RefuseMalformed(downstream, read.refusal);
       break;
     }
-    pipeline.SetLimits(m_options.pipelining, m_options.limits.max_header_bytes);
+    pipeline.SetLimits(CurrentPipelineLimits(),
+                       m_options.limits.max_header_bytes);
     ResponseTurn& turn = pipeline.Begin(read.request, m_snapshot);
     std::exception_ptr failure;
     try {
--- a/packages/proxy/banyantrail/proxy/entry_stage.h
+++ b/packages/proxy/banyantrail/proxy/entry_stage.h
@@ -86,7 +86,8 @@
     /// retry ratios. 0 leaves `retries.burst` unchanged.
     double fleet_retry_burst = 0;
     InboundLimits limits;
-    /// For requests that callers send ahead of responses.
+    /// For requests that callers send ahead of responses, unless the
+    /// configuration declares others.
     PipelineLimits pipelining;
     EntryStageHooks hooks;
     IdempotencyHooks idempotency;
@@ -133,6 +134,7 @@
   struct RequestContext;
   class Registration;
 
+  PipelineLimits CurrentPipelineLimits() const;
   CallerPipeline::Options PipelineOptions(Downstream& downstream);
   asio::awaitable<void> HandleReadAhead(Downstream& downstream,
                                         InboundRequest& request,
--- a/tests/config/object_json_test.cc
+++ b/tests/config/object_json_test.cc
@@ -65,6 +65,20 @@
   }
 }
 
+// An object without the limits of pipelining must keep its canonical text, so
+// that nodes of an earlier build read it.
+TEST(ObjectJson, LimitsOfPipeliningAreOptional) {
+  const std::string declared =
+      R"({"header_timeout_ms":5,"idle_timeout_ms":5,"kind":"caller_limits",)"
+      R"("max_body_bytes":9,"max_header_bytes":9,)";
+  const std::string without = declared + R"("name":"l"})";
+  STRCMP_EQUAL(without.c_str(), CanonicalOf(without).c_str());
+  const std::string with =
+      declared + R"("max_pipelined_bytes":7,"max_pipelined_requests":1,)" +
+      R"("name":"l"})";
+  STRCMP_EQUAL(with.c_str(), CanonicalOf(with).c_str());
+}
+
 TEST(ObjectJson, CollectsEveryFaultWithItsPlace) {
   const ObjectParseResult result = ParseObjectText(
       R"({"kind":"routing_rule","name":"r","selector":7,"path_prefix":"orders",
--- a/tests/proxy/caller_pipeline_test.cc
+++ b/tests/proxy/caller_pipeline_test.cc
@@ -397,6 +397,23 @@
   CHECK(path.RunUntil([&] { return path.entry_requests() == 0; }));
 }
 
+// With a declared limit of one request, a connection is served as before.
+TEST(CallerPipeline, DeclaredLimitTakesPrecedenceOverTheSettings) {
+  path.caller_limits.push_back({.max_header_bytes = 4096,
+                                .max_body_bytes = 4096,
+                                .header_timeout = milliseconds(200),
+                                .idle_timeout = seconds(60),
+                                .max_pipelined_requests = 1});
+  path.SetRule(seconds(3), true);
+  Connection caller(path);
+  caller.Send(Get("/orders/slow") + Get("/orders/2"));
+  CHECK(Received(1));
+  RunFor(milliseconds(100));
+  LONGS_EQUAL(1, backend.received.size());
+  backend.is_released = true;
+  CHECK(Answered(caller, 2));
+}
+
 // Responses above the window's bytes wait on their upstream connections.
 TEST(CallerPipeline, LargeResponsesLeaveInTheirTurn) {
   backend.padding = 200'000;
--- a/tests/proxy/request_path.h
+++ b/tests/proxy/request_path.h
@@ -84,6 +84,7 @@
          .allow_anonymous = allow_anonymous});
     std::ranges::copy(more_rules, std::back_inserter(config.routing_rules));
     config.teams = teams;
+    config.caller_limits = caller_limits;
     const MemberRecord member{
         .node = NodeId("n1"),
         .mesh_address = m_mesh,
@@ -158,6 +159,8 @@
   bool allow_anonymous = false;
   /// Slots of the backend server, from the next SetState or SetRule on.
   std::uint32_t slots = 4;
+  /// Declared from the next SetRule on.
+  std::vector<CallerLimitsObject> caller_limits;
   /// Declared beside the rule for "/orders" from the next SetRule on.
   std::vector<RoutingRuleObject> more_rules;
 
