--- a/tests/proxy/request_path.h
+++ b/tests/proxy/request_path.h
@@ -89,6 +89,7 @@
          .allow_anonymous = allow_anonymous});
     std::ranges::copy(more_rules, std::back_inserter(config.routing_rules));
     config.teams = teams;
+    config.caller_limits = caller_limits;
     m_owner.SetHasTeams(!teams.empty());
     std::vector<MemberRecord> members = {
         {.node = NodeId("n1"),
@@ -181,6 +182,8 @@
   int quota_given_back = 0;
   /// Slots of the backend server, from the next SetState or SetRule on.
   std::uint32_t slots = 4;
+  /// Declared from the next SetRule on.
+  std::vector<CallerLimitsObject> caller_limits;
   /// Declared beside the rule for "/orders" from the next SetRule on.
   std::vector<RoutingRuleObject> more_rules;
 
