--- a/tests/node/key_lease_runner_test.cc
+++ b/tests/node/key_lease_runner_test.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -81,15 +82,13 @@
 // If all nodes that cannot reach the store asked the same nodes of another
 // domain, these would get the requests of the whole fleet.
 TEST(KeyLeaseRunner, NodesAskDifferentNodesOfOtherDomains) {
-  std::vector<NodeId> asked;
+  std::set<NodeId> asked;
   for (const char* self : {"a0", "a1", "a2", "a3", "a4", "a5"}) {
     const std::vector<NodeId> peers =
         ConfirmationPeers(ViewOf(self), {NodeId("a0"), NodeId("a1")});
     CHECK_FALSE(std::ranges::count(peers, NodeId(self)) > 0);
     CHECK(peers.front() == NodeId("a0") || peers.front() == NodeId("a1"));
-    asked.insert(asked.end(), peers.end() - 2, peers.end());
+    asked.insert(peers.end() - 2, peers.end());
   }
-  std::ranges::sort(asked);
-  const auto repeated = std::ranges::unique(asked);
-  CHECK(repeated.begin() - asked.begin() > 3);
+  CHECK(asked.size() > 3);
 }
