Test that a nested call needs no token of its team

Cause: the path of nested calls past the rate limit had no test.

Change: a backend server makes a call with the key of a limited team while it runs a request of that team; one token is asked for.

Conclusion: only the request itself is counted.

--- a/tests/proxy/request_path_test.cc
+++ b/tests/proxy/request_path_test.cc
@@ -1014,3 +1014,39 @@
       "Authorization: Bearer secret-1\r\n\r\n");
   LONGS_EQUAL(0, path.quota_requests);
 }
+
+// A nested call belongs to a request that has a token already, also if it
+// carries the key of the team.
+TEST(RequestPath, NestedCallNeedsNoToken) {
+  RequestPath* running = nullptr;
+  CallerResponse nested;
+  bool is_first = true;
+  RequestPath path(
+      [&](tcp_stream& stream) -> asio::awaitable<void> {
+        co_await ReadBackendRequest(stream);
+        if (std::exchange(is_first, false)) {
+          running->StartSend(
+              "GET /orders HTTP/1.1\r\nHost: mesh\r\nCall-Name: mine.1\r\n"
+              "Authorization: Bearer secret-1\r\n\r\n",
+              {}, nested);
+          asio::steady_timer timer(stream.get_executor());
+          timer.expires_after(milliseconds(100));
+          co_await timer.async_wait(asio::use_awaitable);
+        }
+        co_await WriteText(stream,
+                           "HTTP/1.1 200 OK\r\nProof: 1\r\n"
+                           "Connection: close\r\nContent-Length: 0\r\n\r\n");
+      },
+      kStrictDialect);
+  running = &path;
+  path.teams = {kTeam};
+  path.teams[0].requests_per_s = 5;
+  path.SetRule(milliseconds(2000), false);
+  const CallerResponse response = path.Send(
+      "GET /orders HTTP/1.1\r\nHost: mesh\r\nCall-Name: mine\r\n"
+      "Authorization: Bearer secret-1\r\n\r\n");
+  LONGS_EQUAL(200, response.status);
+  path.RunUntil([&nested] { return nested.complete; });
+  LONGS_EQUAL(200, nested.status);
+  LONGS_EQUAL(1, path.quota_requests);
+}
