Destroy suspended requests before the stages that they use

proxy_test aborted once in three runs of the merged code (heap corruption). valgrind showed the cause: coroutines that are still suspended when the process or a test ends are destroyed with the io_context, after the stages, and the guard of a request then erases itself from a set that no longer exists. The node destroyed its parts in the same order, so a stop with requests in progress could end it by a signal.

Change: the node and the fixture destroy the pending handlers while the stages still exist.

Ruled out: guards with shared ownership. Each guard of a coroutine frame would need it, those of later parts too.

--- a/packages/distribution/banyantrail/distribution/rollout_judge.cc
+++ b/packages/distribution/banyantrail/distribution/rollout_judge.cc
@@ -14,7 +14,7 @@
 }  // namespace
 
 RolloutJudge::RolloutJudge(Options options)
-    : m_options(std::move(options)),
+    : m_options(options),
       m_phase(m_options.phase),
       m_evidence(m_options.evidence),
       m_window_start(m_options.started) {}
--- a/packages/node/banyantrail/node/node.cc
+++ b/packages/node/banyantrail/node/node.cc
@@ -260,7 +260,9 @@
   return services;
 }
 
-Node::~Node() = default;
+Node::~Node() {
+  m_io.DestroyPending();
+}
 
 void Node::Run() {
   kLog.Info("Node " + m_settings.node.str() + " is listening for callers on " +
--- a/packages/node/banyantrail/node/node.h
+++ b/packages/node/banyantrail/node/node.h
@@ -3,6 +3,7 @@
 #include <memory>
 
 #include "banyantrail/net/asio.h"
+#include "banyantrail/net/io_context.h"
 #include "banyantrail/node/node_services.h"
 #include "banyantrail/node/settings.h"
 
@@ -37,7 +38,7 @@
 
   NodeSettings m_settings;
   /// Run by one thread. Other threads only post to it.
-  asio::io_context m_io{1};
+  IoContext m_io{1};
   bool m_draining = false;
   std::unique_ptr<Components> m_components;
 };
--- a/tests/proxy/request_path.h
+++ b/tests/proxy/request_path.h
@@ -13,6 +13,7 @@
 #include <string>
 #include <vector>
 
+#include "banyantrail/net/io_context.h"
 #include "banyantrail/net/tcp_listener.h"
 #include "banyantrail/proxy/entry_stage.h"
 #include "banyantrail/proxy/owner_stage.h"
@@ -65,6 +66,10 @@
     SetRule(milliseconds(300), false);
   }
 
+  ~RequestPath() { io.DestroyPending(); }
+  RequestPath(const RequestPath&) = delete;
+  RequestPath& operator=(const RequestPath&) = delete;
+
   void SetState(BackendServerState state) {
     m_owner.SetBackendServers({Server(state)});
   }
@@ -161,7 +166,7 @@
   std::size_t entry_requests() const { return m_entry.requests_in_progress(); }
   std::size_t owner_requests() const { return m_owner.requests_in_progress(); }
 
-  asio::io_context io;
+  IoContext io;
   std::vector<std::string> refusals;
   int crash_reports = 0;
   /// Mesh version that the owner node announces, from the next SetRule on.
