--- a/packages/node/banyantrail/node/rollout_coordinator.cc
+++ b/packages/node/banyantrail/node/rollout_coordinator.cc
@@ -48,6 +48,7 @@
     }
   }
   std::vector<NodeId> candidates;
+  candidates.reserve(by_domain.size());
   for (const auto& [domain, nodes] : by_domain) {
     candidates.push_back(RendezvousOrder(key, nodes, 1).front());
   }
