--- a/tests/distribution/rollout_director_test.cc
+++ b/tests/distribution/rollout_director_test.cc
@@ -7,7 +7,6 @@
 using banyantrail::milliseconds;
 using banyantrail::NodeId;
 using banyantrail::Revision;
-using banyantrail::RolloutChange;
 using banyantrail::RolloutDirectiveMessage;
 using banyantrail::RolloutDirector;
 using banyantrail::RolloutObject;
