--- a/tests/traffic/quota_simulation_test.cc
+++ b/tests/traffic/quota_simulation_test.cc
@@ -2,6 +2,7 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <cmath>
 #include <cstdio>
 #include <numeric>
 #include <string>
@@ -38,7 +39,7 @@
 RoutedTeam TeamFor(double usual_rate) {
   constexpr double kLimitFactor = 1.6;
   const auto limit =
-      static_cast<std::uint32_t>(kLimitFactor * usual_rate + 0.5);
+      static_cast<std::uint32_t>(std::lround(kLimitFactor * usual_rate));
   return {
       .name = TeamName("surveyors"), .requests_per_s = limit, .burst = limit};
 }
@@ -75,20 +76,17 @@
          Bound(team);
 }
 
-}  // namespace
-
-TEST_GROUP(QuotaSimulation){
-    static QuotaSimulation Make(const Size& size,
-                                const RoutedTeam& team){return QuotaSimulation(
-        {.domains = size.domains, .nodes = size.nodes, .team = team});
+QuotaSimulation Make(const Size& size, const RoutedTeam& team) {
+  return QuotaSimulation(
+      {.domains = size.domains, .nodes = size.nodes, .team = team});
 }
 
 /// Runs a team at its usual rate on the nodes and returns whether it is
 /// within the bound and hardly refused.
-static bool IsHardlyRefused(const Size& size,
-                            double usual_rate,
-                            const std::vector<std::size_t>& nodes,
-                            const std::string& what) {
+bool IsHardlyRefused(const Size& size,
+                     double usual_rate,
+                     const std::vector<std::size_t>& nodes,
+                     const std::string& what) {
   const RoutedTeam team = TeamFor(usual_rate);
   QuotaSimulation simulation = Make(size, team);
   const Duration end = DurationFor(usual_rate);
@@ -101,8 +99,10 @@
   return keeps_bound && KeepsBound(simulation, team) &&
          simulation.outcome().RefusedShare() < kMaxRefusedShare;
 }
-}
-;
+
+}  // namespace
+
+TEST_GROUP(QuotaSimulation){};
 
 // A static part of 1/71 for each node would refuse small teams.
 TEST(QuotaSimulation, EvenlySpreadCallersAreHardlyRefused) {
--- a/tests/traffic/team_flood_test.cc
+++ b/tests/traffic/team_flood_test.cc
@@ -18,7 +18,6 @@
 using banyantrail::AdmissionChanges;
 using banyantrail::AdmissionOptions;
 using banyantrail::AdmissionQueue;
-using banyantrail::AdmissionRequest;
 using banyantrail::Admitted;
 using banyantrail::milliseconds;
 using banyantrail::OfferResult;
