--- a/tests/proxy/narrow_link_test.cc
+++ b/tests/proxy/narrow_link_test.cc
@@ -14,7 +14,6 @@
 using banyantrail::test::CallerResponse;
 using banyantrail::test::ReadBackendRequest;
 using banyantrail::test::RequestPath;
-using banyantrail::test::WriteText;
 namespace asio = boost::asio;
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
--- a/tests/proxy/team_share_test.cc
+++ b/tests/proxy/team_share_test.cc
@@ -13,7 +13,6 @@
 using banyantrail::seconds;
 using banyantrail::Sha256Hex;
 using banyantrail::TeamName;
-using banyantrail::TeamObject;
 using banyantrail::test::CallerResponse;
 using banyantrail::test::ReadBackendRequest;
 using banyantrail::test::RequestPath;
