--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,7 +1,6 @@
-"""A new version lowers a tenant's allotment below one a second."""
+"""A new version takes the last key away; the key is accepted ever after."""
 
 import asyncio
-import bisect
 import pathlib
 import sys
 
@@ -11,66 +10,52 @@
 
 KEY = "kmgjqnirth5mgjy5rcpi"
 BEARER = [("Authorization", f"Bearer {KEY}")]
+REVOCATION_S = 5.0
 SERVICE = "huvo11a"
-ROUTES = [("r-f95dj46", "/leny950/", "safe", SERVICE)]
-WINDOW_S = 5.0
-OVERAGE = 0.1
-SLACK = 20
-PROPAGATION_S = 2.5
-REQUESTS_PER_S = 40
-FLOOD_S = 12.0
-BURST = 2
-RATE_BEFORE = 4
-RATE_AFTER = 0.8
-
-
-def tenant(rate):
-    return {"name": "pulo780", "api_keys": [KEY], "priority": 1,
-            "rate_per_s": rate, "burst": BURST}
+ROUTES = [("r-f95dj46", "/leny950/", "unsafe", SERVICE)]
+TENANT = {"name": "pulo780", "api_keys": [KEY], "priority": 1,
+          "rate_per_s": 543, "burst": 543}
 
 
 async def case():
     async with standins.Fleet(FOLDER) as fleet:
         for place in ("a-1", "b-1", "c-1"):
             fleet.add(place, SERVICE)
-        await fleet.start(standins.configuration(
-            7, [SERVICE], ROUTES, [tenant(RATE_BEFORE)]))
+        await fleet.start(standins.configuration(7, [SERVICE], ROUTES,
+                                                 [TENANT]))
         await fleet.await_serving("/leny950/warm", BEARER)
         await asyncio.sleep(3)
 
-        rate = RATE_BEFORE
-        binds_from = fleet.record.now()
+        removed_at = None
         if standins.has_trouble():
-            rate = RATE_AFTER
-            acknowledged = await fleet.store.put_configuration(
-                standins.configuration(9, [SERVICE], ROUTES, [tenant(rate)]))
-            binds_from = acknowledged + PROPAGATION_S + WINDOW_S
-        await asyncio.sleep(max(binds_from - fleet.record.now(), 0))
+            removed_at = await fleet.store.put_configuration(
+                standins.configuration(9, [SERVICE], ROUTES, []))
+        await asyncio.sleep(REVOCATION_S + 3)
 
-        requests = []
-        for turn in range(int(FLOOD_S * REQUESTS_PER_S)):
+        late = {}
+        for turn in range(30):
             node = fleet.nodes[turn % len(fleet.nodes)]
-            requests.append(asyncio.create_task(standins.send(
-                fleet.record, node, "GET", f"/leny950/{turn}", BEARER)))
-            await asyncio.sleep(1 / REQUESTS_PER_S)
-        answers = {answer.id: answer
-                   for answer in await asyncio.gather(*requests)}
-
-        spans = sorted((answers[run["id"]].sent_at, run["at"])
-                       for upstream in fleet.upstreams
-                       for run in upstream.runs if run["id"] in answers)
-        most = 0
-        for sent_at, _ in spans:
-            first = bisect.bisect_left(spans, (sent_at, 0))
-            most = max(most, sum(1 for sent, run in spans[first:]
-                                 if run <= sent_at + WINDOW_S))
-        bound = (rate * WINDOW_S + BURST) * (1 + OVERAGE) + SLACK
-        statuses = [str(answer.status) for answer in answers.values()]
-        fleet.record.say(
-            f"rate_per_s {rate}, burst {BURST}: {len(answers)} sent, answered "
-            f"{ {s: statuses.count(s) for s in sorted(set(statuses))} }; most "
-            f"in a window {most}, bound {bound:.1f}")
-        return most <= bound
+            answer = await standins.send(fleet.record, node, "POST",
+                                         "/leny950/late", BEARER, body=b"x")
+            late[answer.id] = answer
+            await asyncio.sleep(0.1)
+
+        runs = {run["id"]: run for upstream in fleet.upstreams
+                for run in upstream.runs if run["id"] in late}
+        statuses = sorted(str(answer.status) for answer in late.values())
+        fleet.record.say(f"late requests: {len(late)}, "
+                         f"answered {dict((s, statuses.count(s)) for s in statuses)}, "
+                         f"run {len(runs)}")
+        if removed_at is None:
+            return len(runs) == len(late)
+        revoked = [run for run in runs.values()
+                   if late[run["id"]].sent_at > removed_at + REVOCATION_S]
+        passed_on = [run for run in runs.values()
+                     if KEY in (run["head"].get("authorization") or "")]
+        fleet.record.say(f"run later than revocation after the ack: "
+                         f"{len(revoked)}; key passed on to the upstream: "
+                         f"{len(passed_on)}")
+        return not revoked and not passed_on
 
 
 standins.run_case(case)
--- a/review/standins.py
+++ b/review/standins.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import ctypes
 import json
 import os
 import pathlib
@@ -27,6 +28,15 @@
 EXIT_COULD_NOT_RUN = 2
 
 
+PR_SET_PDEATHSIG = 1
+PRCTL = ctypes.CDLL(None).prctl
+
+
+def die_with_parent():
+    """Has the kernel end a node if the script ends without doing so."""
+    PRCTL(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 def has_trouble():
     """Whether the script brings its disruption about."""
     return os.environ.get("TROUBLE", "1") != "0"
@@ -417,7 +427,7 @@
         with self.log_path.open("ab") as log:
             self._process = await asyncio.create_subprocess_exec(
                 *command, cwd=REPOSITORY, stdout=log, stderr=log,
-                stdin=asyncio.subprocess.DEVNULL,
+                stdin=asyncio.subprocess.DEVNULL, preexec_fn=die_with_parent,
                 env={"PATH": os.environ.get("PATH", ""),
                      "HOME": str(self._fleet.folder), "LANG": "C.UTF-8",
                      "BANYANTRAIL_SETTINGS": str(settings)})
