--- a/review/standins.py
+++ b/review/standins.py
@@ -616,6 +616,50 @@
         return Answer(error=type(error).__name__)
 
 
+class KeptConnection:
+    """A consumer's connection to its node that carries one request after
+    another."""
+
+    def __init__(self, record, node):
+        self._record = record
+        self._node = node
+
+    async def open(self):
+        host, port = self._node.listen["outbound"].rsplit(":", 1)
+        self._reader, self._writer = await asyncio.open_connection(
+            host, int(port), limit=1 << 20)
+
+    async def ask(self, method, target, body=b"", time_limit_ms=1500,
+                  kind="request"):
+        request_id = os.urandom(8).hex()
+        lines = [f"{method} {target} HTTP/1.1", f"Host: {HOST}",
+                 f"Request-Id: {request_id}",
+                 f"Deadline-Milliseconds: {time_limit_ms}"]
+        if body:
+            lines.append(f"Content-Length: {len(body)}")
+        self._record.write(f"{kind}-sent", node=self._node.name, id=request_id,
+                           method=method, target=target)
+        answer = Answer()
+        try:
+            self._writer.write(
+                ("\r\n".join(lines) + "\r\n\r\n").encode() + body)
+            head, answer_body = await asyncio.wait_for(
+                read_message(self._reader), time_limit_ms / 1000 + 0.3)
+            answer = Answer(int(head.line.split(" ")[1]), head, answer_body)
+        except asyncio.TimeoutError:
+            answer.error = "timeout"
+        except BROKEN_CONNECTION as error:
+            answer.error = type(error).__name__
+        self._record.write(f"{kind}-answered", node=self._node.name,
+                           id=request_id, status=answer.status,
+                           error=answer.error)
+        answer.id = request_id
+        return answer
+
+    def close(self):
+        self._writer.transport.abort()
+
+
 async def send(record, node, method, target, fields=(), body=None,
                chunked=False, time_limit_ms=1500, request_id=None,
                kind="request", host=HOST):
