--- a/review/standins.py
+++ b/review/standins.py
@@ -526,12 +526,12 @@
         return [str(settings) if word == "/etc/banyantrail/local.json" else word
                 for word in words]
 
-    def add(self, place, service, **options):
+    def add(self, place, service, upstream_type=Upstream, **options):
         """Adds a machine. `place` is such as a-1: the first one of zone a."""
         letter, number = place.split("-")
         zone = ZONES[letter]
-        upstream = Upstream(self.ports.take(), self.record, service, zone,
-                            **options)
+        upstream = upstream_type(self.ports.take(), self.record, service, zone,
+                                 **options)
         node = Node(self, f"sidecar-{zone}-{number}", zone, upstream)
         self.upstreams.append(upstream)
         self.nodes.append(node)
