--- a/review/standins.py
+++ b/review/standins.py
@@ -65,8 +65,7 @@
 
 
 class Ports:
-    """Ports that are free now. Each stays bound until it is taken, so that none
-    is given out twice."""
+    """Ports that were free when they were given out, none of them twice."""
 
     def __init__(self):
         self._given = set()
