Apply accepted configurations by what a node can represent

Cause, from a node's /metrics after such a version: refused_does_not_compile counted it and the applied revision stayed, so the version had been read and was turned down when it was compiled. The limits on what operators declare (counts, lengths, characters, ranges) were checked again at each node, on what the users' store had already accepted by its own rules.

Ruled out: size of the value, the release and the messages between nodes (2 KB; one node alone does it too); the key lease, which rightly finds that the newest configuration is not in force.

Change: ValueChecks. Declared objects are checked as before where a change is declared (banyantrailctl, POST /v1/changes). Nodes, and the tools that read applied releases back, check types, references and what the types can hold.

Conclusion: a limit that protects declarations belongs to the place where they are made; a node that turns down what was accepted keeps an old configuration in force.

--- a/packages/config/banyantrail/config/compile.cc
+++ b/packages/config/banyantrail/config/compile.cc
@@ -62,7 +62,7 @@
     Append(std::move(json.faults), faults);
     return;
   }
-  ObjectParseResult parsed = ParseObject(json.value, "");
+  ObjectParseResult parsed = ParseObject(json.value, "", options.checks);
   if (!parsed.object) {
     Append(std::move(parsed.faults), faults);
     return;
@@ -333,7 +333,9 @@
 CompileResult CompileRelease(const Release& release,
                              const CompileOptions& options) {
   CompileResult result;
-  CheckSize(release.objects, result.faults);
+  if (options.checks == ValueChecks::kDeclared) {
+    CheckSize(release.objects, result.faults);
+  }
   if (!result.faults.empty()) {
     return result;
   }
--- a/packages/config/banyantrail/config/compile.h
+++ b/packages/config/banyantrail/config/compile.h
@@ -7,15 +7,16 @@
 #include <string>
 #include <vector>
 
+#include "banyantrail/config/json_object_reader.h"
 #include "banyantrail/config/release.h"
 
 namespace banyantrail {
 
-/// Maximum number of objects in one release.
+/// Maximum number of objects in one declared release.
 inline constexpr std::size_t kMaxReleaseObjects = 20'000;
-/// Maximum total size of the keys and canonical texts of one release. A whole
-/// release must fit, with its encoding overhead, into one 8 MiB frame between
-/// nodes.
+/// Maximum total size of the keys and canonical texts of one declared release.
+/// A whole release must fit, with its encoding overhead, into one 8 MiB frame
+/// between nodes.
 inline constexpr std::size_t kMaxReleaseBytes = std::size_t{6} << 20U;
 /// Maximum number of routing rules with the same host and path prefix, which
 /// differ in selector or method.
@@ -41,6 +42,7 @@
 };
 
 struct CompileOptions {
+  ValueChecks checks = ValueChecks::kDeclared;
   /// Keys that count as declared although they are absent, because the faults
   /// of these objects are reported elsewhere. Only for collecting faults: the
   /// resulting configuration would not contain these objects.
@@ -52,7 +54,8 @@
 
 /// Validates a release as a whole: every text, every reference, the ranks, and
 /// that no two routing rules can match the same request on the same proxy.
-/// Deterministic in the release alone, so every node gets the same result.
+/// Deterministic in the release and the checks alone, so every node gets the
+/// same result.
 CompileResult CompileRelease(const Release& release,
                              const CompileOptions& options = {});
 
--- a/packages/config/banyantrail/config/json_object_reader.cc
+++ b/packages/config/banyantrail/config/json_object_reader.cc
@@ -38,20 +38,35 @@
 
 JsonObjectReader::JsonObjectReader(const json& json,
                                    std::string place,
-                                   std::vector<Fault>& faults)
-    : m_json(&json), m_place(std::move(place)), m_faults(&faults) {
+                                   std::vector<Fault>& faults,
+                                   ValueChecks checks)
+    : m_json(&json),
+      m_place(std::move(place)),
+      m_faults(&faults),
+      m_checks(checks) {
   if (!json.is_object()) {
     AddFault("", std::string("is a JSON ") + json.type_name(),
              "write a JSON object");
   }
 }
 
+JsonObjectReader JsonObjectReader::Nested(const json& json,
+                                          std::string_view field) const {
+  return {json, PlaceOf(field), *m_faults, m_checks};
+}
+
 std::string JsonObjectReader::RequiredString(std::string_view key,
                                              const TextRule& rule) {
   const json* value = FindRequired(key);
   return value == nullptr ? "" : CheckedString(key, *value, rule);
 }
 
+std::string JsonObjectReader::RequiredKeyword(std::string_view key,
+                                              const TextRule& rule) {
+  const json* value = FindRequired(key);
+  return value == nullptr ? "" : MatchingString(key, *value, rule, true);
+}
+
 std::string JsonObjectReader::OptionalString(std::string_view key,
                                              const TextRule& rule,
                                              std::string fallback) {
@@ -105,10 +120,15 @@
   std::vector<std::string> strings = OptionalStrings(key, rule, max_count);
   std::ranges::sort(strings);
   const auto duplicate = std::ranges::adjacent_find(strings);
-  if (duplicate != strings.end()) {
+  if (duplicate == strings.end()) {
+    return strings;
+  }
+  if (m_checks == ValueChecks::kDeclared) {
     AddFault(key, "contains " + Abbreviate(*duplicate) + " more than once",
              "remove the duplicate");
   }
+  const auto duplicates = std::ranges::unique(strings);
+  strings.erase(duplicates.begin(), duplicates.end());
   return strings;
 }
 
@@ -208,13 +228,21 @@
 std::string JsonObjectReader::CheckedString(std::string_view field,
                                             const json& value,
                                             const TextRule& rule) {
+  return MatchingString(field, value, rule,
+                        m_checks == ValueChecks::kDeclared);
+}
+
+std::string JsonObjectReader::MatchingString(std::string_view field,
+                                             const json& value,
+                                             const TextRule& rule,
+                                             bool must_match) {
   if (!value.is_string()) {
     AddFault(field, "is " + Abbreviate(value) + ", not a string",
              "write " + std::string(rule.allowed));
     return "";
   }
   const auto& text = value.get_ref<const std::string&>();
-  if (!rule.accepts(text)) {
+  if (must_match && !rule.accepts(text)) {
     AddFault(field, "is " + Abbreviate(value) + ", which is not allowed",
              "write " + std::string(rule.allowed));
   }
@@ -224,16 +252,18 @@
 std::uint64_t JsonObjectReader::CheckedInteger(std::string_view key,
                                                const json& value,
                                                IntegerBounds bounds) {
+  const std::uint64_t max =
+      m_checks == ValueChecks::kDeclared ? bounds.max : bounds.max_accepted;
   const std::string remedy = "write a whole number from " +
                              std::to_string(bounds.min) + " to " +
-                             std::to_string(bounds.max);
+                             std::to_string(max);
   if (!value.is_number_integer()) {
     AddFault(key, "is " + Abbreviate(value) + ", not a whole number", remedy);
     return bounds.min;
   }
   const bool in_bounds = value.is_number_unsigned() &&
                          value.get<std::uint64_t>() >= bounds.min &&
-                         value.get<std::uint64_t>() <= bounds.max;
+                         value.get<std::uint64_t>() <= max;
   if (!in_bounds) {
     AddFault(key, "is " + Abbreviate(value) + ", which is out of bounds",
              remedy);
@@ -245,7 +275,7 @@
 bool JsonObjectReader::CheckCount(std::string_view key,
                                   const json& value,
                                   std::size_t max_count) {
-  if (value.size() <= max_count) {
+  if (m_checks == ValueChecks::kAccepted || value.size() <= max_count) {
     return true;
   }
   AddFault(key, "has " + std::to_string(value.size()) + " entries",
--- a/packages/config/banyantrail/config/json_object_reader.h
+++ b/packages/config/banyantrail/config/json_object_reader.h
@@ -15,10 +15,24 @@
 
 namespace banyantrail {
 
+/// What a reader checks beyond the types of the fields.
+enum class ValueChecks {
+  /// The limits on what operators declare: characters, lengths, counts, ranges
+  /// and duplicates.
+  kDeclared,
+  /// Only what the program can represent. For objects that have already been
+  /// accepted, elsewhere and perhaps by other limits: a node that turned one
+  /// down would keep an old configuration in force.
+  kAccepted,
+};
+
 /// Inclusive bounds of an integer field.
 struct IntegerBounds {
   std::uint64_t min = 0;
+  /// Limit on declared values.
   std::uint64_t max = UINT64_MAX;
+  /// Limit on accepted values: what the type of the field can represent.
+  std::uint64_t max_accepted = UINT32_MAX;
 };
 
 /// Reads the fields of one JSON object and collects every fault instead of
@@ -30,9 +44,16 @@
   /// `json` and `faults` must outlive the reader.
   JsonObjectReader(const nlohmann::json& json,
                    std::string place,
-                   std::vector<Fault>& faults);
+                   std::vector<Fault>& faults,
+                   ValueChecks checks = ValueChecks::kDeclared);
+
+  /// Reads a nested object with the same checks. `json` must outlive it.
+  JsonObjectReader Nested(const nlohmann::json& json,
+                          std::string_view field) const;
 
   std::string RequiredString(std::string_view key, const TextRule& rule);
+  /// A string that selects one of several forms, so that its rule always holds.
+  std::string RequiredKeyword(std::string_view key, const TextRule& rule);
   std::string OptionalString(std::string_view key,
                              const TextRule& rule,
                              std::string fallback);
@@ -46,8 +67,8 @@
   std::vector<std::string> OptionalStrings(std::string_view key,
                                            const TextRule& rule,
                                            std::size_t max_count);
-  /// For strings whose order is irrelevant: returns them sorted and reports
-  /// duplicates.
+  /// For strings whose order is irrelevant: returns them sorted, each once.
+  /// Duplicates of declared strings are faults.
   std::vector<std::string> OptionalStringSet(std::string_view key,
                                              const TextRule& rule,
                                              std::size_t max_count);
@@ -78,6 +99,10 @@
   std::string CheckedString(std::string_view field,
                             const nlohmann::json& value,
                             const TextRule& rule);
+  std::string MatchingString(std::string_view field,
+                             const nlohmann::json& value,
+                             const TextRule& rule,
+                             bool must_match);
   std::uint64_t CheckedInteger(std::string_view key,
                                const nlohmann::json& value,
                                IntegerBounds bounds);
@@ -88,6 +113,7 @@
   const nlohmann::json* m_json;
   std::string m_place;
   std::vector<Fault>* m_faults;
+  ValueChecks m_checks;
   std::set<std::string, std::less<>> m_read_keys;
 };
 
--- a/packages/config/banyantrail/config/object_json.cc
+++ b/packages/config/banyantrail/config/object_json.cc
@@ -19,6 +19,8 @@
 constexpr std::uint64_t kMaxRankPriority = 255;
 constexpr std::uint64_t kMaxSharePercent = 100;
 constexpr std::uint64_t kMaxDeadlineMs = 24ULL * 60 * 60 * 1000;
+/// Some 30 years: a time that can be added to any other.
+constexpr std::uint64_t kMaxAcceptedMs = 1'000'000'000'000;
 constexpr std::size_t kMaxSplitTargets = 32;
 constexpr std::uint64_t kMaxWeight = 1'000'000;
 constexpr std::uint64_t kMaxAttempts = 16;
@@ -31,6 +33,19 @@
 constexpr std::uint64_t kMaxRequestsPerS = 10'000'000;
 constexpr std::uint64_t kMaxHoldForS = 31ULL * 24 * 60 * 60;
 
+constexpr IntegerBounds kPriorityBounds{.max = kMaxRankPriority,
+                                        .max_accepted = kMaxRankPriority};
+constexpr IntegerBounds kShareBounds{.max = kMaxSharePercent,
+                                     .max_accepted = kMaxSharePercent};
+constexpr IntegerBounds kDeadlineBounds{.min = 1,
+                                        .max = kMaxDeadlineMs,
+                                        .max_accepted = kMaxAcceptedMs};
+constexpr IntegerBounds kTargetLatencyBounds{.max = kMaxDeadlineMs,
+                                             .max_accepted = kMaxAcceptedMs};
+constexpr IntegerBounds kCallerTimeoutBounds{.min = 1,
+                                             .max = kMaxCallerTimeoutMs,
+                                             .max_accepted = kMaxAcceptedMs};
+
 struct OperatorName {
   LabelOperator op;
   std::string_view name;
@@ -76,7 +91,7 @@
 LabelRequirement ReadRequirement(JsonObjectReader reader) {
   LabelRequirement requirement;
   requirement.key = reader.RequiredString("key", kLabelKeyRule);
-  const auto op = ParseOperator(reader.RequiredString("op", kOperatorRule));
+  const auto op = ParseOperator(reader.RequiredKeyword("op", kOperatorRule));
   requirement.values =
       reader.OptionalStringSet("values", kLabelValueRule, kMaxLabelValues);
   reader.Finish();
@@ -87,14 +102,13 @@
   return requirement;
 }
 
-SelectorObject ReadSelector(JsonObjectReader& reader,
-                            std::vector<Fault>& faults) {
+SelectorObject ReadSelector(JsonObjectReader& reader) {
   SelectorObject selector;
   for (const json& element : reader.OptionalArray("match", kMaxRequirements)) {
     const std::string field =
         "match[" + std::to_string(selector.requirements.size()) + "]";
-    selector.requirements.push_back(ReadRequirement(
-        JsonObjectReader(element, reader.PlaceOf(field), faults)));
+    selector.requirements.push_back(
+        ReadRequirement(reader.Nested(element, field)));
   }
   return selector;
 }
@@ -109,20 +123,18 @@
 RankObject ReadRank(JsonObjectReader& reader) {
   RankObject rank;
   rank.priority = static_cast<std::uint8_t>(
-      reader.RequiredInteger("priority", {.max = kMaxRankPriority}));
+      reader.RequiredInteger("priority", kPriorityBounds));
   rank.share_percent = static_cast<std::uint8_t>(
-      reader.OptionalInteger("share_percent", {.max = kMaxSharePercent}, 0));
+      reader.OptionalInteger("share_percent", kShareBounds, 0));
   return rank;
 }
 
 /// A rule names either one service or a split over several.
-void ReadTarget(JsonObjectReader& reader,
-                std::vector<Fault>& faults,
-                RoutingRuleObject& rule) {
+void ReadTarget(JsonObjectReader& reader, RoutingRuleObject& rule) {
   for (const json& element : reader.OptionalArray("split", kMaxSplitTargets)) {
     const std::string field =
         "split[" + std::to_string(rule.split.size()) + "]";
-    JsonObjectReader target(element, reader.PlaceOf(field), faults);
+    JsonObjectReader target = reader.Nested(element, field);
     rule.split.push_back(
         {.service = ServiceName(target.RequiredString("service", kNameRule)),
          .weight = static_cast<std::uint32_t>(
@@ -145,20 +157,19 @@
   }
 }
 
-RoutingRuleObject ReadRoutingRule(JsonObjectReader& reader,
-                                  std::vector<Fault>& faults) {
+RoutingRuleObject ReadRoutingRule(JsonObjectReader& reader) {
   RoutingRuleObject rule;
   rule.selector = SelectorName(reader.RequiredString("selector", kNameRule));
   rule.host = reader.OptionalString("host", kHostRule, "");
   rule.path_prefix = reader.RequiredString("path_prefix", kPathPrefixRule);
   rule.methods = reader.OptionalStringSet("methods", kMethodRule, kMaxMethods);
-  ReadTarget(reader, faults, rule);
+  ReadTarget(reader, rule);
   rule.rank = RankName(reader.RequiredString("rank", kNameRule));
   rule.idempotent = reader.OptionalBool("idempotent", false);
-  rule.deadline = milliseconds(
-      reader.RequiredInteger("deadline_ms", {.min = 1, .max = kMaxDeadlineMs}));
+  rule.deadline =
+      milliseconds(reader.RequiredInteger("deadline_ms", kDeadlineBounds));
   rule.target_latency = milliseconds(
-      reader.OptionalInteger("target_latency_ms", {.max = kMaxDeadlineMs}, 0));
+      reader.OptionalInteger("target_latency_ms", kTargetLatencyBounds, 0));
   rule.max_attempts = static_cast<std::uint32_t>(
       reader.OptionalInteger("max_attempts", {.max = kMaxAttempts}, 0));
   rule.allow_anonymous = reader.OptionalBool("allow_anonymous", false);
@@ -179,23 +190,24 @@
 }
 
 milliseconds ReadCallerTimeout(JsonObjectReader& reader, std::string_view key) {
-  return milliseconds(
-      reader.RequiredInteger(key, {.min = 1, .max = kMaxCallerTimeoutMs}));
+  return milliseconds(reader.RequiredInteger(key, kCallerTimeoutBounds));
 }
 
 CallerLimitsObject ReadCallerLimits(JsonObjectReader& reader) {
   CallerLimitsObject limits;
   limits.max_header_bytes = static_cast<std::uint32_t>(reader.RequiredInteger(
       "max_header_bytes", {.min = 1, .max = kMaxCallerHeaderBytes}));
-  limits.max_body_bytes =
-      reader.RequiredInteger("max_body_bytes", {.max = kMaxCallerBodyBytes});
+  limits.max_body_bytes = reader.RequiredInteger(
+      "max_body_bytes",
+      {.max = kMaxCallerBodyBytes, .max_accepted = UINT64_MAX});
   limits.header_timeout = ReadCallerTimeout(reader, "header_timeout_ms");
   limits.idle_timeout = ReadCallerTimeout(reader, "idle_timeout_ms");
   limits.max_pipelined_requests =
       static_cast<std::uint32_t>(reader.OptionalInteger(
           "max_pipelined_requests", {.max = kMaxPipelinedRequests}, 0));
   limits.max_pipelined_bytes = reader.OptionalInteger(
-      "max_pipelined_bytes", {.max = kMaxPipelinedBytes}, 0);
+      "max_pipelined_bytes",
+      {.max = kMaxPipelinedBytes, .max_accepted = UINT64_MAX}, 0);
   return limits;
 }
 
@@ -210,23 +222,23 @@
       reader.OptionalInteger("requests_per_s", {.max = kMaxRequestsPerS}, 0));
   team.burst = static_cast<std::uint32_t>(
       reader.OptionalInteger("burst", {.max = kMaxRequestsPerS}, 0));
+  team.disabled = reader.OptionalBool("disabled", false);
   return team;
 }
 
 std::optional<ConfigObject> ReadObjectOfKind(std::string_view kind,
-                                             JsonObjectReader& reader,
-                                             std::vector<Fault>& faults) {
+                                             JsonObjectReader& reader) {
   if (kind == "service") {
     return ReadService(reader);
   }
   if (kind == "selector") {
-    return ReadSelector(reader, faults);
+    return ReadSelector(reader);
   }
   if (kind == "rank") {
     return ReadRank(reader);
   }
   if (kind == "routing_rule") {
-    return ReadRoutingRule(reader, faults);
+    return ReadRoutingRule(reader);
   }
   if (kind == "alert_rule") {
     return ReadAlertRule(reader);
@@ -352,6 +364,9 @@
     out["requests_per_s"] = team.requests_per_s;
     out["burst"] = team.burst;
   }
+  if (team.disabled) {
+    out["disabled"] = true;
+  }
 }
 
 void AddFields(const CallerLimitsObject& limits, json& out) {
@@ -377,19 +392,21 @@
 
 }  // namespace
 
-ObjectParseResult ParseObject(const json& object, std::string_view source) {
+ObjectParseResult ParseObject(const json& object,
+                              std::string_view source,
+                              ValueChecks checks) {
   ObjectParseResult result;
-  JsonObjectReader reader(object, PlaceOfObject(object, source), result.faults);
-  const std::string kind = reader.RequiredString("kind", kKindRule);
+  JsonObjectReader reader(object, PlaceOfObject(object, source), result.faults,
+                          checks);
+  const std::string kind = reader.RequiredKeyword("kind", kKindRule);
   const std::string name = reader.RequiredString("name", kNameRule);
-  std::optional<ConfigObject> parsed =
-      ReadObjectOfKind(kind, reader, result.faults);
+  std::optional<ConfigObject> parsed = ReadObjectOfKind(kind, reader);
   if (!parsed) {
     return result;
   }
   reader.Finish();
   SetName(*parsed, name);
-  if (result.faults.empty()) {
+  if (result.faults.empty() && checks == ValueChecks::kDeclared) {
     CheckSize(*parsed, reader);
   }
   if (result.faults.empty()) {
--- a/packages/config/banyantrail/config/object_json.h
+++ b/packages/config/banyantrail/config/object_json.h
@@ -7,12 +7,13 @@
 #include <string_view>
 #include <vector>
 
+#include "banyantrail/config/json_object_reader.h"
 #include "banyantrail/config/objects.h"
 #include "banyantrail/config/release.h"
 
 namespace banyantrail {
 
-/// Maximum size of the canonical JSON of one object.
+/// Maximum size of the canonical JSON of one declared object.
 inline constexpr std::size_t kMaxObjectBytes = std::size_t{64} << 10U;
 
 /// The parsed object, or all faults found in its JSON.
@@ -25,7 +26,8 @@
 /// Parses one object. `source` identifies its origin, for example a file and
 /// the position in it, and prefixes the place of each fault. May be empty.
 ObjectParseResult ParseObject(const nlohmann::json& json,
-                              std::string_view source);
+                              std::string_view source,
+                              ValueChecks checks = ValueChecks::kDeclared);
 
 /// Like ParseObject, from text. A syntax error is reported as a fault.
 ObjectParseResult ParseObjectText(std::string_view text,
--- a/packages/config/banyantrail/config/objects.h
+++ b/packages/config/banyantrail/config/objects.h
@@ -153,6 +153,8 @@
   std::uint32_t requests_per_s = 0;
   /// Number of requests that the team may send at once above that rate.
   std::uint32_t burst = 0;
+  /// If true, requests with a key of the team are refused.
+  bool disabled = false;
 
   friend bool operator==(const TeamObject&, const TeamObject&) = default;
 };
--- a/packages/config/banyantrail/config/release_compiler.cc
+++ b/packages/config/banyantrail/config/release_compiler.cc
@@ -11,7 +11,8 @@
     return m_result;
   }
   m_result = std::make_shared<const CompileResult>(
-      CompileRelease(release, {.parsed_objects = &m_parsed_objects}));
+      CompileRelease(release, {.checks = ValueChecks::kAccepted,
+                               .parsed_objects = &m_parsed_objects}));
   m_revision = release.revision;
   m_digest = release.digest;
   std::erase_if(m_parsed_objects.entries, [&release](const auto& entry) {
--- a/packages/config/banyantrail/config/release_compiler.h
+++ b/packages/config/banyantrail/config/release_compiler.h
@@ -8,7 +8,7 @@
 
 namespace banyantrail {
 
-/// Compiles the releases of one node. The result for the latest release is
+/// Compiles the accepted releases of one node. The result for the latest release is
 /// cached, since both distribution and routing need it, and only objects that
 /// differ from the previous release are parsed. Thread-safe.
 class ReleaseCompiler {
--- a/packages/config/banyantrail/config/release_json.cc
+++ b/packages/config/banyantrail/config/release_json.cc
@@ -40,9 +40,10 @@
 
 Release ParseRelease(const json& value) {
   std::vector<Fault> faults;
-  JsonObjectReader reader(value, "release", faults);
+  JsonObjectReader reader(value, "release", faults, ValueChecks::kAccepted);
   Release release;
-  release.revision = reader.RequiredInteger("revision", {});
+  release.revision =
+      reader.RequiredInteger("revision", {.max_accepted = UINT64_MAX});
   release.digest = reader.RequiredString("digest", kLineRule);
   release.change = ChangeId(reader.RequiredString("change", kLineRule));
   const json objects = reader.OptionalObject("objects", kMaxReleaseObjects);
--- a/packages/core/banyantrail/core/text.cc
+++ b/packages/core/banyantrail/core/text.cc
@@ -1,5 +1,6 @@
 #include "banyantrail/core/text.h"
 
+#include <algorithm>
 #include <boost/locale/utf.hpp>
 #include <nlohmann/json.hpp>
 
@@ -34,6 +35,18 @@
   return true;
 }
 
+bool IsFieldValue(std::string_view text) {
+  constexpr char kFirstPrintable = 0x20;
+  constexpr char kDelete = 0x7F;
+  if (text.empty() || text.starts_with(' ') || text.ends_with(' ')) {
+    return false;
+  }
+  return std::ranges::none_of(text, [](char c) {
+    const bool is_ascii = static_cast<unsigned char>(c) <= kDelete;
+    return is_ascii && (c < kFirstPrintable || c == kDelete);
+  });
+}
+
 std::string ToJsonText(const nlohmann::json& value) {
   return value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
--- a/packages/ctl/banyantrail/ctl/query_commands.cc
+++ b/packages/ctl/banyantrail/ctl/query_commands.cc
@@ -91,7 +91,8 @@
                         "pass a node listed by `banyantrailctl members`");
   }
   const Release release = GetAppliedRelease(context.client);
-  const CompileResult compiled = CompileRelease(release);
+  const CompileResult compiled =
+      CompileRelease(release, {.checks = ValueChecks::kAccepted});
   json rules = json::array();
   if (compiled.config) {
     for (const RuleExplanation& entry :
--- a/packages/ctl/banyantrail/ctl/rule_status.cc
+++ b/packages/ctl/banyantrail/ctl/rule_status.cc
@@ -251,7 +251,8 @@
     const Release& declared,
     const std::map<Revision, ObjectTexts>& releases,
     RuleStatusOptions options) {
-  const CompileResult compiled = CompileRelease(declared);
+  const CompileResult compiled =
+      CompileRelease(declared, {.checks = ValueChecks::kAccepted});
   if (!compiled.config) {
     throw Error({.kind = ErrorKind::kInvalidDeclaration,
                  .message = "this version cannot compile the release: " +
--- a/packages/node/banyantrail/node/admin_api.cc
+++ b/packages/node/banyantrail/node/admin_api.cc
@@ -330,7 +330,9 @@
 HttpResponse AdminApi::Explain() const {
   json rules = json::array();
   const std::optional<CompiledConfig> config =
-      CompileRelease(*m_options.control.applied_release()).config;
+      CompileRelease(*m_options.control.applied_release(),
+                     {.checks = ValueChecks::kAccepted})
+          .config;
   if (config) {
     for (const RuleExplanation& entry :
          ExplainRules(*config, m_options.settings.labels)) {
--- a/packages/proxy/banyantrail/proxy/entry_routing.cc
+++ b/packages/proxy/banyantrail/proxy/entry_routing.cc
@@ -87,6 +87,9 @@
     return RefusalReason::kUnknownKey;
   }
   context.team = caller.team;
+  if (context.team != nullptr && context.team->disabled) {
+    return RefusalReason::kTeamDisabled;
+  }
   if (context.team != nullptr) {
     context.priority = context.team->priority.value_or(context.priority);
   }
--- a/packages/traffic/banyantrail/traffic/refusal_reason.cc
+++ b/packages/traffic/banyantrail/traffic/refusal_reason.cc
@@ -30,6 +30,7 @@
     {"no_backend_server", true, kResendLater},
     {"route_disabled", true, kResendLater},
     {"unknown_key", true, "Send a key of a declared team."},
+    {"team_disabled", true, kResendLater},
     {"key_lease_expired", true, kResendLater},
     {"team_quota", true,
      "Send the request again after Retry-After, or raise the team's limit."},
--- a/packages/traffic/banyantrail/traffic/refusal_reason.h
+++ b/packages/traffic/banyantrail/traffic/refusal_reason.h
@@ -21,6 +21,7 @@
   kNoBackendServer,
   kRouteDisabled,
   kUnknownKey,
+  kTeamDisabled,
   kKeyLeaseExpired,
   kTeamQuota,
   // Refused by the node that owns the backend server.
--- a/packages/traffic/banyantrail/traffic/routing_snapshot.cc
+++ b/packages/traffic/banyantrail/traffic/routing_snapshot.cc
@@ -104,7 +104,8 @@
   for (const TeamObject& team : config.teams) {
     RoutedTeam routed{.name = team.name,
                       .requests_per_s = team.requests_per_s,
-                      .burst = team.burst};
+                      .burst = team.burst,
+                      .disabled = team.disabled};
     const RankObject* rank = FindByName(config.ranks, team.rank);
     if (rank != nullptr) {
       routed.priority = rank->priority;
--- a/packages/traffic/banyantrail/traffic/routing_snapshot.h
+++ b/packages/traffic/banyantrail/traffic/routing_snapshot.h
@@ -92,6 +92,7 @@
   /// Limit over all nodes; 0 is no limit.
   std::uint32_t requests_per_s = 0;
   std::uint32_t burst = 0;
+  bool disabled = false;
 
   friend bool operator==(const RoutedTeam&, const RoutedTeam&) = default;
 };
--- a/tests/config/compile_test.cc
+++ b/tests/config/compile_test.cc
@@ -142,6 +142,19 @@
   CHECK(IsOnlyFault(objects, "release"));
 }
 
+TEST(Compile, LimitsOnDeclarationsDoNotHoldForAcceptedReleases) {
+  ObjectTexts objects = SampleObjects();
+  for (std::size_t i = 0; i <= banyantrail::kMaxReleaseObjects; ++i) {
+    Put(banyantrail::ServiceObject{
+            .name = banyantrail::ServiceName("more " + std::to_string(i))},
+        objects);
+  }
+  const auto result =
+      CompileRelease({.revision = 4, .objects = objects},
+                     {.checks = banyantrail::ValueChecks::kAccepted});
+  CHECK(result.config.has_value());
+}
+
 TEST(Compile, RefusesTooManyRulesOfOnePrefix) {
   ObjectTexts objects = SampleObjects();
   RoutingRuleObject rule = kOrdersRule;
--- a/tests/config/object_json_test.cc
+++ b/tests/config/object_json_test.cc
@@ -13,6 +13,8 @@
 using banyantrail::Fault;
 using banyantrail::ObjectParseResult;
 using banyantrail::ParseObjectText;
+using banyantrail::TeamObject;
+using banyantrail::ValueChecks;
 
 namespace {
 
@@ -143,6 +145,41 @@
   CHECK(HasFault(ParseObjectText("[]", "f"), "f: ?/?"));
 }
 
+// Guards against a node that turns down what has been accepted, because its own
+// limits on declarations are narrower: review/7.
+TEST(ObjectJson, LimitsOnDeclarationsDoNotHoldForAcceptedObjects) {
+  const auto accepted = [](const std::string& text) {
+    return banyantrail::ParseObject(nlohmann::json::parse(text), "",
+                                    ValueChecks::kAccepted);
+  };
+  const auto rule = accepted(
+      R"({"kind":"routing_rule","name":"r 1","selector":"s","rank":"k",
+          "service":"ü","path_prefix":"/a%20b//","host":"[fd00::1]",
+          "max_attempts":20,"deadline_ms":100000000000})");
+  CHECK(rule.faults.empty());
+  nlohmann::json team = {{"kind", "team"}, {"name", std::string(300, 't')}};
+  for (int i = 0; i < 3000; ++i) {
+    team["key_digests"].push_back(std::to_string(i / 2));
+  }
+  const auto parsed = accepted(team.dump());
+  CHECK(parsed.faults.empty());
+  LONGS_EQUAL(1500, std::get<TeamObject>(*parsed.object).key_digests.size());
+}
+
+TEST(ObjectJson, RefusesWhatItCannotRepresentInAcceptedObjects) {
+  for (const char* text :
+       {R"({"kind":"tunnel","name":"t"})", R"({"kind":"service","name":7})",
+        R"({"kind":"rank","name":"k","priority":256})",
+        R"({"kind":"rank","name":"k","priority":1,"color":"red"})",
+        R"({"kind":"selector","name":"s","match":[{"key":"a","op":"near"}]})",
+        R"({"kind":"team","name":"t","burst":4294967296})"}) {
+    const ObjectParseResult result = banyantrail::ParseObject(
+        nlohmann::json::parse(text), "", ValueChecks::kAccepted);
+    CHECK_TEXT(!result.object, text);
+    LONGS_EQUAL_TEXT(1, result.faults.size(), text);
+  }
+}
+
 TEST(ObjectJson, RefusesAnObjectThatIsTooLarge) {
   nlohmann::json annotations;
   for (int i = 0; i < 8; ++i) {
--- a/tests/core/text_test.cc
+++ b/tests/core/text_test.cc
@@ -24,6 +24,20 @@
   }
 }
 
+// Guards against a declared name that ends a header field early.
+TEST(Text, FieldValuesArriveAsTheyAre) {
+  for (const std::string& text :
+       {std::string("two words"), std::string("caf\xC3\xA9"), std::string("a"),
+        std::string(300, 't'), std::string("\"quoted\";%,")}) {
+    CHECK(banyantrail::IsFieldValue(text));
+  }
+  for (const std::string& text :
+       {std::string(), std::string(" a"), std::string("a "), std::string("a\tb"),
+        std::string("a\r\nb"), std::string("a\0", 2), std::string("\x7F")}) {
+    CHECK_FALSE(banyantrail::IsFieldValue(text));
+  }
+}
+
 TEST(Text, JsonTextReplacesWhatIsNotUtf8) {
   const std::string text =
       banyantrail::ToJsonText({{"id", std::string("i\xFF")}});
--- /dev/null
+++ b/tests/process/odd_configuration_process_test.py
@@ -0,0 +1,170 @@
+"""Configurations that the users' pages allow and that look odd: a node must
+apply each of them as a whole, and act on what is odd in it."""
+
+import collections
+import copy
+import json
+import os
+import time
+import unittest
+import urllib.parse
+
+import harness
+import platform_fleet
+from platform_fleet import common
+
+PROPAGATION_S = 2.0
+KEY = "key-of-the-surveyors"
+ROUTES = [("r-stock", "/stock/", "safe", 1500, "stock"),
+          ("r-other", "/other/", "safe", 1500, "other")]
+
+
+class OddConfigurationTest(unittest.TestCase):
+
+    @classmethod
+    def setUpClass(cls):
+        cls.fleet = platform_fleet.PlatformFleet()
+        cls.fleet.__enter__()
+        cls.addClassCleanup(lambda: cls.fleet.__exit__(None, None, None))
+        cls.upstreams = {}
+        cls.versions = 0
+        for number, service in enumerate(("stock", "other"), 1):
+            upstream = common.Upstream(cls.fleet.record, service,
+                                       f"i-{service}", work_s=0.005,
+                                       behave=cls.note_team)
+            cls.upstreams[service] = upstream
+            cls.fleet.add(f"n{number}", upstream, zone=f"tw-north-{number}")
+        cls.teams = {}
+        cls.fleet.start(["stock", "other"], ROUTES)
+        cls.base = copy.deepcopy(
+            cls.fleet.store.objects["config", "main"]["specification"])
+
+    @classmethod
+    def note_team(cls, connection, line, fields, rest):
+        del connection, line, rest
+        cls.teams[fields["request-id"]] = fields.get("tenant")
+        return NotImplemented
+
+    def path(self, **fields):
+        return dict(self.base["virtual_hosts"][0]["paths"][0], **fields)
+
+    def apply(self, specification):
+        """Has the operator write the configuration, with one more route, and
+        checks that each node has it in force in time."""
+        cls = type(self)
+        cls.versions += 1
+        probe = f"/probe-{cls.versions}/"
+        specification["version"] = f"{cls.versions + 7:08x}"
+        specification["virtual_hosts"][0]["paths"].append(self.path(
+            name=f"r-probe-{cls.versions}", path_prefix=probe,
+            allow_anonymous=True))
+        self.write(specification)
+        deadline = time.monotonic() + PROPAGATION_S
+        for node in self.fleet.nodes:
+            while True:
+                status = self.ask(node, probe + "1")[0]
+                if status == 200:
+                    break
+                self.assertLess(time.monotonic(), deadline,
+                                f"{node.name} answers {status}")
+                time.sleep(0.02)
+
+    def write(self, specification):
+        self.fleet.store.write("PUT", ["config", "main"], json.dumps(
+            {"metadata": {"name": "main"}, "specification": specification}))
+
+    def apply_with(self, *paths, tenants=None, host=common.HOST):
+        specification = copy.deepcopy(self.base)
+        if host == common.HOST:
+            specification["virtual_hosts"][0]["paths"] += paths
+        else:
+            specification["virtual_hosts"].append(
+                {"host": host, "paths": list(paths)})
+        if tenants is not None:
+            specification["tenants"] = tenants
+        self.apply(specification)
+
+    def ask(self, node, path, host=common.HOST, key=None):
+        """The status, the id of the request and the body of the answer."""
+        request_id = os.urandom(8).hex()
+        headers = {"Host": host, "Request-Id": request_id,
+                   "Deadline-Milliseconds": "1500"}
+        if key is not None:
+            headers["Authorization"] = f"Bearer {key}"
+        status, _, body = harness.request(node.listen["outbound"], "GET", path,
+                                          headers=headers)
+        return status, request_id, body
+
+    def check_served(self, path, host=common.HOST, service="stock", key=None):
+        for node in self.fleet.nodes:
+            status, _, body = self.ask(node, path, host, key)
+            self.assertEqual(status, 200, path)
+            self.assertTrue(body.startswith(f"i-{service} ".encode()), body)
+
+    # review/7: the 65th key of a team kept each node from taking the version.
+    def test_many_keys_of_a_team(self):
+        for count in (66, 1000, 30_000):
+            with self.subTest(count=count):
+                keys = [f"{KEY}-{number}" for number in range(count)]
+                self.apply_with(tenants=[{"name": "large", "api_keys": keys},
+                                         {"name": "small",
+                                          "api_keys": [KEY]}])
+                for key in (keys[0], keys[-1], KEY):
+                    self.check_served("/stock/1", key=key)
+                self.assertEqual(
+                    self.ask(self.fleet.nodes[0], "/stock/1",
+                             key=f"{KEY}-{count}")[0], 401)
+
+    def test_many_teams_without_keys(self):
+        self.apply_with(tenants=[{"name": f"t{number}", "api_keys": []}
+                                 for number in range(20_100)])
+        self.assertEqual(
+            self.ask(self.fleet.nodes[0], "/stock/1", key=KEY)[0], 401)
+
+    def test_odd_names_of_a_team(self):
+        for name in ("two words", "Überlandwerk 電", "t" * 300, '"quoted";%,'):
+            with self.subTest(name=name):
+                self.apply_with(tenants=[{"name": name, "api_keys": [KEY]}])
+                for node in self.fleet.nodes:
+                    status, request_id, _ = self.ask(node, "/stock/1", key=KEY)
+                    self.assertEqual(status, 200)
+                    self.assertEqual(
+                        self.teams[request_id].encode("latin-1").decode(), name)
+
+    def test_odd_prefixes(self):
+        long_prefix = "/" + "p" * 2000 + "/"
+        prefixes = ["/odd%20name/", "/odd%2Fname/", long_prefix, "/a//b/",
+                    "/./dots/", "/päth/"]
+        self.apply_with(*(self.path(name=f"r-{number}", path_prefix=prefix)
+                          for number, prefix in enumerate(prefixes)))
+        for prefix in prefixes:
+            path = urllib.parse.quote(prefix, safe="/%.")
+            if path == prefix:
+                self.check_served(prefix + "1")
+        for other in ("/odd%2name/1", "/odd%2fname/1", "/odd%20nam/1",
+                      long_prefix[:-2] + "/1"):
+            self.assertEqual(self.ask(self.fleet.nodes[0], other)[0], 404)
+
+    def test_many_parts_of_a_split(self):
+        self.apply_with(self.split([("stock", 3), ("other", 1)] * 20))
+        counts = self.count_services("/split/1", 80)
+        self.assertEqual(counts, {"stock": 60, "other": 20})
+
+    def split(self, parts):
+        path = self.path(name="r-split", path_prefix="/split/",
+                         traffic_split=[{"service": service, "weight": weight}
+                                        for service, weight in parts])
+        del path["service"]
+        return path
+
+    def count_services(self, path, count):
+        counts = collections.Counter()
+        for _ in range(count):
+            status, _, body = self.ask(self.fleet.nodes[0], path)
+            self.assertEqual(status, 200)
+            counts[body.decode().split(" ")[0].removeprefix("i-")] += 1
+        return dict(counts)
+
+
+if __name__ == "__main__":
+    unittest.main()
