Read numbers, hosts and route names as the users' pages allow them

Cause, from the node's log and metrics of one trial each: the adapter read counts with is_number_unsigned, rounded 0.3 ms to 0, which the compiler refuses, kept the host as written, and used the route's name as the key of its object. Beside it, a priority above 255 became 255, so that 300 and 400 were equally urgent.

Change: numbers are read as JSON numbers. WholeWeights keeps the proportions of weights, RankLevels the order of priorities; whole and small ones keep their values. Times have at least one millisecond. Hosts are compared by NormalizedHost, which the routing table already did for requests (IPv6 addresses in brackets are kept). Routes that share a name are called name@host/prefix/.

--- a/packages/traffic/banyantrail/traffic/routing_snapshot.cc
+++ b/packages/traffic/banyantrail/traffic/routing_snapshot.cc
@@ -1,9 +1,9 @@
 #include "banyantrail/traffic/routing_snapshot.h"
 
 #include <algorithm>
-#include <cctype>
 #include <utility>
 
+#include "banyantrail/config/host_name.h"
 #include "banyantrail/config/selector_match.h"
 
 namespace banyantrail {
@@ -29,15 +29,6 @@
          std::ranges::find(route.methods, method) != route.methods.end();
 }
 
-/// The Host header without its port, in lower case.
-std::string NormalizedHost(std::string_view host) {
-  std::string name(host.substr(0, host.find(':')));
-  std::ranges::transform(name, name.begin(), [](unsigned char c) {
-    return static_cast<char>(std::tolower(c));
-  });
-  return name;
-}
-
 template <typename Object, typename Name>
 const Object* FindByName(const std::vector<Object>& objects, const Name& name) {
   const auto found = std::ranges::find(objects, name, &Object::name);
--- a/tests/platform/configuration_test.cc
+++ b/tests/platform/configuration_test.cc
@@ -181,12 +181,52 @@
   CHECK_FALSE(result.config.has_value());
 }
 
+// Guards against an odd number that keeps every node from applying the version.
+TEST(Configuration, NumbersNeedNotBeWholeOrSmall) {
+  json specification = json::parse(kConfiguration);
+  json& orders = specification["virtual_hosts"][0]["paths"][0];
+  orders["timeout"] = "0.3ms";
+  orders["target_latency"] = "0.2ms";
+  orders["attempts"] = 20;
+  orders["priority"] = 300;
+  json& lookups = specification["virtual_hosts"][1]["paths"][0];
+  lookups["priority"] = 1.0;
+  lookups["traffic_split"][0]["weight"] = 0.5;
+  lookups["traffic_split"][1]["weight"] = 0.25;
+  specification["limits"]["header_bytes"] = 16384.0;
+  specification["limits"]["body_bytes"] = 1e15;
+  const CompiledConfig config = CompileConfiguration(specification);
+  const RoutingRuleObject& rule = FindRule(config, "r-orders");
+  CHECK(rule.deadline == milliseconds(1));
+  CHECK(rule.target_latency == milliseconds(1));
+  LONGS_EQUAL(20, rule.max_attempts);
+  STRCMP_EQUAL("rank-255", rule.rank.str().c_str());
+  STRCMP_EQUAL("rank-1", FindRule(config, "r-lookups").rank.str().c_str());
+  LONGS_EQUAL(1'000'000, FindRule(config, "r-lookups").split[0].weight);
+  LONGS_EQUAL(500'000, FindRule(config, "r-lookups").split[1].weight);
+  LONGS_EQUAL(16384, config.caller_limits[0].max_header_bytes);
+}
+
+// Guards against a name that two hosts use keeping every node from applying the
+// version.
+TEST(Configuration, RoutesOfTwoHostsMayHaveTheSameName) {
+  json specification = json::parse(kConfiguration);
+  specification["virtual_hosts"][0]["host"] = "Hulo84.Example";
+  specification["virtual_hosts"][0]["paths"][0]["name"] = "r-lookups";
+  const CompiledConfig config = CompileConfiguration(specification);
+  LONGS_EQUAL(2, config.routing_rules.size());
+  const RoutingRuleObject& rule =
+      FindRule(config, "r-lookups@hulo84.example/xapu221/ny95/");
+  STRCMP_EQUAL("hulo84.example", rule.host.c_str());
+  STRCMP_EQUAL("wuno96b", rule.service.str().c_str());
+}
+
 // Guards against a name that ends the header field of its own team, and against
 // one team taking the whole configuration out of force.
 TEST(Configuration, TeamWithAnUnsendableNameIsDisabledAndTheOthersApply) {
   json specification = json::parse(kConfiguration);
   specification["tenants"] = json::parse(
-      R"([{"name": "two\r\nlines", "api_keys": ["a"]},
+      R"([{"name": "two\r\nlines", "api_keys": ["a", "a"], "priority": null},
           {"name": "two words", "api_keys": ["b"]}])");
   const CompiledConfig config = CompileConfiguration(specification);
   LONGS_EQUAL(2, config.teams.size());
--- a/tests/process/odd_configuration_process_test.py
+++ b/tests/process/odd_configuration_process_test.py
@@ -17,6 +17,7 @@
 KEY = "key-of-the-surveyors"
 ROUTES = [("r-stock", "/stock/", "safe", 1500, "stock"),
           ("r-other", "/other/", "safe", 1500, "other")]
+OTHER_HOST = "hulo84.example"
 
 
 class OddConfigurationTest(unittest.TestCase):
@@ -121,6 +122,10 @@
         self.assertEqual(
             self.ask(self.fleet.nodes[0], "/stock/1", key=KEY)[0], 401)
 
+    def test_a_key_twice_in_a_list(self):
+        self.apply_with(tenants=[{"name": "twice", "api_keys": [KEY, KEY]}])
+        self.check_served("/stock/1", key=KEY)
+
     def test_odd_names_of_a_team(self):
         for name in ("two words", "Überlandwerk 電", "t" * 300, '"quoted";%,'):
             with self.subTest(name=name):
@@ -131,6 +136,18 @@
                     self.assertEqual(
                         self.teams[request_id].encode("latin-1").decode(), name)
 
+    def test_a_host_in_capitals(self):
+        self.apply_with(self.path(name="r-capitals", path_prefix="/capitals/"),
+                        host="Hulo84.EXAMPLE")
+        for host in ("hulo84.example", "HULO84.example", "Hulo84.EXAMPLE"):
+            self.check_served("/capitals/1", host)
+
+    def test_a_route_name_of_two_hosts(self):
+        self.apply_with(self.path(path_prefix="/stock/", service="other"),
+                        host=OTHER_HOST)
+        self.check_served("/stock/1", service="stock")
+        self.check_served("/stock/1", OTHER_HOST, service="other")
+
     def test_odd_prefixes(self):
         long_prefix = "/" + "p" * 2000 + "/"
         prefixes = ["/odd%20name/", "/odd%2Fname/", long_prefix, "/a//b/",
@@ -145,6 +162,29 @@
                       long_prefix[:-2] + "/1"):
             self.assertEqual(self.ask(self.fleet.nodes[0], other)[0], 404)
 
+    def test_odd_numbers_of_a_route(self):
+        odd = [{"attempts": 20}, {"attempts": 2.0}, {"priority": 1.0},
+               {"priority": 300}, {"priority": 400}, {"target_latency": "0.3ms"},
+               {"timeout": "1500.5ms"}, {"timeout": "2500000s"}]
+        self.apply_with(*(self.path(name=f"r-{number}",
+                                    path_prefix=f"/odd-{number}/", **fields)
+                          for number, fields in enumerate(odd)))
+        for number in range(len(odd)):
+            self.check_served(f"/odd-{number}/1")
+
+    def test_a_timeout_below_a_millisecond_is_kept(self):
+        self.apply_with(self.path(name="r-short", path_prefix="/short/",
+                                  timeout="0.3ms"))
+        for node in self.fleet.nodes:
+            begin = time.monotonic()
+            self.assertIn(self.ask(node, "/short/1")[0], (503, 504))
+            self.assertLess(time.monotonic() - begin, 0.5)
+
+    def test_weights_that_are_not_whole(self):
+        self.apply_with(self.split([("stock", 0.75), ("other", 0.25)]))
+        counts = self.count_services("/split/1", 40)
+        self.assertEqual(counts, {"stock": 30, "other": 10})
+
     def test_many_parts_of_a_split(self):
         self.apply_with(self.split([("stock", 3), ("other", 1)] * 20))
         counts = self.count_services("/split/1", 80)
