--- a/packages/config/banyantrail/config/json_object_reader.cc
+++ b/packages/config/banyantrail/config/json_object_reader.cc
@@ -228,8 +228,7 @@
 std::string JsonObjectReader::CheckedString(std::string_view field,
                                             const json& value,
                                             const TextRule& rule) {
-  return MatchingString(field, value, rule,
-                        m_checks == ValueChecks::kDeclared);
+  return MatchingString(field, value, rule, m_checks == ValueChecks::kDeclared);
 }
 
 std::string JsonObjectReader::MatchingString(std::string_view field,
--- a/packages/config/banyantrail/config/rank_levels.cc
+++ b/packages/config/banyantrail/config/rank_levels.cc
@@ -18,8 +18,7 @@
     --less_urgent;
     // Each less urgent priority needs a level of its own.
     const double highest = std::max(kMaxLevel - less_urgent, lowest_free);
-    const double level =
-        std::clamp(std::floor(priority), lowest_free, highest);
+    const double level = std::clamp(std::floor(priority), lowest_free, highest);
     levels[priority] = static_cast<std::uint8_t>(std::min(level, kMaxLevel));
     lowest_free = level + 1;
   }
--- a/packages/config/banyantrail/config/release_compiler.cc
+++ b/packages/config/banyantrail/config/release_compiler.cc
@@ -10,9 +10,9 @@
   if (is_last) {
     return m_result;
   }
-  m_result = std::make_shared<const CompileResult>(
-      CompileRelease(release, {.checks = ValueChecks::kAccepted,
-                               .parsed_objects = &m_parsed_objects}));
+  m_result = std::make_shared<const CompileResult>(CompileRelease(
+      release,
+      {.checks = ValueChecks::kAccepted, .parsed_objects = &m_parsed_objects}));
   m_revision = release.revision;
   m_digest = release.digest;
   std::erase_if(m_parsed_objects.entries, [&release](const auto& entry) {
--- a/packages/config/banyantrail/config/release_compiler.h
+++ b/packages/config/banyantrail/config/release_compiler.h
@@ -8,9 +8,9 @@
 
 namespace banyantrail {
 
-/// Compiles the accepted releases of one node. The result for the latest release is
-/// cached, since both distribution and routing need it, and only objects that
-/// differ from the previous release are parsed. Thread-safe.
+/// Compiles the accepted releases of one node. The result for the latest
+/// release is cached, since both distribution and routing need it, and only
+/// objects that differ from the previous release are parsed. Thread-safe.
 class ReleaseCompiler {
  public:
   std::shared_ptr<const CompileResult> Compile(const Release& release);
--- a/packages/ctl/banyantrail/ctl/query_commands.cc
+++ b/packages/ctl/banyantrail/ctl/query_commands.cc
@@ -163,8 +163,8 @@
   }
   return "revision " + refused.at("revision").dump() +
          " is turned down by the queried node, which keeps revision " +
-         std::to_string(applied) + " in force: " +
-         refused.at("reason").get<std::string>() + "\n";
+         std::to_string(applied) +
+         " in force: " + refused.at("reason").get<std::string>() + "\n";
 }
 
 std::string HistoryText(const json& history) {
@@ -235,8 +235,7 @@
   } else {
     context.out << StatusHeader(declared, fleet)
                 << RefusedText(RefusedOf(response), fleet.revision)
-                << RuleStatusText(statuses)
-                << TeamsText(TeamsOf(response));
+                << RuleStatusText(statuses) << TeamsText(TeamsOf(response));
   }
   return ExitCode::kOk;
 }
--- a/packages/distribution/banyantrail/distribution/configuration_store_task.h
+++ b/packages/distribution/banyantrail/distribution/configuration_store_task.h
@@ -334,8 +334,8 @@
     } while (delivered_revision() != last_revision && !m_stopped);
   }
 
-  /// The store has accepted a configuration that this node cannot apply, so that
-  /// the delivered one is no longer the newest.
+  /// The store has accepted a configuration that this node cannot apply, so
+  /// that the delivered one is no longer the newest.
   void OnUnreadable(const UnreadableRelease& unreadable) {
     m_newest_is_unreadable = true;
     m_watch_revision = std::max(m_watch_revision, unreadable.revision);
--- a/packages/distribution/banyantrail/distribution/distribution_protocol.h
+++ b/packages/distribution/banyantrail/distribution/distribution_protocol.h
@@ -164,8 +164,8 @@
   /// This node has read a release from the platform, as a relay.
   [[nodiscard]] DistributionOutput OnReleaseFromPlatform(Release release,
                                                          TimePoint now);
-  /// The platform's newest revision cannot be read by this node; `reason` is one
-  /// line.
+  /// The platform's newest revision cannot be read by this node; `reason` is
+  /// one line.
   [[nodiscard]] DistributionOutput OnUnreadableRelease(
       Revision revision,
       const std::string& reason,
--- a/packages/distribution/banyantrail/distribution/release_store.h
+++ b/packages/distribution/banyantrail/distribution/release_store.h
@@ -24,7 +24,8 @@
   kDigestMismatch,
   /// The digest matches, but the content does not compile on this node.
   kDoesNotCompile,
-  /// The platform's store has the revision in a form that this node cannot read.
+  /// The platform's store has the revision in a form that this node cannot
+  /// read.
   kUnreadable,
   /// The message has an empty or duplicate object key, or a target revision
   /// that is not greater than its base revision.
--- a/tests/config/compile_test.cc
+++ b/tests/config/compile_test.cc
@@ -145,8 +145,8 @@
 TEST(Compile, LimitsOnDeclarationsDoNotHoldForAcceptedReleases) {
   ObjectTexts objects = SampleObjects();
   for (std::size_t i = 0; i <= banyantrail::kMaxReleaseObjects; ++i) {
-    Put(banyantrail::ServiceObject{
-            .name = banyantrail::ServiceName("more " + std::to_string(i))},
+    Put(banyantrail::ServiceObject{.name = banyantrail::ServiceName(
+                                       "more " + std::to_string(i))},
         objects);
   }
   const auto result =
--- a/tests/core/text_test.cc
+++ b/tests/core/text_test.cc
@@ -32,8 +32,9 @@
     CHECK(banyantrail::IsFieldValue(text));
   }
   for (const std::string& text :
-       {std::string(), std::string(" a"), std::string("a "), std::string("a\tb"),
-        std::string("a\r\nb"), std::string("a\0", 2), std::string("\x7F")}) {
+       {std::string(), std::string(" a"), std::string("a "),
+        std::string("a\tb"), std::string("a\r\nb"), std::string("a\0", 2),
+        std::string("\x7F")}) {
     CHECK_FALSE(banyantrail::IsFieldValue(text));
   }
 }
--- a/tests/platform/configuration_store_task_test.cc
+++ b/tests/platform/configuration_store_task_test.cc
@@ -496,15 +496,13 @@
   LONGS_EQUAL(0, store_reads.size());
 }
 
-// Guards against a configuration that one node cannot read counting as a failure
-// of the store, which has the other nodes read it too.
+// Guards against a configuration that one node cannot read counting as a
+// failure of the store, which has the other nodes read it too.
 TEST(ConfigurationStoreTask, ReportsAnUnreadableConfigurationAndWatchesOn) {
-  const Revision bad =
-      stand_in.Write("config", "main", {{"services", "none"}});
+  const Revision bad = stand_in.Write("config", "main", {{"services", "none"}});
   Start(milliseconds(30));
   CHECK(RunUntil([&] { return unreadable == std::vector<Revision>{bad}; }));
-  const Revision worse =
-      stand_in.Write("config", "main", {{"services", 7}});
+  const Revision worse = stand_in.Write("config", "main", {{"services", 7}});
   CHECK(RunUntil([&] { return unreadable.back() == worse; }));
   const Revision good = stand_in.Write("config", "main", Configuration(1));
   CHECK(HasRelease(good));
--- a/tests/platform/object_store_test.cc
+++ b/tests/platform/object_store_test.cc
@@ -81,7 +81,9 @@
     return read;
   }
 
-  std::optional<banyantrail::Release> Read() { return ReadWhole().release; }
+  std::optional<banyantrail::Release> Read() {
+    return ReadWhole().release;
+  }
 
   banyantrail::ReleaseWatchResult Await(std::uint64_t after) {
     banyantrail::ReleaseWatchResult watch;
