Take no request after the idle close of a planned stop

Cause: CloseIdle cancelled the reads that were pending at that moment. A session that was accepted but not yet resumed, and one whose read had just been completed by a part of a request, are not among them and went on as usual.

Ruled out: accepting after the listener was closed (none); the estimate of what a request takes, which only weighs requests that are read.

Change: the close is a state. Sessions that begin after it end; a request that is read after it is refused as not run.

Two tests of the drain sent their request after the idle close, by the fixture. They are about requests before it, which the node still takes, and send it there now with the same checks; ConnectionThatBeginsAfterTheIdleCloseIsClosed tests the time after.

--- a/packages/proxy/banyantrail/proxy/entry_stage.cc
+++ b/packages/proxy/banyantrail/proxy/entry_stage.cc
@@ -71,7 +71,7 @@
 asio::awaitable<void> EntryStage::Serve(beast::tcp_stream stream) {
   Downstream downstream(std::move(stream));
   CallerPipeline pipeline(downstream, PipelineOptions(downstream));
-  while (!downstream.must_close) {
+  while (!downstream.must_close && !m_has_closed_idle) {
     m_awaiting_request.insert(&downstream);
     ReadResult read = co_await ReadRequest(downstream, m_options.limits);
     m_awaiting_request.erase(&downstream);
@@ -145,6 +145,7 @@
 }
 
 void EntryStage::CloseIdle() {
+  m_has_closed_idle = true;
   for (Downstream* downstream : m_awaiting_request) {
     downstream->must_close = true;
     downstream->stream.cancel();
@@ -168,7 +169,7 @@
     downstream.must_close = true;
     co_return;
   }
-  if (!CanFinishBeforeStop(context)) {
+  if (!MayTakeRequest(context)) {
     co_await Refuse(downstream, context, RefusalReason::kDraining);
     co_return;
   }
@@ -184,12 +185,16 @@
   }
 }
 
+/// Whether a request that has just been read may be forwarded. After the idle
+/// connections were closed, the time that is left is for the requests that came
+/// before.
+bool EntryStage::MayTakeRequest(const RequestContext& context) {
+  return !m_draining || (!m_has_closed_idle && CanFinishBeforeStop(context));
+}
+
 /// Whether the node stops late enough for the time that requests of the route
 /// take.
 bool EntryStage::CanFinishBeforeStop(const RequestContext& context) {
-  if (!m_draining) {
-    return true;
-  }
   const TimePoint now = SystemClock().Now();
   const Duration expected =
       m_response_times[context.route->rule].Mean(now).value_or(
--- a/packages/proxy/banyantrail/proxy/entry_stage.h
+++ b/packages/proxy/banyantrail/proxy/entry_stage.h
@@ -146,7 +146,9 @@
   void EndRequests();
 
   /// Closes the connections without a request in progress. If a caller has just
-  /// sent one, the close shows that it was not processed.
+  /// sent one, the close shows that it was not processed. No later request is
+  /// forwarded: a connection may have been accepted, or a part of a request
+  /// read, without its session having been resumed yet.
   void CloseIdle();
 
   std::size_t requests_in_progress() const { return m_in_progress; }
@@ -219,6 +221,7 @@
   bool LacksKeyLease(const http::fields& fields, Revision applied) const;
   std::optional<RefusalReason> RecheckKey(const RequestContext& context) const;
   void SetDeadlineAndTarget(RequestContext& context);
+  bool MayTakeRequest(const RequestContext& context);
   bool CanFinishBeforeStop(const RequestContext& context);
   void ReportResponse(const RequestContext& context, unsigned status);
 
@@ -237,6 +240,8 @@
   std::map<ServiceName, RetryPolicy> m_retry_policies;
   std::uint64_t m_last_attempt = 0;
   bool m_draining = false;
+  /// CloseIdle was called.
+  bool m_has_closed_idle = false;
   /// When the node stops, if it drains.
   TimePoint m_drain_end = TimePoint::max();
   std::size_t m_in_progress = 0;
--- a/tests/proxy/request_path.h
+++ b/tests/proxy/request_path.h
@@ -111,8 +111,12 @@
         config, ProxyIdentity{}, members));
   }
 
-  void StartShutdown(Duration time_left = seconds(5)) {
+  void StartDrain(Duration time_left) {
     m_entry.StartDrain(SystemClock().Now() + time_left);
+  }
+
+  void StartShutdown() {
+    StartDrain(seconds(5));
     m_entry.CloseIdle();
   }
 
--- a/tests/proxy/request_path_test.cc
+++ b/tests/proxy/request_path_test.cc
@@ -996,13 +996,36 @@
     co_await ReadBackendRequest(stream);
   });
   path.SetRule(seconds(5), false);
-  path.StartShutdown(milliseconds(200));
+  path.StartDrain(milliseconds(200));
   CallerResponse response;
   path.StartSend("GET /orders HTTP/1.1\r\nHost: mesh\r\n\r\n", "", response);
   CHECK(path.RunUntil([&] { return response.complete; }, milliseconds(500)));
   LONGS_EQUAL(504, response.status);
 }
 
+// Guards against a connection that was accepted at the moment of the idle
+// close, on which a request was taken seconds later and given up at the end of
+// the stop.
+TEST(RequestPath, ConnectionThatBeginsAfterTheIdleCloseIsClosed) {
+  int requests = 0;
+  RequestPath path([&requests](tcp_stream& stream) -> asio::awaitable<void> {
+    co_await ReadBackendRequest(stream);
+    ++requests;
+  });
+  path.StartShutdown();
+  asio::ip::tcp::socket caller(path.io);
+  caller.connect(banyantrail::ToTcpEndpoint(path.caller_address()));
+  bool closed = false;
+  char byte = 0;
+  caller.async_read_some(
+      asio::buffer(&byte, 1),
+      [&closed](const boost::system::error_code& error, std::size_t) {
+        closed = static_cast<bool>(error);
+      });
+  CHECK(path.RunUntil([&] { return closed; }, milliseconds(500)));
+  LONGS_EQUAL(0, requests);
+}
+
 TEST(RequestPath, LateRequestThatCannotFinishIsRefusedAtOnce) {
   int requests = 0;
   RequestPath path([&requests](tcp_stream& stream) -> asio::awaitable<void> {
@@ -1015,7 +1038,7 @@
   });
   path.SetRule(seconds(5), false);
   LONGS_EQUAL(200, path.Post("x").status);
-  path.StartShutdown(milliseconds(200));
+  path.StartDrain(milliseconds(200));
   CallerResponse response;
   path.StartSend("GET /orders HTTP/1.1\r\nHost: mesh\r\n\r\n", "", response);
   CHECK(path.RunUntil([&] { return response.complete; }, milliseconds(100)));
