Report an unreadable configuration at every node of a failure domain

What operators saw: of two nodes of a failure domain only the one that watches the store reported a configuration that cannot be read; the other kept the old one in force in silence.

Cause: the watcher confirmed the last configuration that it could read as the store's newest, so that the followers had nothing to catch up on.

Ruled out: a configuration that does not compile; followers find it missing and read it, and reported it.

Change: the watcher confirms the revision that it cannot read, as one that is not passed on. Followers then read it, each once, and report what they cannot apply; one of a later version may apply it.

A check of the test that read the status before the 50 ms tick that publishes it waits for it now, with the same bound.

Conclusion: "newest in the store" and "newest that I can read" are two revisions.

--- a/packages/config/banyantrail/config/json_object_reader.cc
+++ b/packages/config/banyantrail/config/json_object_reader.cc
@@ -127,8 +127,7 @@
     AddFault(key, "contains " + Abbreviate(*duplicate) + " more than once",
              "remove the duplicate");
   }
-  const auto duplicates = std::ranges::unique(strings);
-  strings.erase(duplicates.begin(), duplicates.end());
+  strings.erase(std::unique(strings.begin(), strings.end()), strings.end());
   return strings;
 }
 
--- a/packages/distribution/banyantrail/distribution/configuration_store_task.h
+++ b/packages/distribution/banyantrail/distribution/configuration_store_task.h
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 #include <utility>
@@ -220,7 +221,8 @@
       case StoreDuty::Kind::kRely:
         return false;
       case StoreDuty::Kind::kCatchUp:
-        return duty.revision > delivered_revision();
+        return duty.revision >
+               std::max(delivered_revision(), m_unreadable_revision);
       case StoreDuty::Kind::kWatch:
         return true;
     }
@@ -259,8 +261,8 @@
   asio::awaitable<void> ReadStaleConfiguration() {
     ReleaseReadResult read =
         co_await m_store.ReadRelease(ReadConsistency::kMayBeStale);
-    if (read.unreadable) {
-      m_options.on_release_unreadable(*read.unreadable);
+    if (read.unreadable && read.unreadable->revision > delivered_revision()) {
+      OnUnreadable(*read.unreadable);
     }
     if (read.release && read.release->revision > delivered_revision()) {
       m_delivered = std::make_shared<const Release>(std::move(*read.release));
@@ -338,14 +340,23 @@
   /// that the delivered one is no longer the newest.
   void OnUnreadable(const UnreadableRelease& unreadable) {
     m_newest_is_unreadable = true;
+    m_unreadable_revision =
+        std::max(m_unreadable_revision, unreadable.revision);
     m_watch_revision = std::max(m_watch_revision, unreadable.revision);
     m_options.on_release_unreadable(unreadable);
   }
 
   Revision delivered_revision() const { return m_delivered->revision; }
 
+  /// A revision that this node cannot read is confirmed too, so that the other
+  /// nodes read it themselves: they may be of another version, and each reports
+  /// what it cannot apply.
   void NotifyConfirmed() {
-    m_options.on_store_confirmed(delivered_revision(), m_change_bytes);
+    if (m_newest_is_unreadable) {
+      m_options.on_store_confirmed(m_unreadable_revision, kNotPushed);
+    } else {
+      m_options.on_store_confirmed(delivered_revision(), m_change_bytes);
+    }
   }
 
   void Deliver(Release release) {
@@ -487,6 +498,9 @@
   }
 
   inline static const ComponentLogger kLog{"fleet"};
+  /// Size of a change that no node passes on.
+  static constexpr std::size_t kNotPushed =
+      std::numeric_limits<std::size_t>::max();
 
   asio::any_io_executor m_executor;
   Store& m_store;
@@ -507,6 +521,8 @@
   bool m_must_read_configuration = true;
   /// The delivered configuration is not the store's newest one.
   bool m_newest_is_unreadable = false;
+  /// The newest revision that could not be read, or 0.
+  Revision m_unreadable_revision = 0;
   bool m_store_readable = true;
   bool m_has_read_at_start = false;
   /// The entry that the store holds for this node, as far as known.
--- a/tests/platform/configuration_store_task_test.cc
+++ b/tests/platform/configuration_store_task_test.cc
@@ -3,6 +3,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include <algorithm>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -510,6 +511,30 @@
   LONGS_EQUAL(2, unreadable.size());
 }
 
+// Guards against a node that relies on another one and does not know that both
+// keep an old configuration in force.
+TEST(ConfigurationStoreTask, ConfirmsAnUnreadableConfigurationForTheOthers) {
+  stand_in.Write("config", "main", Configuration(1));
+  Start(milliseconds(30));
+  CHECK(RunUntil([&] { return !confirmed.empty(); }));
+  const Revision bad = stand_in.Write("config", "main", {{"services", "none"}});
+  CHECK(RunUntil([&] { return confirmed.back() == bad; }));
+  CHECK(change_bytes == std::numeric_limits<std::size_t>::max());
+}
+
+TEST(ConfigurationStoreTask, ReadsAConfirmedUnreadableConfigurationOnce) {
+  const Revision bad = stand_in.Write("config", "main", {{"services", "none"}});
+  must_watch = false;
+  missing_revision = bad;
+  joined = true;
+  Start();
+  CHECK(RunUntil([&] { return !unreadable.empty(); }));
+  io.run_for(milliseconds(100));
+  io.restart();
+  CHECK(unreadable == std::vector<Revision>{bad});
+  LONGS_EQUAL(1, ConfigurationReads());
+}
+
 // A configuration that cannot be parsed may have removed a key.
 TEST(ConfigurationStoreTask, ReportsNoReadWhileTheNewestIsInvalid) {
   stand_in.Write("config", "main", Configuration(1));
--- a/tests/process/odd_configuration_process_test.py
+++ b/tests/process/odd_configuration_process_test.py
@@ -28,14 +28,16 @@
         cls.fleet = platform_fleet.PlatformFleet()
         cls.fleet.__enter__()
         cls.addClassCleanup(lambda: cls.fleet.__exit__(None, None, None))
-        cls.upstreams = {}
         cls.versions = 0
-        for number, service in enumerate(("stock", "other"), 1):
+        # The second one of a zone gets small changes from the first, not from
+        # the store.
+        for name, service, zone in (("1", "stock", "tw-north-1"),
+                                    ("2", "stock", "tw-north-1"),
+                                    ("3", "other", "tw-north-2")):
             upstream = common.Upstream(cls.fleet.record, service,
-                                       f"i-{service}", work_s=0.005,
+                                       f"i-{service}-{name}", work_s=0.005,
                                        behave=cls.note_team)
-            cls.upstreams[service] = upstream
-            cls.fleet.add(f"n{number}", upstream, zone=f"tw-north-{number}")
+            cls.fleet.add(f"n{name}", upstream, zone=zone)
         cls.teams = {}
         cls.fleet.start(["stock", "other"], ROUTES)
         cls.base = copy.deepcopy(
@@ -101,7 +103,7 @@
         for node in self.fleet.nodes:
             status, _, body = self.ask(node, path, host, key)
             self.assertEqual(status, 200, path)
-            self.assertTrue(body.startswith(f"i-{service} ".encode()), body)
+            self.assertTrue(body.startswith(f"i-{service}-".encode()), body)
 
     # review/7: the 65th key of a team kept each node from taking the version.
     def test_many_keys_of_a_team(self):
@@ -208,7 +210,11 @@
                     self.assertEqual(self.ask(node, "/stock/1")[0], 200)
                 self.apply_with()
                 for node in self.fleet.nodes:
-                    self.assertIsNone(self.status_of(node)["refused"])
+                    self.await_no_refusal(node)
+
+    def await_no_refusal(self, node):
+        harness.wait_until(lambda: self.status_of(node)["refused"] is None,
+                           PROPAGATION_S, "the node reports no refusal")
 
     def check_reported(self, node, revision, reason):
         def is_reported():
@@ -243,7 +249,7 @@
         for _ in range(count):
             status, _, body = self.ask(self.fleet.nodes[0], path)
             self.assertEqual(status, 200)
-            counts[body.decode().split(" ")[0].removeprefix("i-")] += 1
+            counts[body.decode().split("-")[1]] += 1
         return dict(counts)
 
 
