Send no release that is larger than a frame between nodes

What could happen since configurations are applied whatever their size: a node that cannot reach the store asks a peer for a release of more than 8 MiB (some 120,000 keys); the peer sends a frame that the receiver turns down together with the connection, and so again at each request.

Cause: the limit of 6 MiB for a release holds for declared ones only now.

Ruled out: pushes on the users' platform, which end at 16 KB.

Change: neither a request nor a push is answered with more than fits into a frame; the count is in too_large_to_send, and the node reads the release from the store.

Measured: AReleaseAboveTheFrameSizeIsNotSent, which converges without the limit only.

--- a/packages/distribution/banyantrail/distribution/distribution_protocol.cc
+++ b/packages/distribution/banyantrail/distribution/distribution_protocol.cc
@@ -153,6 +153,11 @@
     Offer(from, false);
     return;
   }
+  if (SizeOf(delta->updates) > m_options.max_sent_bytes) {
+    // The node has to read the release from the platform.
+    ++m_counters.too_large_to_send;
+    return;
+  }
   const bool whole = delta->from_revision == 0;
   const bool is_large =
       whole || SizeOf(delta->updates) > m_options.max_pushed_bytes;
@@ -330,7 +335,9 @@
 void DistributionProtocol::PushCurrent(const std::vector<NodeId>& nodes,
                                        const ReleaseId& base) {
   const auto delta = DeltaFor(base);
-  if (delta && SizeOf(delta->updates) <= m_options.max_pushed_bytes) {
+  const std::size_t max_bytes =
+      std::min(m_options.max_pushed_bytes, m_options.max_sent_bytes);
+  if (delta && SizeOf(delta->updates) <= max_bytes) {
     Push(nodes, *delta);
   }
 }
--- a/packages/distribution/banyantrail/distribution/distribution_protocol.h
+++ b/packages/distribution/banyantrail/distribution/distribution_protocol.h
@@ -18,6 +18,7 @@
 #include "banyantrail/distribution/release_store.h"
 #include "banyantrail/distribution/startup_gate.h"
 #include "banyantrail/distribution/transfer_admission.h"
+#include "banyantrail/wire/frame_codec.h"
 #include "banyantrail/wire/peer_messages.h"
 
 namespace banyantrail {
@@ -89,6 +90,7 @@
   std::uint64_t deltas_served = 0;
   std::uint64_t whole_served = 0;
   std::uint64_t busy_sent = 0;
+  std::uint64_t too_large_to_send = 0;
   std::uint64_t busy_received = 0;
   std::uint64_t offers = 0;
 
@@ -146,6 +148,9 @@
     /// admission limit as a whole release. For links with so little bandwidth
     /// that one hop of the tree would take longer than reading the store.
     std::size_t max_pushed_bytes = std::numeric_limits<std::size_t>::max();
+    /// A larger delta or release is not sent at all: no node would accept the
+    /// frame. Nodes read such a release from the platform.
+    std::size_t max_sent_bytes = kMaxPayloadBytes - (std::size_t{1} << 20U);
     /// Whether the first release that this node reads from the store after its
     /// start is pushed along the tree. Disabled where every node reads the
     /// store when it starts.
--- a/packages/node/banyantrail/node/control_plane.cc
+++ b/packages/node/banyantrail/node/control_plane.cc
@@ -361,6 +361,7 @@
   export_count("requests", counters.requests);
   export_count("whole_served", counters.whole_served);
   export_count("busy_sent", counters.busy_sent);
+  export_count("too_large_to_send", counters.too_large_to_send);
 }
 
 asio::awaitable<void> ControlPlane::RunTicks() {
--- a/tests/distribution/distribution_protocol_test.cc
+++ b/tests/distribution/distribution_protocol_test.cc
@@ -291,6 +291,24 @@
   }
 }
 
+// Guards against frames that each receiver turns down, with the connection,
+// when a configuration of many keys is asked for again and again.
+TEST(DistributionProtocol, AReleaseAboveTheFrameSizeIsNotSent) {
+  for (const bool send : {false, true}) {
+    SimulatedNetwork::Options options = WithAntiEntropy(10);
+    options.protocol.max_pushed_bytes = 1;
+    options.protocol.max_sent_bytes = send ? 4096 : 1;
+    SimulatedNetwork network(options);
+    network.Preload(MakeRelease(1));
+    network.RunFor(seconds(1));
+    network.Publish(0, MakeRelease(2));
+    network.RunFor(seconds(5));
+    CHECK_EQUAL(send, network.Converged(MakeRelease(2)));
+    const auto& counters = network.nodes()[0].protocol->counters();
+    CHECK_EQUAL(send, counters.too_large_to_send == 0);
+  }
+}
+
 TEST(DistributionProtocol, ASecondRelayPushesWhenTheFirstIsDead) {
   SimulatedNetwork network(TreeOnly(40));
   network.Preload(MakeRelease(1));
