--- a/packages/ctl/banyantrail/ctl/query_commands.cc
+++ b/packages/ctl/banyantrail/ctl/query_commands.cc
@@ -156,13 +156,13 @@
   return response.value("refused", json());
 }
 
-/// A warning if the queried node has turned a revision down; otherwise empty.
+/// A warning if the queried node has refused a revision; otherwise empty.
 std::string RefusedText(const json& refused, Revision applied) {
   if (refused.is_null()) {
     return "";
   }
   return "revision " + refused.at("revision").dump() +
-         " is turned down by the queried node, which keeps revision " +
+         " is refused by the queried node, which keeps revision " +
          std::to_string(applied) +
          " in force: " + refused.at("reason").get<std::string>() + "\n";
 }
--- a/packages/node/banyantrail/node/admin_api.cc
+++ b/packages/node/banyantrail/node/admin_api.cc
@@ -178,7 +178,7 @@
   return teams;
 }
 
-/// The newest revision that this node has turned down and has not replaced by a
+/// The newest revision that this node has refused and has not replaced by a
 /// later one; null if there is none.
 json RefusedJson(const ControlPlane& control) {
   const StatusReportMessage& report = control.distribution_status().report;
--- a/packages/node/banyantrail/node/control_plane.cc
+++ b/packages/node/banyantrail/node/control_plane.cc
@@ -324,12 +324,12 @@
   const StatusReportMessage& report = m_distribution_status.report;
   if (report.refused_revision == 0) {
     kLog.Info("Configuration " + std::to_string(report.applied_revision) +
-              " is applied; none above it is turned down.");
+              " is applied; none above it is refused.");
     return;
   }
   m_metrics.CountControlEvent("configuration_refused");
   kLog.Warn("Configuration " + std::to_string(report.refused_revision) +
-            " is turned down: " + report.refusal_reason + ". Configuration " +
+            " is refused: " + report.refusal_reason + ". Configuration " +
             std::to_string(report.applied_revision) +
             " stays in force at this node. Correct it in the store.");
 }
--- a/tests/config/object_json_test.cc
+++ b/tests/config/object_json_test.cc
@@ -145,7 +145,7 @@
   CHECK(HasFault(ParseObjectText("[]", "f"), "f: ?/?"));
 }
 
-// Guards against a node that turns down what has been accepted, because its own
+// Guards against a node that refuses what has been accepted, because its own
 // limits on declarations are narrower: review/7.
 TEST(ObjectJson, LimitsOnDeclarationsDoNotHoldForAcceptedObjects) {
   const auto accepted = [](const std::string& text) {
--- a/tests/distribution/distribution_protocol_test.cc
+++ b/tests/distribution/distribution_protocol_test.cc
@@ -291,7 +291,7 @@
   }
 }
 
-// Guards against frames that each receiver turns down, with the connection,
+// Guards against frames that each receiver refuses, with the connection,
 // when a configuration of many keys is asked for again and again.
 TEST(DistributionProtocol, AReleaseAboveTheFrameSizeIsNotSent) {
   for (const bool send : {false, true}) {
