--- a/tests/process/odd_configuration_process_test.py
+++ b/tests/process/odd_configuration_process_test.py
@@ -3,8 +3,10 @@
 
 import collections
 import copy
+import itertools
 import json
 import os
+import string
 import subprocess
 import time
 import unittest
@@ -253,5 +255,52 @@
         return dict(counts)
 
 
+class WholeValueOfKeysTest(unittest.TestCase):
+    """As many keys as the store's limit for a value leaves room for."""
+
+    VALUE_BYTES = 1 << 20
+    KEYS = 170_000
+    # The least memory of a VM in the deployments with teams.
+    MAX_MEMORY_MB = 160
+
+    def test_memory_of_the_smallest_vm(self):
+        letters = string.ascii_letters + string.digits + "-_.~"
+        keys = ["".join(key) for key in itertools.islice(
+            itertools.product(letters, repeat=3), self.KEYS)]
+        with platform_fleet.PlatformFleet() as fleet:
+            upstream = common.Upstream(fleet.record, "stock", "i-stock")
+            node = fleet.add("n1", upstream)
+            fleet.start(["stock"], ROUTES[:1])
+            specification = copy.deepcopy(
+                fleet.store.objects["config", "main"]["specification"])
+            with platform_fleet.PeakMemory(node) as peak:
+                for version in (8, 9, 10, 11):
+                    new_key = f"key-{version}"
+                    specification["version"] = f"{version:08x}"
+                    specification["tenants"] = [
+                        {"name": "large", "api_keys": keys + [new_key]}]
+                    text = json.dumps(specification, separators=(",", ":"))
+                    self.assertLess(len(text), self.VALUE_BYTES)
+                    self.write(fleet, specification)
+                    self.await_key(node, new_key)
+            self.assertLess(peak.mb, self.MAX_MEMORY_MB)
+
+    @staticmethod
+    def write(fleet, specification):
+        fleet.store.write("PUT", ["config", "main"], json.dumps(
+            {"metadata": {"name": "main"}, "specification": specification}))
+
+    @staticmethod
+    def await_key(node, key):
+        headers = {"Host": common.HOST, "Deadline-Milliseconds": "1500",
+                   "Authorization": f"Bearer {key}"}
+
+        def is_accepted():
+            headers["Request-Id"] = os.urandom(8).hex()
+            return harness.request(node.listen["outbound"], "GET", "/stock/1",
+                                   headers=headers)[0] == 200
+        harness.wait_until(is_accepted, 10, "the key is accepted")
+
+
 if __name__ == "__main__":
     unittest.main()
