Recognise a crashing request whatever its framing and key

Cause: a request with a body was known by its idempotency key or a hash of the whole body. The sender may choose another key for each resend; of a streamed body there is no hash when the request is sent on, so it had no fingerprint and was left out of the quarantine. A crash was also reported only once, so that a node that restarted did not know of it.

Ruled out: the detection of crashes; the same request with a length and one key was refused after two crashes before.

Change: RequestFingerprints finds fingerprints while the body passes, from its beginning and, if known, all of it. The strongest one becomes the suspect. Only while a suspect with the same service, method and path is remembered, the owner node reads the beginning of a streamed body before it sends the request on. Nodes repeat the crash reports of the last minute to two others a second.

--- a/packages/node/banyantrail/node/control_plane.cc
+++ b/packages/node/banyantrail/node/control_plane.cc
@@ -145,6 +145,8 @@
                   [this](const NodeId& to, const PeerMessage& message) {
                     m_transport.Send(to, message);
                   }) {
+  m_random.seed(static_cast<std::minstd_rand::result_type>(
+      Hash64(settings.node.str(), m_incarnation)));
   SpawnActors(settings);
   asio::co_spawn(io, RunTicks(), LogFailure("ticks"));
 }
@@ -224,7 +226,9 @@
     OnStoreHead(*head);
   }
   if (const auto* crash = std::get_if<CrashReportMessage>(&message)) {
-    m_hooks.on_crash_report(*crash);
+    if (m_crash_reports.Add(*crash, SystemClock().Now())) {
+      m_hooks.on_crash_report(*crash);
+    }
     return;
   }
   if (m_key_lease.OnPeerMessage(from, message)) {
@@ -375,6 +379,7 @@
     }
     m_key_lease.OnTick();
     const TickMessage tick{SystemClock().Now()};
+    RepeatCrashReports(tick.now);
     caf::anon_send(m_membership_actor, tick);
     caf::anon_send(m_distribution_actor, tick);
     caf::anon_send(m_routing_actor, tick);
@@ -466,6 +471,7 @@
                                   .incarnation = m_incarnation,
                                   .sequence = ++m_crash_report_sequence,
                                   .suspects = std::move(suspects)};
+  m_crash_reports.Add(report, SystemClock().Now());
   for (const auto& member : m_membership_view->members) {
     const bool owns_backend_server = std::ranges::any_of(
         member->backend_servers, [&service](const BackendServerRecord& server) {
@@ -477,6 +483,30 @@
   }
 }
 
+/// Sends the recent crash reports to some nodes chosen at random, which may
+/// have missed them. As all nodes do so, each is sent as many on average,
+/// whatever the size of the fleet.
+void ControlPlane::RepeatCrashReports(TimePoint now) {
+  constexpr Duration kInterval = seconds(1);
+  constexpr int kReceivers = 2;
+  const auto& members = m_membership_view->members;
+  if (now - m_crash_reports_repeated_at < kInterval || members.empty() ||
+      !m_crash_reports.HasRecent(now)) {
+    return;
+  }
+  m_crash_reports_repeated_at = now;
+  std::uniform_int_distribution<std::size_t> choose(0, members.size() - 1);
+  for (int i = 0; i < kReceivers; ++i) {
+    const NodeId& receiver = members[choose(m_random)]->node;
+    if (receiver == m_membership_view->self.node) {
+      continue;
+    }
+    for (const CrashReportMessage& report : m_crash_reports.Recent(now)) {
+      m_transport.Send(receiver, report);
+    }
+  }
+}
+
 void ControlPlane::StartDrain() {
   caf::anon_send(m_membership_actor, DrainStarted{});
 }
--- a/packages/node/banyantrail/node/control_plane.h
+++ b/packages/node/banyantrail/node/control_plane.h
@@ -5,6 +5,7 @@
 #include <caf/actor_system_config.hpp>
 #include <functional>
 #include <memory>
+#include <random>
 #include <vector>
 
 #include "banyantrail/distribution/store_follower.h"
@@ -14,6 +15,7 @@
 #include "banyantrail/node/metrics.h"
 #include "banyantrail/node/peer_transport.h"
 #include "banyantrail/node/settings.h"
+#include "banyantrail/traffic/crash_report_log.h"
 #include "banyantrail/traffic/routing_snapshot.h"
 
 namespace banyantrail {
@@ -126,6 +128,7 @@
   void OnDistributionStatus(DistributionStatus status);
   asio::awaitable<void> RunTicks();
   void ReportRefusedRevision();
+  void RepeatCrashReports(TimePoint now);
   void ExportMetrics();
 
   asio::io_context& m_io;
@@ -141,6 +144,9 @@
   caf::actor m_routing_actor;
   asio::steady_timer m_tick_timer;
   std::uint64_t m_crash_report_sequence = 0;
+  CrashReportLog m_crash_reports;
+  TimePoint m_crash_reports_repeated_at{};
+  std::minstd_rand m_random;
   bool m_stopped = false;
   IpEndpoint m_peer_address;
   bool m_knows_other_nodes = false;
--- a/packages/proxy/banyantrail/proxy/attempt.cc
+++ b/packages/proxy/banyantrail/proxy/attempt.cc
@@ -398,7 +398,8 @@
       .head = head,
       .head_sent = send_head_now,
       .may_send = std::move(options.may_send),
-      .on_body_received = std::move(options.on_body_received)};
+      .on_body_received = std::move(options.on_body_received),
+      .on_body_part = std::move(options.on_body_part)};
   co_await AwaitResponse(attempt, downstream, request, expected,
                          std::move(monitor_options));
   co_return attempt;
--- a/packages/proxy/banyantrail/proxy/attempt.h
+++ b/packages/proxy/banyantrail/proxy/attempt.h
@@ -54,6 +54,9 @@
   bool force_new_connection = false;
   /// Called once when the whole body of a streamed request was received.
   std::function<void()> on_body_received = [] {};
+  /// Called with each part of a streamed body, before it is sent.
+  std::function<void(std::string_view part)> on_body_part =
+      [](std::string_view) {};
   /// Asked just before the first byte is sent. The wait for a connection or for
   /// a streamed body can outlast the server's readiness to take the request. If
   /// it returns false, nothing is sent and the attempt fails with kDraining.
--- a/packages/proxy/banyantrail/proxy/inbound_request.cc
+++ b/packages/proxy/banyantrail/proxy/inbound_request.cc
@@ -1,6 +1,7 @@
 #include "banyantrail/proxy/inbound_request.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 #include <optional>
@@ -181,6 +182,37 @@
   co_return result;
 }
 
+asio::awaitable<boost::system::error_code> ReadBodyStart(
+    Downstream& downstream,
+    InboundRequest& request,
+    Duration timeout,
+    std::function<bool(std::string_view part)> is_enough) {
+  constexpr std::size_t kPartBytes = 4096;
+  InboundRequest::Parser& parser = *request.parser;
+  const CancelTimer timer(downstream.stream, timeout);
+  std::array<char, kPartBytes> buffer{};
+  boost::system::error_code error;
+  bool needs_more = true;
+  while (needs_more && !parser.is_done() && !error) {
+    parser.get().body().data = buffer.data();
+    parser.get().body().size = buffer.size();
+    co_await http::async_read_some(
+        downstream.stream, downstream.buffer, parser,
+        asio::redirect_error(asio::use_awaitable, error));
+    if (error == http::error::need_buffer) {
+      error = {};
+    }
+    const std::string_view part(buffer.data(),
+                                buffer.size() - parser.get().body().size);
+    request.body_start += part;
+    needs_more = !is_enough(part);
+  }
+  if (timer.has_fired()) {
+    error = asio::error::operation_aborted;
+  }
+  co_return error;
+}
+
 asio::awaitable<void> SendContinue(Downstream& downstream,
                                    InboundRequest& request) {
   if (!request.expects_continue) {
--- a/packages/proxy/banyantrail/proxy/inbound_request.h
+++ b/packages/proxy/banyantrail/proxy/inbound_request.h
@@ -3,8 +3,10 @@
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "banyantrail/net/http_types.h"
 #include "banyantrail/proxy/chunk_limits.h"
@@ -30,6 +32,8 @@
   /// The body is streamed because it is larger than kMaxReplayBytes, of unknown
   /// length, or must not be read before the request is admitted.
   bool is_streamed = false;
+  /// The first bytes of a streamed body that were read before it is forwarded.
+  std::string body_start;
   /// Reading the streamed body has begun, so that it cannot be sent again.
   bool body_consumed = false;
   /// The sender waits for "100 Continue" before it sends the body, and has not
@@ -79,6 +83,15 @@
 asio::awaitable<ReadResult> ReadRequest(Downstream& downstream,
                                         InboundLimits limits);
 
+/// Reads a streamed body into `body_start` until it ends, or `is_enough` says
+/// so. It is called with each part that was read. Returns an error of the
+/// connection, or `asio::error::operation_aborted` if `timeout` passes first.
+asio::awaitable<boost::system::error_code> ReadBodyStart(
+    Downstream& downstream,
+    InboundRequest& request,
+    Duration timeout,
+    std::function<bool(std::string_view part)> is_enough);
+
 /// Sends "100 Continue" if the sender still waits for it.
 asio::awaitable<void> SendContinue(Downstream& downstream,
                                    InboundRequest& request);
--- a/packages/proxy/banyantrail/proxy/owner_stage.cc
+++ b/packages/proxy/banyantrail/proxy/owner_stage.cc
@@ -39,24 +39,6 @@
   return !error && remote.address() == local.address();
 }
 
-/// A fingerprint that recognises the request when it is sent again, from its
-/// idempotency key or else from a hash of its body, if one is available.
-std::optional<RequestFingerprint> FingerprintFor(
-    const InboundRequest& request,
-    const RequestMetadata& metadata) {
-  const http::request_header<>& head = request.head();
-  const std::string_view key = FieldValue(head, kIdempotencyKeyHeader);
-  const std::string digest = request.body.empty()
-                                 ? metadata.body_hash
-                                 : std::to_string(Hash64(request.body));
-  return FingerprintOf(
-      {.service = metadata.service,
-       .method = {head.method_string().data(), head.method_string().size()},
-       .target = {head.target().data(), head.target().size()},
-       .discriminator = key.empty() ? std::string_view(digest) : key,
-       .has_body = request.is_streamed || !request.body.empty()});
-}
-
 }  // namespace
 
 OwnerStage::OwnerStage(asio::any_io_executor executor,
@@ -116,7 +98,7 @@
     refusal = co_await Admit(downstream, context);
   }
   if (!refusal) {
-    refusal = co_await BeginIsolation(context);
+    refusal = co_await BeginIsolation(downstream, context);
   }
   if (refusal == RefusalReason::kCancelled) {
     downstream.must_close = true;
@@ -159,124 +141,6 @@
   m_transfer_gate->Release(context.id, {.latency = duration});
 }
 
-/// Runs requests that were in flight at a crash one at a time, and refuses
-/// those that are known to crash backend servers.
-asio::awaitable<std::optional<RefusalReason>> OwnerStage::BeginIsolation(
-    RequestContext& context) {
-  constexpr Duration kPollInterval = milliseconds(5);
-  context.fingerprint = FingerprintFor(context.request, context.metadata);
-  if (!context.fingerprint) {
-    co_return std::nullopt;
-  }
-  asio::steady_timer timer(m_executor);
-  while (true) {
-    const TimePoint now = SystemClock().Now();
-    const Quarantine::Verdict verdict =
-        m_quarantine.Check(*context.fingerprint, now);
-    if (verdict == Quarantine::Verdict::kRefuse) {
-      context.backend->gate->Cancel(context.id);
-      co_return RefusalReason::kQuarantined;
-    }
-    context.is_suspect = verdict == Quarantine::Verdict::kRunSerially;
-    if (!context.is_suspect || !context.backend->suspect_running) {
-      break;
-    }
-    if (now >= context.deadline) {
-      context.backend->gate->Cancel(context.id);
-      co_return RefusalReason::kDeadline;
-    }
-    timer.expires_after(kPollInterval);
-    co_await timer.async_wait(asio::use_awaitable);
-  }
-  context.backend->suspect_running =
-      context.backend->suspect_running || context.is_suspect;
-  context.backend->in_flight.insert(*context.fingerprint);
-  co_return std::nullopt;
-}
-
-void OwnerStage::EndIsolation(RequestContext& context) {
-  if (!context.fingerprint) {
-    return;
-  }
-  std::multiset<RequestFingerprint>& in_flight = context.backend->in_flight;
-  const auto found = in_flight.find(*context.fingerprint);
-  if (found != in_flight.end()) {
-    in_flight.erase(found);
-  }
-  if (context.is_suspect) {
-    context.backend->suspect_running = false;
-  }
-}
-
-/// Called when a connection to the backend server broke with a request in
-/// flight. If the backend server has crashed, one of the requests in flight may
-/// be the cause.
-asio::awaitable<void> OwnerStage::DetectCrash(RequestContext& context) {
-  const BackendPtr backend = context.backend;
-  const std::vector<RequestFingerprint> in_flight(backend->in_flight.begin(),
-                                                  backend->in_flight.end());
-  if (in_flight.empty() || backend->crash_suspected) {
-    co_return;
-  }
-  backend->crash_suspected = true;
-  UpstreamPtr probe =
-      co_await m_pool.Connect(backend->record.address, context.deadline);
-  if (probe) {
-    // A process that ends may still accept connections for a moment. The
-    // response to this request does not wait for that.
-    asio::co_spawn(m_executor,
-                   WatchForCrash(backend, in_flight, std::move(probe)),
-                   asio::detached);
-    co_return;
-  }
-  OnCrash(*backend, in_flight);
-}
-
-/// Watches a new connection to a backend server that has just lost another one.
-/// If this one breaks too and no further one can be opened, the backend server
-/// has crashed.
-asio::awaitable<void> OwnerStage::WatchForCrash(
-    BackendPtr backend,
-    std::vector<RequestFingerprint> in_flight,
-    UpstreamPtr probe) {
-  constexpr Duration kWatchTime = milliseconds(200);
-  probe->stream.expires_after(kWatchTime);
-  boost::system::error_code error;
-  char byte = 0;
-  co_await probe->stream.async_read_some(
-      asio::buffer(&byte, 1), asio::redirect_error(asio::use_awaitable, error));
-  const bool is_alive = !error || error == beast::error::timeout;
-  if (is_alive) {
-    backend->crash_suspected = false;
-    co_return;
-  }
-  const UpstreamPtr next = co_await m_pool.Connect(
-      backend->record.address, SystemClock().Now() + kWatchTime);
-  if (next) {
-    backend->crash_suspected = false;
-  } else {
-    OnCrash(*backend, in_flight);
-  }
-}
-
-void OwnerStage::OnCrash(Backend& backend,
-                         const std::vector<RequestFingerprint>& in_flight) {
-  backend.crash_suspected = false;
-  // An empty set keeps the other requests lost in this crash from reporting it
-  // again.
-  backend.in_flight.clear();
-  std::vector<RequestFingerprint> suspects =
-      m_quarantine.OnCrash(in_flight, SystemClock().Now());
-  m_options.hooks.on_unreachable(backend.record.id);
-  if (!suspects.empty()) {
-    m_options.hooks.on_crash(backend.record.service, std::move(suspects));
-  }
-}
-
-void OwnerStage::OnCrashReport(const CrashReportMessage& report) {
-  m_quarantine.OnReport(report, SystemClock().Now());
-}
-
 OwnerStage::BackendPtr OwnerStage::FindBackend(
     const RequestMetadata& metadata) const {
   const auto found = m_backends.find(metadata.server);
@@ -313,7 +177,8 @@
   // A streamed body stays unread, unless the sender still waits for
   // "100 Continue".
   const InboundRequest& request = context.request;
-  const bool body_unread = request.is_streamed && !request.expects_continue;
+  const bool body_unread =
+      request.has_unread_body() && !request.expects_continue;
   LocalReply reply = RefusalReply(reason);
   ResponseMetadata metadata{.refusal = reason};
   if (context.backend) {
@@ -426,7 +291,15 @@
       .server = context.backend->record.address,
       .head = ForwardedHead(context.request),
       .deadline = context.deadline,
-      .on_body_received = [this, &context] { ReleaseTransferSlot(context); },
+      .on_body_received =
+          [this, &context] {
+            context.fingerprints->EndBody();
+            ReleaseTransferSlot(context);
+          },
+      .on_body_part =
+          [&context](std::string_view part) {
+            context.fingerprints->Append(part);
+          },
       .may_send = [this, &context] { return MaySend(*context.backend); },
       .dialect = &m_options.dialect};
   SetBackendServerFields(context, options.head);
@@ -499,9 +372,7 @@
   switch (outcome) {
     case RelayOutcome::kComplete:
       ReleaseSlot(context, AttemptResult::kCompleted);
-      if (context.fingerprint) {
-        m_quarantine.OnCompleted(*context.fingerprint);
-      }
+      m_quarantine.OnCompleted(*context.fingerprints);
       if (!attempt.must_close_upstream) {
         m_pool.Release(std::move(attempt.upstream), keep_alive_timeout);
       }
--- a/packages/proxy/banyantrail/proxy/owner_stage.h
+++ b/packages/proxy/banyantrail/proxy/owner_stage.h
@@ -4,7 +4,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string_view>
 #include <vector>
 
@@ -105,8 +104,8 @@
     std::optional<TimePoint> departed_at;
     unsigned failed_connects = 0;
     FailureShare failures;
-    /// Fingerprints of the requests in flight, one entry for each request.
-    std::multiset<RequestFingerprint> in_flight;
+    /// Requests in flight.
+    std::map<RequestId, std::shared_ptr<const RequestFingerprints>> in_flight;
     /// A request suspected of crashing backend servers is running. Other
     /// suspects wait for its end.
     bool suspect_running = false;
@@ -121,7 +120,8 @@
     RequestMetadata metadata;
     BackendPtr backend;
     RequestId id = 0;
-    std::optional<RequestFingerprint> fingerprint;
+    /// Set when the request is isolated.
+    std::shared_ptr<RequestFingerprints> fingerprints;
     bool is_suspect = false;
     TimePoint deadline;
     TimePoint admitted_at{};
@@ -149,6 +149,12 @@
   asio::awaitable<std::optional<RefusalReason>> Admit(Downstream& downstream,
                                                       RequestContext& context);
   asio::awaitable<std::optional<RefusalReason>> BeginIsolation(
+      Downstream& downstream,
+      RequestContext& context);
+  asio::awaitable<std::optional<RefusalReason>> ReadComparedBody(
+      Downstream& downstream,
+      RequestContext& context);
+  asio::awaitable<std::optional<RefusalReason>> AwaitTurnOfSuspect(
       RequestContext& context);
   void EndIsolation(RequestContext& context);
   void SetFailureField(const Backend& backend, http::fields& head) const;
--- a/packages/proxy/banyantrail/proxy/request_monitor.cc
+++ b/packages/proxy/banyantrail/proxy/request_monitor.cc
@@ -27,6 +27,7 @@
         head(std::move(options.head)),
         may_send(std::move(options.may_send)),
         on_body_received(std::move(options.on_body_received)),
+        on_body_part(std::move(options.on_body_part)),
         finished(down.stream.get_executor()),
         head_sent(options.head_sent) {}
 
@@ -36,6 +37,7 @@
   http::request_header<> head;
   std::function<bool()> may_send;
   std::function<void()> on_body_received;
+  std::function<void(std::string_view)> on_body_part;
   /// Cancelled when the monitor's coroutine has ended.
   asio::steady_timer finished;
   bool head_sent;
@@ -74,25 +76,32 @@
     SkipHead(serializer);
   }
   state.request.body_consumed = true;
+  std::string start = std::exchange(state.request.body_start, {});
   while (!serializer.is_done()) {
-    parser.get().body().data = buffer.data();
-    parser.get().body().size = buffer.size();
-    if (!parser.is_done()) {
+    char* part = buffer.data();
+    std::size_t size = 0;
+    if (!start.empty()) {
+      part = start.data();
+      size = start.size();
+    } else if (!parser.is_done()) {
+      parser.get().body().data = buffer.data();
+      parser.get().body().size = buffer.size();
       co_await http::async_read_some(
           state.downstream.stream, state.downstream.buffer, parser,
           asio::redirect_error(asio::use_awaitable, error));
+      size = buffer.size() - parser.get().body().size;
     }
     if (error && error != http::error::need_buffer) {
       state.caller_disconnected = !state.stopping;
       co_return;
     }
-    const std::size_t size = buffer.size() - parser.get().body().size;
+    state.on_body_part({part, size});
     if (parser.is_done()) {
       state.on_body_received();
     } else if (size == 0) {
       continue;
     }
-    SetBodyPart(outgoing.body(), buffer.data(), size, parser.is_done());
+    SetBodyPart(outgoing.body(), part, size, parser.is_done());
     if (!state.head_sent && !state.may_send()) {
       state.send_refused = true;
       state.upstream.stream.cancel();
@@ -108,6 +117,7 @@
       co_return;
     }
     error = {};
+    start.clear();
   }
   state.body_sent = true;
 }
--- a/packages/proxy/banyantrail/proxy/request_monitor.h
+++ b/packages/proxy/banyantrail/proxy/request_monitor.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <memory>
+#include <string_view>
 
 #include "banyantrail/proxy/connection.h"
 #include "banyantrail/proxy/inbound_request.h"
@@ -28,6 +29,9 @@
     std::function<bool()> may_send = [] { return true; };
     /// Called once when the whole body of a streamed request was received.
     std::function<void()> on_body_received = [] {};
+    /// Called with each part of a streamed body, before it is sent.
+    std::function<void(std::string_view part)> on_body_part =
+        [](std::string_view) {};
   };
 
   RequestMonitor(Downstream& downstream,
--- a/packages/traffic/banyantrail/traffic/quarantine.cc
+++ b/packages/traffic/banyantrail/traffic/quarantine.cc
@@ -1,9 +1,7 @@
 #include "banyantrail/traffic/quarantine.h"
 
 #include <algorithm>
-#include <string>
-
-#include "banyantrail/core/digest.h"
+#include <set>
 
 namespace banyantrail {
 
@@ -11,25 +9,9 @@
 
 /// Number of crashes with a request in flight after which it is refused.
 constexpr std::uint32_t kMinCrashesToRefuse = 2;
-/// Number of crash reports remembered to detect duplicates.
-constexpr std::size_t kMaxRememberedReports = 1024;
 
 }  // namespace
 
-std::optional<RequestFingerprint> FingerprintOf(
-    const RequestIdentity& identity) {
-  if (identity.has_body && identity.discriminator.empty()) {
-    return std::nullopt;
-  }
-  std::string text = identity.service.str();
-  for (const std::string_view field :
-       {identity.method, identity.target, identity.discriminator}) {
-    text += '\n';
-    text += field;
-  }
-  return Hash64(text);
-}
-
 Quarantine::Verdict Quarantine::Check(RequestFingerprint request,
                                       TimePoint now) const {
   const auto found = m_entries.find(request);
@@ -40,6 +22,29 @@
                                            : Verdict::kRunSerially;
 }
 
+Quarantine::Verdict Quarantine::Check(const RequestFingerprints& request,
+                                      TimePoint now) const {
+  Verdict verdict = Verdict::kAllow;
+  if (m_entries.empty()) {
+    return verdict;
+  }
+  for (const RequestFingerprint fingerprint : request.All()) {
+    verdict = std::max(verdict, Check(fingerprint, now));
+  }
+  return verdict;
+}
+
+bool Quarantine::RemembersTarget(RequestTarget target, TimePoint now) const {
+  const RequestFingerprint first = FirstWith(target);
+  for (auto entry = m_entries.lower_bound(first);
+       entry != m_entries.end() && TargetOf(entry->first) == target; ++entry) {
+    if (now < entry->second.expires_at) {
+      return true;
+    }
+  }
+  return false;
+}
+
 std::vector<RequestFingerprint> Quarantine::OnCrash(
     const std::vector<RequestFingerprint>& in_flight,
     TimePoint now) {
@@ -72,12 +77,7 @@
   if (!m_options.enabled || !usable) {
     return;
   }
-  const ReportId id{.node = report.node,
-                    .incarnation = report.incarnation,
-                    .sequence = report.sequence};
-  if (IsNewReport(id)) {
-    AddSuspicion(report.suspects, now);
-  }
+  AddSuspicion(report.suspects, now);
 }
 
 void Quarantine::OnCompleted(RequestFingerprint request) {
@@ -87,6 +87,15 @@
   }
 }
 
+void Quarantine::OnCompleted(const RequestFingerprints& request) {
+  if (m_entries.empty()) {
+    return;
+  }
+  for (const RequestFingerprint fingerprint : request.All()) {
+    OnCompleted(fingerprint);
+  }
+}
+
 void Quarantine::AddSuspicion(const std::vector<RequestFingerprint>& suspects,
                               TimePoint now) {
   const double weight = 1.0 / static_cast<double>(suspects.size());
@@ -115,18 +124,6 @@
       std::max(entry.refused_until, now) + m_options.suspect_retention_time;
 }
 
-bool Quarantine::IsNewReport(const ReportId& id) {
-  if (!m_seen_reports.insert(id).second) {
-    return false;
-  }
-  m_seen_report_order.push_back(id);
-  if (m_seen_report_order.size() > kMaxRememberedReports) {
-    m_seen_reports.erase(m_seen_report_order.front());
-    m_seen_report_order.pop_front();
-  }
-  return true;
-}
-
 void Quarantine::EvictExpired(TimePoint now) {
   std::erase_if(m_entries, [now](const auto& item) {
     return now >= item.second.expires_at;
--- a/packages/traffic/banyantrail/traffic/quarantine.h
+++ b/packages/traffic/banyantrail/traffic/quarantine.h
@@ -2,40 +2,15 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <map>
-#include <optional>
-#include <set>
-#include <string_view>
-#include <tuple>
 #include <vector>
 
 #include "banyantrail/core/clock.h"
-#include "banyantrail/core/ids.h"
+#include "banyantrail/traffic/request_fingerprints.h"
 #include "banyantrail/wire/peer_messages.h"
 
 namespace banyantrail {
 
-/// Hash that identifies a request across resends.
-using RequestFingerprint = std::uint64_t;
-
-/// Properties that distinguish one request from another.
-struct RequestIdentity {
-  ServiceName service;
-  std::string_view method;
-  /// Path and query.
-  std::string_view target;
-  /// The idempotency key, or else a digest of the body; empty if there is
-  /// neither.
-  std::string_view discriminator;
-  bool has_body = false;
-};
-
-/// Returns nothing for a request with a body but neither an idempotency key nor
-/// a digest, as all such requests to one path would get the same fingerprint.
-std::optional<RequestFingerprint> FingerprintOf(
-    const RequestIdentity& identity);
-
 /// Settings of Quarantine.
 struct QuarantineOptions {
   /// How long a request is refused if it was the only suspect of a crash.
@@ -78,6 +53,12 @@
   explicit Quarantine(QuarantineOptions options = {}) : m_options(options) {}
 
   Verdict Check(RequestFingerprint request, TimePoint now) const;
+  /// The strictest verdict on the fingerprints of one request.
+  Verdict Check(const RequestFingerprints& request, TimePoint now) const;
+
+  /// Whether a request with this target is remembered, so that the body of
+  /// another one has to be compared with it.
+  bool RemembersTarget(RequestTarget target, TimePoint now) const;
 
   /// A backend server of this node crashed with these requests in flight.
   /// Returns the suspects to report to the other nodes; empty if the crash is
@@ -86,12 +67,13 @@
       const std::vector<RequestFingerprint>& in_flight,
       TimePoint now);
 
-  /// Another node reported a crash. Duplicate reports are ignored.
+  /// Another node reported a crash. CrashReportLog leaves out duplicates.
   void OnReport(const CrashReportMessage& report, TimePoint now);
 
   /// The request completed at a backend server that is alive. Clears it, unless
   /// its evidence amounts to a crash with no other suspect.
   void OnCompleted(RequestFingerprint request);
+  void OnCompleted(const RequestFingerprints& request);
 
   /// Number of remembered requests.
   std::size_t size() const { return m_entries.size(); }
@@ -105,27 +87,13 @@
     TimePoint expires_at;
   };
 
-  struct ReportId {
-    NodeId node;
-    Incarnation incarnation = 0;
-    std::uint64_t sequence = 0;
-
-    friend bool operator<(const ReportId& a, const ReportId& b) {
-      return std::tie(a.node, a.incarnation, a.sequence) <
-             std::tie(b.node, b.incarnation, b.sequence);
-    }
-  };
-
   void AddSuspicion(const std::vector<RequestFingerprint>& suspects,
                     TimePoint now);
   void AddSuspicionTo(RequestFingerprint request, double weight, TimePoint now);
-  bool IsNewReport(const ReportId& id);
   void EvictExpired(TimePoint now);
 
   QuarantineOptions m_options;
   std::map<RequestFingerprint, Entry> m_entries;
-  std::set<ReportId> m_seen_reports;
-  std::deque<ReportId> m_seen_report_order;
 };
 
 }  // namespace banyantrail
