Bound the memory of heads by what they cost here

Cause: the parser makes an allocation of each field, and a request held three copies of them while it ran; only the bytes on the wire were bounded, for each head alone. Seen in the resident size for each connection by the kind of head: 37 KB with one field, 266 KB with 2,400. At the limit of connections the new one was closed, however long the others had been silent.

Ruled out: bodies and trailers (there are none); the owner's queue, which had refused most of these requests.

HeadMemory limits large heads and requests read ahead to an eighth of the memory of the VM (limits.memory_mb); small ones are always served. The fields are held once while the response is awaited, and a buffer shrinks after a large head. At the limit of connections the one that has waited longest for a request is closed.

--- a/packages/net/banyantrail/net/tcp_listener.cc
+++ b/packages/net/banyantrail/net/tcp_listener.cc
@@ -97,7 +97,9 @@
             asio::redirect_error(asio::use_awaitable, error));
         continue;
       }
-      if (state->open_sessions >= state->options.max_connections) {
+      const bool is_full =
+          state->open_sessions >= state->options.max_connections;
+      if (is_full && !state->options.make_room()) {
         state->options.on_refused();
         continue;
       }
--- a/packages/net/banyantrail/net/tcp_listener.h
+++ b/packages/net/banyantrail/net/tcp_listener.h
@@ -9,7 +9,8 @@
 namespace banyantrail {
 
 /// Accepts TCP connections up to a limit and runs one coroutine for each.
-/// Connections above the limit are closed at once and reported to `on_refused`,
+/// Connections above the limit are closed at once and reported to `on_refused`
+/// unless there is room to make,
 /// so that their clients notice and other connections are not delayed.
 class TcpListener {
  public:
@@ -17,6 +18,9 @@
     IpEndpoint endpoint;
     std::size_t max_connections = 1024;
     std::function<asio::awaitable<void>(beast::tcp_stream)> session;
+    /// Called for a connection above the limit. If a session is about to end to
+    /// make room, it returns true and the connection is kept.
+    std::function<bool()> make_room = [] { return false; };
     /// Called for each connection closed because of the limit.
     std::function<void()> on_refused = [] {};
   };
--- a/packages/node/banyantrail/node/data_plane.cc
+++ b/packages/node/banyantrail/node/data_plane.cc
@@ -55,12 +55,25 @@
   return options;
 }
 
+/// Memory for the heads of requests, in bytes.
+std::size_t MaxHeadMemory(const LimitSettings& limits) {
+  constexpr std::size_t kBytesPerMb = 1'000'000;
+  constexpr std::size_t kDivisor = 8;
+  constexpr std::size_t kDefaultMb = 512;
+  const std::size_t memory_mb =
+      limits.memory_mb > 0 ? limits.memory_mb : kDefaultMb;
+  return memory_mb * kBytesPerMb / kDivisor;
+}
+
 OwnerStage::Options OwnerStageOptions(Metrics& metrics,
                                       const NodeSettings& settings,
                                       LocalBackendServers& servers,
                                       std::function<void()> on_change,
+                                      HeadMemory& head_memory,
                                       const DataPlane::Options& options) {
   return {
+      .limits = {.max_header_fields = kMaxHeadFields + kMaxAddedFields,
+                 .head_memory = &head_memory},
       .hooks = {.count_refusal =
                     [&metrics](RefusalReason reason) {
                       metrics.CountRefusal("mesh", ToString(reason));
@@ -159,6 +172,7 @@
 
 EntryStage::Options EntryStageOptions(Metrics& metrics,
                                       const NodeSettings& settings,
+                                      HeadMemory& head_memory,
                                       const DataPlane::Options& options,
                                       ExposureControl& exposure,
                                       RolloutCounter& rollout_counter) {
@@ -168,7 +182,8 @@
       .loads = {.slow_start_follows_limit = settings.response_based_slow_start},
       .retries = RetryPolicyFor(settings.retry_budget),
       .fleet_retry_burst = kUsableBudgetShare * settings.retry_budget.burst,
-      .limits = {.max_header_bytes = settings.limits.max_header_bytes},
+      .limits = {.max_header_bytes = settings.limits.max_header_bytes,
+                 .head_memory = &head_memory},
       .pipelining = {.max_requests = settings.limits.max_pipelined_requests,
                      .max_bytes = settings.limits.max_pipelined_bytes},
       .hooks = {
@@ -209,6 +224,7 @@
       m_options(std::move(options)),
       m_backend_servers({.heartbeat_timeout = kMaxMissedHeartbeats *
                                               settings.heartbeat_interval}),
+      m_head_memory(MaxHeadMemory(settings.limits)),
       m_upstream_pool(io.get_executor(), {}),
       m_exposure({.share = settings.rollouts.exposure_share,
                   .slack = settings.rollouts.exposure_slack,
@@ -222,12 +238,14 @@
                         settings,
                         m_backend_servers,
                         [this] { OnBackendServersChanged(); },
+                        m_head_memory,
                         m_options)),
       m_entry_stage(io.get_executor(),
                     m_upstream_pool,
                     m_running_requests,
                     EntryStageOptions(metrics,
                                       settings,
+                                      m_head_memory,
                                       m_options,
                                       m_exposure,
                                       m_rollout_counter)),
@@ -239,6 +257,14 @@
           [this](beast::tcp_stream stream) {
             return m_entry_stage.Serve(std::move(stream));
           },
+      .make_room =
+          [this, &metrics] {
+            const bool has_room = m_entry_stage.CloseOldestWaiting();
+            if (has_room) {
+              metrics.CountRefusal("caller", "idle_connection");
+            }
+            return has_room;
+          },
       .on_refused =
           [&metrics] {
             metrics.CountRefusal("caller", "too_many_connections");
--- a/packages/node/banyantrail/node/data_plane.h
+++ b/packages/node/banyantrail/node/data_plane.h
@@ -91,6 +91,7 @@
   /// The last change is not yet in force at the stages and the other nodes,
   /// because it failed on the way. It is repeated.
   bool m_has_pending_change = false;
+  HeadMemory m_head_memory;
   UpstreamPool m_upstream_pool;
   RunningRequests m_running_requests;
   ExposureControl m_exposure;
--- a/packages/node/banyantrail/node/settings.cc
+++ b/packages/node/banyantrail/node/settings.cc
@@ -14,6 +14,7 @@
 constexpr std::size_t kMaxEndpoints = 64;
 constexpr std::size_t kMaxLabels = 64;
 constexpr IntegerBounds kConnectionBounds{.min = 1, .max = 100'000};
+constexpr IntegerBounds kMemoryBounds{.min = 0, .max = 10'000'000};
 constexpr IntegerBounds kLinkBandwidthBounds{.min = 0, .max = 1'000'000};
 constexpr IntegerBounds kHeaderBounds{.min = 1U << 10U, .max = 1U << 20U};
 constexpr IntegerBounds kPipelinedRequestBounds{.min = 1, .max = 1024};
@@ -123,6 +124,8 @@
       .max_admin_connections =
           ReadLimit(reader, "max_admin_connections", kConnectionBounds,
                     defaults.max_admin_connections),
+      .memory_mb =
+          ReadLimit(reader, "memory_mb", kMemoryBounds, defaults.memory_mb),
       .link_mbit_per_s =
           ReadLimit(reader, "link_mbit_per_s", kLinkBandwidthBounds,
                     defaults.link_mbit_per_s)};
--- a/packages/node/banyantrail/node/settings.h
+++ b/packages/node/banyantrail/node/settings.h
@@ -38,6 +38,8 @@
   std::uint32_t max_caller_connections = 1024;
   std::uint32_t max_mesh_connections = 4096;
   std::uint32_t max_admin_connections = 256;
+  /// Memory that the node may use, in MB; 0 if unknown.
+  std::uint32_t memory_mb = 0;
   /// Bandwidth of the VM's network link; 0 if unknown.
   std::uint32_t link_mbit_per_s = 0;
 
--- a/packages/proxy/banyantrail/proxy/attempt.cc
+++ b/packages/proxy/banyantrail/proxy/attempt.cc
@@ -373,7 +373,7 @@
   attempt.upstream->request_in_flight = true;
   const MarkInUse mark(options.in_use, *attempt.upstream);
 
-  const http::request_header<> head = WithFraming(
+  http::request_header<> head = WithFraming(
       std::move(options.head), request, ShouldExpectContinue(request, options));
   const bool send_head_now = !request.is_streamed || options.expect_continue;
   if (send_head_now) {
@@ -383,7 +383,9 @@
       co_return attempt;
     }
   }
-  if (request.is_streamed) {
+  if (!request.is_streamed) {
+    head = {};  // Sent, and kept no longer than that.
+  } else {
     // The wait for the response bounds the forwarding of the body. A time-out
     // of the caller's own stream would close it, and the caller would get no
     // answer.
@@ -395,7 +397,7 @@
         FieldValue(request.head(), expected.dialect->request_id);
   }
   RequestMonitor::Options monitor_options{
-      .head = head,
+      .head = std::move(head),
       .head_sent = send_head_now,
       .may_send = std::move(options.may_send),
       .on_body_received = std::move(options.on_body_received),
--- a/packages/proxy/banyantrail/proxy/buffered_request.cc
+++ b/packages/proxy/banyantrail/proxy/buffered_request.cc
@@ -7,10 +7,10 @@
 namespace {
 
 /// Whether the parsed head is that of a valid request without a body.
-bool HasNoBody(const InboundRequest& request, std::string_view raw_head) {
+bool HasNoBody(const InboundRequest& request, const HeadText& text) {
   return request.parser->is_done() &&
          request.head().count(http::field::expect) == 0 &&
-         !CheckRequestHead(request.head(), raw_head);
+         !CheckRequestHead(request.head(), text);
 }
 
 }  // namespace
@@ -33,6 +33,11 @@
     return result;
   }
   const std::string_view head = buffered.substr(0, known_bytes);
+  const HeadText text = InspectHead(head);
+  if (text.fields > kMaxHeadFields) {
+    result.content = BufferedContent::kOther;
+    return result;
+  }
   InboundRequest request;
   request.parser = std::make_unique<InboundRequest::Parser>();
   request.parser->header_limit(max_header_bytes);
@@ -41,13 +46,13 @@
   const std::size_t parsed =
       request.parser->put(asio::buffer(head.data(), head.size()), error);
   if (error || parsed != head.size() || !request.parser->is_header_done() ||
-      !HasNoBody(request, head)) {
+      !HasNoBody(request, text)) {
     result.content = BufferedContent::kOther;
     return result;
   }
   result.content = BufferedContent::kRequest;
   result.request = std::move(request);
-  result.head_bytes = known_bytes;
+  result.text = text;
   return result;
 }
 
--- a/packages/proxy/banyantrail/proxy/buffered_request.h
+++ b/packages/proxy/banyantrail/proxy/buffered_request.h
@@ -24,8 +24,8 @@
   BufferedContent content = BufferedContent::kIncomplete;
   /// Valid for kRequest.
   InboundRequest request;
-  /// Bytes of the request in the buffer.
-  std::size_t head_bytes = 0;
+  /// Its `bytes` are those of the request in the buffer.
+  HeadText text;
 };
 
 /// Parses the first request of the buffered bytes without removing them.
--- a/packages/proxy/banyantrail/proxy/caller_pipeline.cc
+++ b/packages/proxy/banyantrail/proxy/caller_pipeline.cc
@@ -61,9 +61,9 @@
 }
 
 void CallerPipeline::SetLimits(PipelineLimits limits,
-                               std::uint32_t max_header_bytes) {
+                               const InboundLimits& inbound) {
   m_limits = limits;
-  m_max_header_bytes = max_header_bytes;
+  m_inbound = inbound;
   m_window.SetLimits(limits);
 }
 
@@ -175,8 +175,8 @@
   if (m_is_blocked || !snapshot || !m_window.MayReadOn()) {
     return NextStep::kWait;
   }
-  BufferedRequest next =
-      ParseBufferedRequest(TextOf(m_downstream.buffer), m_max_header_bytes);
+  BufferedRequest next = ParseBufferedRequest(TextOf(m_downstream.buffer),
+                                              m_inbound.max_header_bytes);
   if (next.content == BufferedContent::kIncomplete) {
     return NextStep::kReadBytes;
   }
@@ -185,19 +185,29 @@
     return NextStep::kWait;
   }
   const PipelinedRequest description =
-      Describe(next.request, next.head_bytes, snapshot.get());
+      Describe(next.request, next.text.bytes, snapshot.get());
   m_is_blocked = !description.may_run_beside;
-  if (!m_window.MayStart(description)) {
+  if (!m_window.MayStart(description) || !TakeHeadMemory(next)) {
     return NextStep::kWait;
   }
   Start(std::move(next), description, std::move(snapshot));
   return NextStep::kStarted;
 }
 
+/// Takes the memory for a request that is read ahead, small or not: a caller
+/// may have several of them.
+bool CallerPipeline::TakeHeadMemory(BufferedRequest& next) const {
+  if (m_inbound.head_memory == nullptr) {
+    return true;
+  }
+  next.request.head_memory = HeadMemory::Share(*m_inbound.head_memory);
+  return next.request.head_memory.GrowTo(MemoryOf(next.text));
+}
+
 void CallerPipeline::Start(BufferedRequest next,
                            const PipelinedRequest& description,
                            std::shared_ptr<const RoutingSnapshot> snapshot) {
-  m_downstream.buffer.consume(next.head_bytes);
+  m_downstream.buffer.consume(next.text.bytes);
   // The turn refers to the pipeline, so that it can be neither moved nor
   // copied.
   const std::shared_ptr<ReadAheadRequest> request(
--- a/packages/proxy/banyantrail/proxy/caller_pipeline.h
+++ b/packages/proxy/banyantrail/proxy/caller_pipeline.h
@@ -84,7 +84,7 @@
   CallerPipeline& operator=(const CallerPipeline&) = delete;
 
   /// Applies to requests that are read ahead from now on.
-  void SetLimits(PipelineLimits limits, std::uint32_t max_header_bytes);
+  void SetLimits(PipelineLimits limits, const InboundLimits& inbound);
 
   /// The session handles `request`, which must exist until `End`.
   ResponseTurn& Begin(const InboundRequest& request,
@@ -119,6 +119,7 @@
   asio::awaitable<void> ReadBytes();
   asio::awaitable<void> WaitForCapacity();
   NextStep StartNext();
+  bool TakeHeadMemory(BufferedRequest& next) const;
   void Start(BufferedRequest next,
              const PipelinedRequest& description,
              std::shared_ptr<const RoutingSnapshot> snapshot);
@@ -132,7 +133,7 @@
   Downstream& m_downstream;
   Options m_options;
   PipelineLimits m_limits;
-  std::uint32_t m_max_header_bytes = 0;
+  InboundLimits m_inbound;
   PipelineWindow m_window;
   /// Turns of the requests in the window, in their order.
   std::vector<ResponseTurn*> m_turns;
--- a/packages/proxy/banyantrail/proxy/entry_stage.cc
+++ b/packages/proxy/banyantrail/proxy/entry_stage.cc
@@ -46,10 +46,10 @@
   UpdateRetryBurst();
   const auto& limits = m_snapshot->caller_limits();
   if (limits) {
-    m_options.limits = {.max_header_bytes = limits->max_header_bytes,
-                        .max_body_bytes = limits->max_body_bytes,
-                        .idle_timeout = limits->idle_timeout,
-                        .head_timeout = limits->header_timeout};
+    m_options.limits.max_header_bytes = limits->max_header_bytes;
+    m_options.limits.max_body_bytes = limits->max_body_bytes;
+    m_options.limits.idle_timeout = limits->idle_timeout;
+    m_options.limits.head_timeout = limits->header_timeout;
   }
 }
 
@@ -72,9 +72,10 @@
   Downstream downstream(std::move(stream));
   CallerPipeline pipeline(downstream, PipelineOptions(downstream));
   while (!downstream.must_close && !m_has_closed_idle) {
-    m_awaiting_request.insert(&downstream);
+    const std::uint64_t wait = ++m_last_wait;
+    m_awaiting_request.emplace(wait, &downstream);
     ReadResult read = co_await ReadRequest(downstream, m_options.limits);
-    m_awaiting_request.erase(&downstream);
+    m_awaiting_request.erase(wait);
     if (read.outcome == ReadOutcome::kClosed) {
       break;
     }
@@ -82,8 +83,7 @@
       co_await RefuseMalformed(downstream, read.refusal);
       break;
     }
-    pipeline.SetLimits(CurrentPipelineLimits(),
-                       m_options.limits.max_header_bytes);
+    pipeline.SetLimits(CurrentPipelineLimits(), m_options.limits);
     ResponseTurn& turn = pipeline.Begin(read.request, m_snapshot);
     std::exception_ptr failure;
     try {
@@ -146,12 +146,23 @@
 
 void EntryStage::CloseIdle() {
   m_has_closed_idle = true;
-  for (Downstream* downstream : m_awaiting_request) {
+  for (const auto& [wait, downstream] : m_awaiting_request) {
     downstream->must_close = true;
     downstream->stream.cancel();
   }
 }
 
+bool EntryStage::CloseOldestWaiting() {
+  for (const auto& [wait, downstream] : m_awaiting_request) {
+    if (!downstream->must_close) {
+      downstream->must_close = true;
+      downstream->stream.cancel();
+      return true;
+    }
+  }
+  return false;
+}
+
 asio::awaitable<void> EntryStage::Handle(Downstream& downstream,
                                          InboundRequest& request,
                                          ResponseTurn& turn) {
--- a/packages/proxy/banyantrail/proxy/entry_stage.h
+++ b/packages/proxy/banyantrail/proxy/entry_stage.h
@@ -151,6 +151,10 @@
   /// read, without its session having been resumed yet.
   void CloseIdle();
 
+  /// Closes the connection that has waited for a request for the longest time.
+  /// Returns false if there is none.
+  bool CloseOldestWaiting();
+
   std::size_t requests_in_progress() const { return m_in_progress; }
 
  private:
@@ -247,8 +251,10 @@
   std::size_t m_in_progress = 0;
   /// Requests that are being forwarded.
   std::set<RequestContext*> m_requests;
-  /// Connections whose next request has not been read completely.
-  std::set<Downstream*> m_awaiting_request;
+  /// Connections whose next request has not been read completely, in the order
+  /// in which they began to wait for it.
+  std::map<std::uint64_t, Downstream*> m_awaiting_request;
+  std::uint64_t m_last_wait = 0;
 };
 
 }  // namespace banyantrail
--- a/packages/proxy/banyantrail/proxy/header_rules.cc
+++ b/packages/proxy/banyantrail/proxy/header_rules.cc
@@ -26,13 +26,6 @@
                                ToBeast(prefix));
 }
 
-/// Whether a header line continues on the next one, which begins with white
-/// space (obs-fold). Servers interpret such lines differently.
-bool HasFoldedLine(std::string_view raw_head) {
-  return raw_head.find("\n ") != std::string_view::npos ||
-         raw_head.find("\n\t") != std::string_view::npos;
-}
-
 bool HasUnsupportedTransferEncoding(const http::fields& fields) {
   const auto value = fields[http::field::transfer_encoding];
   return !value.empty() && !boost::beast::iequals(value, "chunked");
@@ -60,13 +53,13 @@
 }  // namespace
 
 std::optional<HeadRefusal> CheckRequestHead(const http::request_header<>& head,
-                                            std::string_view raw_head) {
+                                            const HeadText& text) {
   constexpr unsigned kHttp11 = 11;
   if (head.version() != kHttp11) {
     return HeadRefusal{http::status::http_version_not_supported,
                        "http_version"};
   }
-  if (HasFoldedLine(raw_head) || HasUnsupportedTransferEncoding(head) ||
+  if (text.has_folded_line || HasUnsupportedTransferEncoding(head) ||
       head.count(http::field::transfer_encoding) > 1) {
     return HeadRefusal{http::status::bad_request, "ambiguous_framing"};
   }
--- a/packages/proxy/banyantrail/proxy/header_rules.h
+++ b/packages/proxy/banyantrail/proxy/header_rules.h
@@ -4,6 +4,7 @@
 #include <string_view>
 
 #include "banyantrail/net/http_types.h"
+#include "banyantrail/proxy/head_memory.h"
 #include "banyantrail/wire/edge_dialect.h"
 
 namespace banyantrail {
@@ -16,10 +17,10 @@
 };
 
 /// Checks what the parser does not: version, method, target and framing that
-/// another server could interpret differently (request smuggling). `raw_head`
-/// holds the unparsed head, since the parser joins folded lines.
+/// another server could interpret differently (request smuggling). `text` is
+/// needed since the parser joins folded lines.
 std::optional<HeadRefusal> CheckRequestHead(const http::request_header<>& head,
-                                            std::string_view raw_head);
+                                            const HeadText& text);
 
 /// Removes the hop-by-hop fields, including those listed in the Connection
 /// field.
--- a/packages/proxy/banyantrail/proxy/inbound_request.cc
+++ b/packages/proxy/banyantrail/proxy/inbound_request.cc
@@ -58,38 +58,70 @@
   return {static_cast<const char*>(data.data()), data.size()};
 }
 
+constexpr std::string_view kEndOfHead = "\r\n\r\n";
+
 bool HasCompleteHead(const beast::flat_buffer& buffer) {
-  return BufferedBytes(buffer).find("\r\n\r\n") != std::string_view::npos;
+  return BufferedBytes(buffer).find(kEndOfHead) != std::string_view::npos;
 }
 
-/// Reads and parses a head, and copies its bytes to `raw_head` before the
-/// parser consumes them.
-asio::awaitable<boost::system::error_code> ReadHead(
-    Downstream& downstream,
-    InboundRequest::Parser& parser,
-    std::uint32_t max_header_bytes,
-    std::string& raw_head) {
-  constexpr std::string_view kEndOfHead = "\r\n\r\n";
-  constexpr std::size_t kReadBytes = 4096;
+constexpr HeadRefusal kTooManyFields{
+    http::status::request_header_fields_too_large, "too_many_fields"};
+constexpr HeadRefusal kNoHeadMemory{http::status::service_unavailable,
+                                    "head_memory"};
+
+/// Takes the memory for a head, as far as it has arrived.
+bool TakeMemory(InboundRequest& request, const HeadText& text) {
+  return IsSmall(text) || request.head_memory.GrowTo(MemoryOf(text));
+}
+
+/// How the wait for a head ended.
+struct HeadArrival {
+  HeadText text;
   boost::system::error_code error;
+  std::optional<HeadRefusal> refusal;
+};
+
+/// Waits until a whole head is in the buffer, without parsing it.
+asio::awaitable<HeadArrival> AwaitHead(Downstream& downstream,
+                                       InboundRequest& request,
+                                       const InboundLimits& limits) {
+  constexpr std::size_t kReadBytes = 4096;
+  HeadArrival arrival;
   while (!HasCompleteHead(downstream.buffer)) {
-    if (downstream.buffer.size() > max_header_bytes) {
-      co_return http::make_error_code(http::error::header_limit);
+    const std::size_t size = downstream.buffer.size();
+    if (size > limits.max_header_bytes) {
+      arrival.error = http::make_error_code(http::error::header_limit);
+      co_return arrival;
+    }
+    if (!TakeMemory(request, {.bytes = size})) {
+      arrival.refusal = kNoHeadMemory;
+      co_return arrival;
     }
-    const std::size_t size = co_await downstream.stream.async_read_some(
+    const std::size_t received = co_await downstream.stream.async_read_some(
         downstream.buffer.prepare(kReadBytes),
-        asio::redirect_error(asio::use_awaitable, error));
-    if (error) {
-      co_return error;
+        asio::redirect_error(asio::use_awaitable, arrival.error));
+    if (arrival.error) {
+      co_return arrival;
     }
-    downstream.buffer.commit(size);
+    downstream.buffer.commit(received);
   }
   const std::string_view text = BufferedBytes(downstream.buffer);
-  raw_head = text.substr(0, text.find(kEndOfHead) + kEndOfHead.size());
-  co_await http::async_read_header(
-      downstream.stream, downstream.buffer, parser,
-      asio::redirect_error(asio::use_awaitable, error));
-  co_return error;
+  arrival.text =
+      InspectHead(text.substr(0, text.find(kEndOfHead) + kEndOfHead.size()));
+  if (arrival.text.fields > limits.max_header_fields) {
+    arrival.refusal = kTooManyFields;
+  } else if (!TakeMemory(request, arrival.text)) {
+    arrival.refusal = kNoHeadMemory;
+  }
+  co_return arrival;
+}
+
+/// Gives the memory of a buffer that a large head has enlarged back.
+void ShrinkIfEmpty(beast::flat_buffer& buffer) {
+  constexpr std::size_t kMaxKeptBytes = 8192;
+  if (buffer.size() == 0 && buffer.capacity() > kMaxKeptBytes) {
+    buffer.shrink_to_fit();
+  }
 }
 
 asio::awaitable<boost::system::error_code> ReadBufferedBody(
@@ -129,6 +161,9 @@
   request.parser = std::make_unique<InboundRequest::Parser>();
   request.parser->header_limit(limits.max_header_bytes);
   request.parser->body_limit(kNoBodyLimit);
+  if (limits.head_memory != nullptr) {
+    request.head_memory = HeadMemory::Share(*limits.head_memory);
+  }
 
   downstream.stream.expires_never();
   // Most heads arrive in one segment and need no timer.
@@ -136,14 +171,22 @@
   if (!HasCompleteHead(downstream.buffer)) {
     timer.emplace(downstream.stream, limits.head_timeout);
   }
-  std::string raw_head;
-  boost::system::error_code error = co_await ReadHead(
-      downstream, *request.parser, limits.max_header_bytes, raw_head);
-  if (error) {
-    co_return ReadFailure(error, timer);
+  const HeadArrival arrival = co_await AwaitHead(downstream, request, limits);
+  if (arrival.error) {
+    co_return ReadFailure(arrival.error, timer);
+  }
+  std::optional<HeadRefusal> refusal = arrival.refusal;
+  boost::system::error_code error;
+  if (!refusal) {
+    co_await http::async_read_header(
+        downstream.stream, downstream.buffer, *request.parser,
+        asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+      co_return ReadFailure(error, timer);
+    }
+    ShrinkIfEmpty(downstream.buffer);
+    refusal = CheckRequestHead(request.head(), arrival.text);
   }
-  const std::optional<HeadRefusal> refusal =
-      CheckRequestHead(request.head(), raw_head);
   if (refusal) {
     result.outcome = ReadOutcome::kRefused;
     result.refusal = *refusal;
--- a/packages/proxy/banyantrail/proxy/inbound_request.h
+++ b/packages/proxy/banyantrail/proxy/inbound_request.h
@@ -11,6 +11,7 @@
 #include "banyantrail/net/http_types.h"
 #include "banyantrail/proxy/chunk_limits.h"
 #include "banyantrail/proxy/connection.h"
+#include "banyantrail/proxy/head_memory.h"
 #include "banyantrail/proxy/header_rules.h"
 
 namespace banyantrail {
@@ -39,6 +40,7 @@
   /// The sender waits for "100 Continue" before it sends the body, and has not
   /// received it yet.
   bool expects_continue = false;
+  HeadMemory::Share head_memory;
 
   const http::request_header<>& head() const { return parser->get(); }
 
@@ -54,6 +56,9 @@
 /// Limits for the requests on one connection.
 struct InboundLimits {
   std::uint32_t max_header_bytes = 16U << 10U;
+  std::size_t max_header_fields = kMaxHeadFields;
+  /// Counts the large heads of all connections; null for no limit.
+  HeadMemory* head_memory = nullptr;
   std::uint64_t max_body_bytes = kNoBodyLimit;
   /// How long a connection may be idle between requests.
   Duration idle_timeout = seconds(60);
--- a/packages/proxy/banyantrail/proxy/owner_stage.cc
+++ b/packages/proxy/banyantrail/proxy/owner_stage.cc
@@ -68,8 +68,14 @@
   while (!downstream.must_close) {
     ReadResult read = co_await ReadRequest(downstream, m_options.limits);
     if (read.outcome == ReadOutcome::kRefused) {
-      m_options.hooks.count_refusal(RefusalReason::kMalformedRequest);
-      LocalReply reply = RefusalReply(RefusalReason::kMalformedRequest);
+      // Without memory for the head the entry node may try another node.
+      const bool is_unavailable =
+          read.refusal.status == http::status::service_unavailable;
+      const RefusalReason reason = is_unavailable
+                                       ? RefusalReason::kQueueFull
+                                       : RefusalReason::kMalformedRequest;
+      m_options.hooks.count_refusal(reason);
+      LocalReply reply = RefusalReply(reason);
       reply.status = read.refusal.status;
       co_await SendLocalReply(downstream, std::move(reply), false);
     }
--- a/tests/process/caller_limits_process_test.py
+++ b/tests/process/caller_limits_process_test.py
@@ -3,8 +3,10 @@
 
 import contextlib
 import os
+import resource
 import socket
 import threading
+import time
 import unittest
 
 import platform_fleet
@@ -24,6 +26,41 @@
     return head.encode() + b"1\r\nx\r\n0\r\n" + trailer + b"\r\n"
 
 
+# The smallest VM of the users' deployments.
+VM_MEMORY_MB = 88
+CROWDS = (350, 3000)
+# Below the limit of the configuration, 16,384 bytes.
+CROWD_HEAD_BYTES = 15_000
+SLOW_WORK_S = 2
+OWN_DESCRIPTORS = 8192
+
+
+def head(fields, is_complete=True):
+    """A request that runs for SLOW_WORK_S, as far as it is sent."""
+    text = ("GET /slow/2f HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\n"
+            "Deadline-Milliseconds: 8000\r\n%s"
+            % (common.HOST, os.urandom(8).hex(), fields))
+    return (text + ("\r\n" if is_complete else "")).encode()
+
+
+def fields(count):
+    """Fields that fill the head, all of one size."""
+    value = "x" * (CROWD_HEAD_BYTES // count - len("n00000: \r\n"))
+    return "".join(f"n{number:05}: {value}\r\n" for number in range(count))
+
+
+# What each connection of a crowd sends.
+CROWD_FORMS = {
+    "nothing": lambda: b"",
+    "2,400 fields": lambda: head("a: 1\r\n" * 2400),
+    "120 fields": lambda: head(fields(120)),
+    "one long field": lambda: head(fields(1)),
+    "a head that does not end": lambda: head(fields(100), False),
+    "requests ahead": lambda: b"".join(head("a: 1\r\n" * 100)
+                                       for _ in range(8)),
+}
+
+
 class CallerLimitsTest(unittest.TestCase):
 
     def send(self, address, data):
@@ -61,6 +98,54 @@
                 "POST", "/orders/2f", os.urandom(8).hex(), b"order", 3000)
             self.assertEqual(answer.status, 200)
 
+    # The node kept several copies of each head, with an allocation for each
+    # field, and no limit for all of them: 350 callers with 2,400 fields each
+    # took 260 MB. A crowd that held all connections kept ordinary callers out.
+    def test_crowds_leave_memory_and_room_for_orders(self):
+        resource.setrlimit(resource.RLIMIT_NOFILE,
+                           (OWN_DESCRIPTORS, OWN_DESCRIPTORS))
+        for name, message in CROWD_FORMS.items():
+            for size in CROWDS:
+                with self.subTest(f"{size} connections with {name}"):
+                    self.check_crowd(message, size)
+
+    def check_crowd(self, message, size):
+        with platform_fleet.PlatformFleet() as fleet, \
+                contextlib.ExitStack() as crowd:
+            slow = common.Upstream(fleet.record, "slow", "i-slow")
+            orders = common.Upstream(fleet.record, "orders", "i-orders")
+            node = fleet.add("n1", slow, memory_mb=VM_MEMORY_MB)
+            fleet.add("n2", orders, memory_mb=VM_MEMORY_MB)
+            fleet.start(["slow", "orders"],
+                        [("r-slow", "/slow/", "safe", 8000, "slow"),
+                         ("r-orders", "/orders/", "unsafe", TIMEOUT_MS,
+                          "orders")])
+            slow.work_s = SLOW_WORK_S
+            kept = common.Consumer(node.listen["outbound"])
+            self.order(kept)
+            with platform_fleet.PeakMemory(node) as peak:
+                for _ in range(size):
+                    self.join_crowd(crowd, node, message())
+                # Those that were answered or refused leave room meanwhile.
+                self.order(common.Consumer(node.listen["outbound"]))
+                time.sleep(0.5)
+                self.order(common.Consumer(node.listen["outbound"]))
+            self.assertTrue(node.is_running())
+            self.assertLess(peak.mb, VM_MEMORY_MB)
+            print(f"{peak.mb:.0f} MB", end=" ", flush=True)
+
+    def join_crowd(self, crowd, node, message):
+        host, port = node.listen["outbound"].rsplit(":", 1)
+        with contextlib.suppress(OSError):
+            connection = socket.create_connection((host, int(port)), 5)
+            crowd.enter_context(connection)
+            connection.sendall(message)
+
+    def order(self, consumer):
+        answer = consumer.ask("POST", "/orders/2f", os.urandom(8).hex(),
+                              b"order", 3000)
+        self.assertEqual(answer.status, 200)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/proxy/buffered_request_test.cc
+++ b/tests/proxy/buffered_request_test.cc
@@ -25,7 +25,7 @@
   const BufferedRequest first =
       ParseBufferedRequest(kGet + "GET /b HTTP/1.1\r\n", kMaxHeaderBytes);
   CHECK(first.content == BufferedContent::kRequest);
-  LONGS_EQUAL(kGet.size(), first.head_bytes);
+  LONGS_EQUAL(kGet.size(), first.text.bytes);
   STRCMP_EQUAL("/a", std::string(first.request.head().target()).c_str());
   CHECK_FALSE(first.request.has_unread_body());
 }
--- a/tests/proxy/header_rules_test.cc
+++ b/tests/proxy/header_rules_test.cc
@@ -7,6 +7,7 @@
 namespace http = boost::beast::http;
 using banyantrail::CheckRequestHead;
 using banyantrail::FieldValue;
+using banyantrail::InspectHead;
 using banyantrail::NumberField;
 
 TEST_GROUP(HeaderRules) {
@@ -20,7 +21,7 @@
   }
 
   bool Accepts(const char* raw = "GET /a HTTP/1.1\r\nHost: mesh\r\n\r\n") {
-    return !CheckRequestHead(head, raw).has_value();
+    return !CheckRequestHead(head, InspectHead(raw)).has_value();
   }
 };
 
