--- a/packages/node/banyantrail/node/local_backend_servers.cc
+++ b/packages/node/banyantrail/node/local_backend_servers.cc
@@ -22,6 +22,24 @@
 
 }  // namespace
 
+/// A process keeps its service and its address.
+void LocalBackendServers::CheckIsSameProcess(
+    const Announcement& announcement) const {
+  const auto found = m_entries.find(announcement.record.id);
+  if (found == m_entries.end() || announcement.generation == 0 ||
+      found->second.generation != announcement.generation) {
+    return;
+  }
+  const BackendServerRecord& known = found->second.record;
+  const bool same_service = known.service == announcement.record.service;
+  if (!same_service || known.address != announcement.record.address) {
+    throw Error({.kind = ErrorKind::kInvalidDeclaration,
+                 .message = std::string(same_service ? "address" : "service") +
+                            " differs from what this process announced before",
+                 .remedy = "announce another process with its own start time"});
+  }
+}
+
 /// Whether a later announcement from the backend server, or from its successor
 /// at the same address, has already been processed.
 bool LocalBackendServers::IsOutdated(const Announcement& announcement) const {
@@ -34,8 +52,10 @@
   return std::ranges::any_of(m_entries, [&](const auto& entry) {
     const Entry& known = entry.second;
     if (known.record.id == record.id) {
+      const bool has_sequence =
+          announcement.sequence != 0 || known.sequence != 0;
       const bool is_old_sequence =
-          announcement.sequence != 0 && announcement.sequence <= known.sequence;
+          has_sequence && announcement.sequence <= known.sequence;
       return announcement.generation < known.generation ||
              (announcement.generation == known.generation && is_old_sequence);
     }
@@ -59,6 +79,7 @@
     return false;
   }
   CheckNames(announcement.record);
+  CheckIsSameProcess(announcement);
   RemovePredecessors(announcement);
   BackendServerRecord record = announcement.record;
   if (m_draining) {
--- a/packages/node/banyantrail/node/local_backend_servers.h
+++ b/packages/node/banyantrail/node/local_backend_servers.h
@@ -44,8 +44,9 @@
 
   /// Registers a backend server or processes its heartbeat. Returns whether
   /// anything except the time of the last heartbeat changed. Throws
-  /// Error{kInvalidDeclaration} when Options::max_servers is exceeded or a name
-  /// is not one, and then changes nothing.
+  /// Error{kInvalidDeclaration} when Options::max_servers is exceeded, a name
+  /// is not one, or a process has changed its service or address, and then
+  /// changes nothing.
   bool Announce(Announcement announcement, TimePoint now);
 
   /// Removes a backend server, unless the departure is that of an earlier
@@ -102,6 +103,7 @@
   };
 
   void RecordDeparture(const Departure& departure, TimePoint now);
+  void CheckIsSameProcess(const Announcement& announcement) const;
   bool IsOutdated(const Announcement& announcement) const;
   void RemovePredecessors(const Announcement& announcement);
 
--- a/tests/node/local_backend_servers_test.cc
+++ b/tests/node/local_backend_servers_test.cc
@@ -106,6 +106,32 @@
       clock.Now()));
 }
 
+TEST(LocalBackendServers, AProcessKeepsItsServiceAndAddress) {
+  servers.Announce({.record = Record("s1"), .generation = 5, .sequence = 1},
+                   clock.Now());
+  BackendServerRecord odd = Record("s1");
+  odd.service = ServiceName("another");
+  CHECK_THROWS(banyantrail::Error,
+               servers.Announce({.record = odd, .generation = 5, .sequence = 2},
+                                clock.Now()));
+  odd = Record("s1");
+  odd.address.port = 1;
+  CHECK_THROWS(banyantrail::Error,
+               servers.Announce({.record = odd, .generation = 5, .sequence = 2},
+                                clock.Now()));
+  CHECK(*servers.Find(BackendServerId("s1")) == Record("s1"));
+}
+
+TEST(LocalBackendServers, AnUnnumberedAnnouncementIsOlderThanANumberedOne) {
+  servers.Announce({.record = Record("s1"), .generation = 5, .sequence = 1},
+                   clock.Now());
+  BackendServerRecord draining = Record("s1");
+  draining.state = BackendServerState::kDraining;
+  CHECK_FALSE(
+      servers.Announce({.record = draining, .generation = 5}, clock.Now()));
+  CHECK(StateOf("s1") == BackendServerState::kServing);
+}
+
 // Backend servers that do not announce a generation can return at any time.
 TEST(LocalBackendServers, ServerWithoutGenerationReturnsAfterItsDeparture) {
   servers.Deregister({.id = BackendServerId("s1")}, clock.Now(), 1000);
--- a/tests/platform/announcements_test.cc
+++ b/tests/platform/announcements_test.cc
@@ -2,8 +2,10 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "banyantrail/core/errors.h"
 
@@ -51,10 +53,15 @@
         .is_ready = [this] { return ready; }};
   }
 
-  unsigned Send(http::verb verb, const char* target, std::string body = {}) {
+  banyantrail::HttpResponse Answer(http::verb verb, const char* target,
+                                   std::string body) {
     HttpRequest request(verb, target, 11);
     request.body() = std::move(body);
-    return HandleAnnouncementRequest(request, Node()).result_int();
+    return HandleAnnouncementRequest(request, Node());
+  }
+
+  unsigned Send(http::verb verb, const char* target, std::string body = {}) {
+    return Answer(verb, target, std::move(body)).result_int();
   }
 };
 
@@ -89,6 +96,57 @@
   CHECK_FALSE(announced.has_value());
 }
 
+// A report without a field that the users' page names comes from another
+// writer. One without `born` and `zone` brought back a backend server that had
+// left.
+TEST(Announcements, RejectsAReportWithAnOddFieldAndNamesIt) {
+  const nlohmann::json heartbeat = nlohmann::json::parse(kHeartbeat);
+  const nlohmann::json nested = {{"value", 1}};
+  const nlohmann::json huge = 1e300;
+  const std::string no_text("a\x01b");
+  for (const auto& [name, value] : heartbeat.items()) {
+    std::vector<nlohmann::json> odd = {
+        nullptr, nested, nlohmann::json::array(), true, -1, huge, 1.5,
+        no_text, ""};
+    if (value.is_string()) {
+      odd.emplace_back(7);
+      odd.emplace_back(std::string(300, 'x'));
+    } else {
+      odd.emplace_back("7");
+    }
+    std::vector<nlohmann::json> reports;
+    for (const nlohmann::json& each : odd) {
+      reports.push_back(heartbeat);
+      reports.back()[name] = each;
+    }
+    reports.push_back(heartbeat);
+    reports.back().erase(name);
+    for (const nlohmann::json& report : reports) {
+      const auto answer =
+          Answer(http::verb::put, "/-/instances/i-7", report.dump());
+      LONGS_EQUAL_TEXT(400, answer.result_int(), report.dump().c_str());
+      CHECK_TEXT(answer.body().find(name + " is") != std::string::npos,
+                 answer.body().c_str());
+    }
+  }
+  CHECK_FALSE(announced.has_value());
+}
+
+// Later reports would count as those of an earlier process.
+TEST(Announcements, RejectsAStartInTheFuture) {
+  for (const char* born : {"0", "9999999999999", "18446744073709551615"}) {
+    const std::string body = HeartbeatWith("1767225600000", born);
+    LONGS_EQUAL_TEXT(400, Send(http::verb::put, "/-/instances/i-7", body),
+                     born);
+    LONGS_EQUAL_TEXT(400,
+                     Send(http::verb::delete_, "/-/instances/i-7",
+                          std::string(R"({"born":)") + born + "}"),
+                     born);
+  }
+  CHECK_FALSE(announced.has_value());
+  CHECK_FALSE(departed.has_value());
+}
+
 // The id stands in the path, which may hold any bytes.
 TEST(Announcements, RejectsAnIdThatIsNoText) {
   for (const char* target : {"/-/instances/i-7f\xff\xfe", "/-/instances/"}) {
