Hold teams to rate limits below one request a second

Cause: the adapter rounded the rate down to a whole number, and 0 is "no limit" in a declaration. By reading, and in the new test on the code before: the compiled rate is 0.

Ruled out: the quota itself; it computes with fractions already, and holds the bound at 0.8 a second in the simulation of 71 and 1,100 nodes.

A rate of 0 that the users' operator declares leaves the burst. Whole rates are written as whole numbers, as before, so that digests and nodes of earlier versions agree; a fraction is not read by those.

Conclusion: fixed; not shown by processes.

--- a/packages/config/banyantrail/config/json_object_reader.cc
+++ b/packages/config/banyantrail/config/json_object_reader.cc
@@ -88,6 +88,26 @@
   return value == nullptr ? fallback : CheckedInteger(key, *value, bounds);
 }
 
+double JsonObjectReader::OptionalNumber(std::string_view key,
+                                        double max,
+                                        double fallback) {
+  const json* value = Find(key);
+  if (value == nullptr) {
+    return fallback;
+  }
+  const double number = value->is_number() ? value->get<double>() : -1;
+  const bool is_in_range =
+      number >= 0 && (number <= max || m_checks == ValueChecks::kAccepted);
+  if (!is_in_range) {
+    AddFault(key,
+             "is " + Abbreviate(*value) + ", not a number from 0 to " +
+                 json(max).dump(),
+             "choose a value within the limits");
+    return fallback;
+  }
+  return number;
+}
+
 bool JsonObjectReader::OptionalBool(std::string_view key, bool fallback) {
   const json* value = Find(key);
   if (value == nullptr) {
--- a/packages/config/banyantrail/config/json_object_reader.h
+++ b/packages/config/banyantrail/config/json_object_reader.h
@@ -61,6 +61,9 @@
   std::uint64_t OptionalInteger(std::string_view key,
                                 IntegerBounds bounds,
                                 std::uint64_t fallback);
+  /// A number of at least 0, which need not be whole. `max` limits declared
+  /// values.
+  double OptionalNumber(std::string_view key, double max, double fallback);
   bool OptionalBool(std::string_view key, bool fallback);
 
   /// The strings in input order.
--- a/packages/config/banyantrail/config/object_json.cc
+++ b/packages/config/banyantrail/config/object_json.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <utility>
 
 #include "banyantrail/config/json_object_reader.h"
@@ -218,8 +219,8 @@
   if (!reader.OptionalString("rank", kFreeTextRule, "").empty()) {
     team.rank = RankName(reader.RequiredString("rank", kNameRule));
   }
-  team.requests_per_s = static_cast<std::uint32_t>(
-      reader.OptionalInteger("requests_per_s", {.max = kMaxRequestsPerS}, 0));
+  team.requests_per_s =
+      reader.OptionalNumber("requests_per_s", kMaxRequestsPerS, 0);
   team.burst = static_cast<std::uint32_t>(
       reader.OptionalInteger("burst", {.max = kMaxRequestsPerS}, 0));
   team.disabled = reader.OptionalBool("disabled", false);
@@ -355,13 +356,21 @@
   }
 }
 
+/// A whole number is written as one, as nodes of earlier versions do, so that
+/// the digest is the same.
+json NumberJson(double number) {
+  constexpr double kMaxWhole = 1e15;
+  const bool is_whole = number <= kMaxWhole && number == std::floor(number);
+  return is_whole ? json(static_cast<std::uint64_t>(number)) : json(number);
+}
+
 void AddFields(const TeamObject& team, json& out) {
   out["key_digests"] = team.key_digests;
   if (!team.rank.empty()) {
     out["rank"] = team.rank.str();
   }
   if (team.requests_per_s > 0) {
-    out["requests_per_s"] = team.requests_per_s;
+    out["requests_per_s"] = NumberJson(team.requests_per_s);
     out["burst"] = team.burst;
   }
   if (team.disabled) {
--- a/packages/config/banyantrail/config/objects.h
+++ b/packages/config/banyantrail/config/objects.h
@@ -148,9 +148,9 @@
   std::vector<std::string> key_digests;
   /// Takes precedence over the rank of the routing rule. Empty if not declared.
   RankName rank;
-  /// Requests per second that the team may send through all nodes together. 0
-  /// is no limit.
-  std::uint32_t requests_per_s = 0;
+  /// Requests per second that the team may send through all nodes together,
+  /// also fractions of one. 0 is no limit.
+  double requests_per_s = 0;
   /// Number of requests that the team may send at once above that rate.
   std::uint32_t burst = 0;
   /// If true, requests with a key of the team are refused.
--- a/packages/traffic/banyantrail/traffic/routing_snapshot.h
+++ b/packages/traffic/banyantrail/traffic/routing_snapshot.h
@@ -90,7 +90,7 @@
   /// Takes precedence over the priority of the route. Empty if not declared.
   std::optional<std::uint8_t> priority;
   /// Limit over all nodes; 0 is no limit.
-  std::uint32_t requests_per_s = 0;
+  double requests_per_s = 0;
   std::uint32_t burst = 0;
   bool disabled = false;
 
--- a/packages/traffic/banyantrail/traffic/team_quotas.cc
+++ b/packages/traffic/banyantrail/traffic/team_quotas.cc
@@ -12,7 +12,7 @@
 constexpr Duration kNotHolderRetry = milliseconds(100);
 
 QuotaLimit LimitOf(const RoutedTeam& team) {
-  return {.requests_per_s = static_cast<double>(team.requests_per_s),
+  return {.requests_per_s = team.requests_per_s,
           .burst = static_cast<double>(team.burst)};
 }
 
--- a/tests/platform/configuration_test.cc
+++ b/tests/platform/configuration_test.cc
@@ -160,16 +160,40 @@
   const banyantrail::TeamObject& team = result.config->teams[0];
   STRCMP_EQUAL("pulo780", team.name.str().c_str());
   STRCMP_EQUAL("rank-3", team.rank.str().c_str());
-  LONGS_EQUAL(543, team.requests_per_s);
+  DOUBLES_EQUAL(543, team.requests_per_s, 0);
   LONGS_EQUAL(540, team.burst);
   STRCMP_EQUAL(banyantrail::Sha256Hex("kmgjqnirth5mgjy5rcpi").c_str(),
                team.key_digests.at(0).c_str());
   CHECK(result.config->teams[1].rank.empty());
-  LONGS_EQUAL(0, result.config->teams[1].requests_per_s);
+  DOUBLES_EQUAL(0, result.config->teams[1].requests_per_s, 0);
   CHECK(FindRule(*result.config, "r-orders").allow_anonymous);
   CHECK_FALSE(FindRule(*result.config, "r-lookups").allow_anonymous);
 }
 
+// Guards against a limit that is rounded down to none.
+TEST(Configuration, FractionsOfARequestAreARate) {
+  json specification = json::parse(kConfiguration);
+  specification["tenants"] = json::parse(
+      R"([{"name": "a", "api_keys": [], "rate_per_s": 0.8, "burst": 1},
+          {"name": "b", "api_keys": [], "rate_per_s": 2.5, "burst": 1},
+          {"name": "c", "api_keys": [], "rate_per_s": 0, "burst": 1},
+          {"name": "d", "api_keys": [], "rate_per_s": 40.0, "burst": 1},
+          {"name": "e", "api_keys": []}])");
+  const banyantrail::Release release = TranslateConfiguration(specification, 1);
+  const auto result = CompileRelease(release, kAccepted);
+  CHECK(result.config.has_value());
+  const auto& teams = result.config->teams;
+  DOUBLES_EQUAL(0.8, teams[0].requests_per_s, 1e-9);
+  DOUBLES_EQUAL(2.5, teams[1].requests_per_s, 1e-9);
+  CHECK(teams[2].requests_per_s > 0);
+  CHECK(teams[2].requests_per_s < 0.1);
+  DOUBLES_EQUAL(0, teams[4].requests_per_s, 0);
+  // Nodes of earlier versions read a whole number only.
+  for (const auto& [key, text] : release.objects) {
+    CHECK(text.find("40.0") == std::string::npos);
+  }
+}
+
 // Guards against a key that would give its owner the quota of another team.
 TEST(Configuration, KeyOfTwoTenantsDoesNotCompile) {
   json specification = json::parse(kConfiguration);
--- a/tests/traffic/quota_simulation_test.cc
+++ b/tests/traffic/quota_simulation_test.cc
@@ -60,7 +60,7 @@
            const RoutedTeam& team,
            const QuotaOutcome& outcome) {
   std::printf(
-      "  %-44s limit %4u/s: offered %6llu, refused %6.2f %%, in 5 s %5zu of "
+      "  %-44s limit %4g/s: offered %6llu, refused %6.2f %%, in 5 s %5zu of "
       "%5.0f, messages %6llu, wait %lld ms\n",
       what.c_str(), team.requests_per_s,
       static_cast<unsigned long long>(outcome.offered),
@@ -153,7 +153,7 @@
   for (const double limit : {848.0, 40.0}) {
     RoutedTeam team = TeamFor(1);
     team.requests_per_s = static_cast<std::uint32_t>(limit);
-    team.burst = team.requests_per_s;
+    team.burst = static_cast<std::uint32_t>(limit);
     for (const bool is_spread : {true, false}) {
       QuotaSimulation simulation = Make(kDeployment, team);
       simulation.AddLoad(
@@ -196,6 +196,22 @@
   }
 }
 
+// A limit below one was rounded down to 0, which is no limit.
+TEST(QuotaSimulation, FloodOfATeamWithAFractionStaysWithinTheBound) {
+  for (const Size& size : {kDeployment, kTarget}) {
+    RoutedTeam team = TeamFor(0.5);
+    team.requests_per_s = 0.8;
+    team.burst = 0;
+    QuotaSimulation simulation = Make(size, team);
+    simulation.AddLoad(40, simulation.AllNodes(), Duration{}, seconds(30));
+    simulation.Run(seconds(31));
+    Print(std::string(size.name) + ", limit below one", team,
+          simulation.outcome());
+    CHECK(KeepsBound(simulation, team));
+    CHECK(simulation.outcome().MaxInWindow(kWindow) > 0);
+  }
+}
+
 // The new limit is binding one window later.
 TEST(QuotaSimulation, LoweredLimitIsBindingOneWindowLater) {
   for (const Size& size : {kDeployment, kTarget}) {
