--- a/tests/platform/configuration_test.cc
+++ b/tests/platform/configuration_test.cc
@@ -170,6 +170,23 @@
   CHECK_FALSE(FindRule(*result.config, "r-lookups").allow_anonymous);
 }
 
+// Guards against keys that stay in use after the last tenant was removed.
+TEST(Configuration, AnEmptyListOfTenantsLeavesNoKey) {
+  json specification = json::parse(kConfiguration);
+  const auto teams_of = [](const json& from) {
+    const auto result =
+        CompileRelease(TranslateConfiguration(from, 1), kAccepted);
+    CHECK(result.config.has_value());
+    return result.config->teams;
+  };
+  LONGS_EQUAL(0, teams_of(specification).size());
+  specification["tenants"] = json::array();
+  const auto teams = teams_of(specification);
+  LONGS_EQUAL(1, teams.size());
+  CHECK(teams[0].disabled);
+  CHECK(teams[0].key_digests.empty());
+}
+
 // Guards against a limit that is rounded down to none.
 TEST(Configuration, FractionsOfARequestAreARate) {
   json specification = json::parse(kConfiguration);
--- a/tests/process/key_lease_process_test.py
+++ b/tests/process/key_lease_process_test.py
@@ -44,9 +44,12 @@
             self.await_status(node, 200)
 
     def put_keys(self, keys):
+        self.put_tenants([{"name": "surveyors", "api_keys": keys}])
+
+    def put_tenants(self, tenants):
         specification = copy.deepcopy(
             self.store.objects["config", "main"]["specification"])
-        specification["tenants"] = [{"name": "surveyors", "api_keys": keys}]
+        specification["tenants"] = tenants
         for path in specification["virtual_hosts"][0]["paths"]:
             path["allow_anonymous"] = path["name"] == "r-open"
         self.store.write("PUT", ["config", "main"], json.dumps(
@@ -80,6 +83,21 @@
             for node in self.nodes:
                 self.await_status(node, 200)
 
+    # Without any team a node looked at no key, and passed it on.
+    def test_removing_the_last_tenant_ends_its_keys(self):
+        with platform_fleet.PlatformFleet() as fleet:
+            self.start(fleet)
+            self.put_tenants([])
+            time.sleep(REVOCATION_S)
+            runs = sum(len(upstream.runs) for upstream in self.upstreams)
+            for node in self.nodes:
+                self.assertEqual(self.ask(node)[0], 401)
+                self.assertEqual(self.ask(node, key=None)[0], 401)
+            self.assertEqual(
+                sum(len(upstream.runs) for upstream in self.upstreams), runs)
+            for node in self.nodes:
+                self.assertEqual(self.ask(node, "/open/1", None)[0], 200)
+
     # The second node is the only one of its failure domain.
     def test_node_cut_off_from_the_store_lives_on_another_domain(self):
         with platform_fleet.PlatformFleet() as fleet:
