Let a head that a caller may send pass between nodes

A caller's head of 16,371 to 16,384 bytes, inside the limit of the configuration, was answered 400, and shorter ones with many fields "a:".

Cause: the owner node read heads of at most 16,384 bytes, whatever the configuration allows, while the entry node adds a field and wrote "a:" as "a: ". Seen in the process test on the code before: 400 at both nodes at 16,371 and 16,384 bytes, 200 at 15,000.

Ruled out: the entry node's own limit; its refusal would be 431.

Change: an owner node reads heads of at least 64 KB, or 8 KB more than callers may send by the configuration in force. A field without a value is written without a space.

Measured: test_heads_up_to_the_limit_are_served, 6 of 12 cases failed before, none now.

Conclusion: fixed between nodes; "a:1" is still written "a: 1", and what a backend server reads at most is not known.

--- a/packages/node/banyantrail/node/data_plane.cc
+++ b/packages/node/banyantrail/node/data_plane.cc
@@ -65,6 +65,16 @@
   return memory_mb * kBytesPerMb / kDivisor;
 }
 
+/// Longest head that an owner node reads if entry nodes take heads up to
+/// `max_caller_bytes`, to which they add fields of their own. An entry node may
+/// already have a configuration with a higher limit.
+std::uint32_t MaxMeshHeadBytes(std::uint64_t max_caller_bytes) {
+  constexpr std::uint64_t kMaxAddedBytes = 8U << 10U;
+  constexpr std::uint64_t kLeast = 64U << 10U;
+  return static_cast<std::uint32_t>(std::clamp<std::uint64_t>(
+      max_caller_bytes + kMaxAddedBytes, kLeast, UINT32_MAX));
+}
+
 OwnerStage::Options OwnerStageOptions(Metrics& metrics,
                                       const NodeSettings& settings,
                                       LocalBackendServers& servers,
@@ -72,7 +82,9 @@
                                       HeadMemory& head_memory,
                                       const DataPlane::Options& options) {
   return {
-      .limits = {.max_header_fields = kMaxHeadFields + kMaxAddedFields,
+      .limits = {.max_header_bytes =
+                     MaxMeshHeadBytes(settings.limits.max_header_bytes),
+                 .max_header_fields = kMaxHeadFields + kMaxAddedFields,
                  .head_memory = &head_memory},
       .hooks = {.count_refusal =
                     [&metrics](RefusalReason reason) {
@@ -291,6 +303,9 @@
         {.priority = rank.priority, .share_percent = rank.share_percent});
   }
   m_owner_stage.SetRanks(std::move(ranks));
+  if (const auto& limits = m_snapshot->caller_limits()) {
+    m_owner_stage.SetMaxHeadBytes(MaxMeshHeadBytes(limits->max_header_bytes));
+  }
   m_owner_stage.SetHasTeams(!m_snapshot->teams().empty());
   if (m_exposure.is_enabled()) {
     m_exposure.SetServices(m_snapshot->services(), CountOwners(*m_snapshot),
--- a/packages/proxy/banyantrail/proxy/owner_stage.h
+++ b/packages/proxy/banyantrail/proxy/owner_stage.h
@@ -86,6 +86,10 @@
   void StartDrain() { m_draining = true; }
   /// Applies the ranks of a new configuration.
   void SetRanks(std::vector<RankShare> ranks);
+  /// Applies to heads that are read from now on.
+  void SetMaxHeadBytes(std::uint32_t bytes) {
+    m_options.limits.max_header_bytes = bytes;
+  }
   /// Whether the configuration declares teams, which then share the backend
   /// servers' slots.
   void SetHasTeams(bool has_teams) { m_has_teams = has_teams; }
--- a/packages/proxy/banyantrail/proxy/serialize_head.cc
+++ b/packages/proxy/banyantrail/proxy/serialize_head.cc
@@ -15,7 +15,8 @@
 void AppendFields(std::string& text, const http::fields& fields) {
   for (const auto& field : fields) {
     Append(text, field.name_string());
-    text += ": ";
+    // No space behind the last byte: the head may be as long as is allowed.
+    text += field.value().empty() ? ":" : ": ";
     Append(text, field.value());
     text += kLineEnd;
   }
--- a/tests/process/caller_limits_process_test.py
+++ b/tests/process/caller_limits_process_test.py
@@ -32,6 +32,7 @@
 # Below the limit of the configuration, 16,384 bytes.
 CROWD_HEAD_BYTES = 15_000
 SLOW_WORK_S = 2
+HEAD_LIMIT = 16_384
 OWN_DESCRIPTORS = 8192
 
 
@@ -98,6 +99,34 @@
                 "POST", "/orders/2f", os.urandom(8).hex(), b"order", 3000)
             self.assertEqual(answer.status, 200)
 
+    # The entry node adds fields to a head, and wrote "a:" with a space behind
+    # it, which the owner node's limit did not allow for.
+    def test_heads_up_to_the_limit_are_served(self):
+        with platform_fleet.PlatformFleet() as fleet:
+            orders = common.Upstream(fleet.record, "slow", "i-orders")
+            other = common.Upstream(fleet.record, "other", "i-other")
+            fleet.add("n1", other)
+            fleet.add("n2", orders)
+            fleet.start(["slow", "other"],
+                        [("r-slow", "/slow/", "safe", 8000, "slow")])
+            for node in fleet.nodes:
+                for fill in (b"a" * 8000, b"a:\r\n" * 100):
+                    for size in (15_000, HEAD_LIMIT - 13, HEAD_LIMIT):
+                        with self.subTest(f"{node.name}: {size} bytes"):
+                            self.check_head(node, fill, size)
+
+    def check_head(self, node, fill, size):
+        start = head("", False)
+        if not fill.endswith(b"\r\n"):
+            fill = b"b: " + fill + b"\r\n"
+        rest = size - len(start) - len(fill) - len(b"c: \r\n\r\n")
+        message = start + fill + b"c: " + b"x" * rest + b"\r\n\r\n"
+        self.assertEqual(len(message), size)
+        host, port = node.listen["outbound"].rsplit(":", 1)
+        with socket.create_connection((host, int(port)), 5) as connection:
+            connection.sendall(message)
+            self.assertEqual(connection.recv(12), b"HTTP/1.1 200")
+
     # The node kept several copies of each head, with an allocation for each
     # field, and no limit for all of them: 350 callers with 2,400 fields each
     # took 260 MB. A crowd that held all connections kept ordinary callers out.
