Give each test process ports of its own

Cause: FreeEndpoint chose a random port, looked whether it was free, and let go of it; another test, or the same one, could choose it before the listener came. The range overlapped that of the process tests, too.

Ruled out: ephemeral ports, which lie above the range.

Change: TestPorts, a block of ports with its first one bound as a lock, as the process tests have it, in a range of its own.

--- a/tests/net/http_exchange.h
+++ b/tests/net/http_exchange.h
@@ -2,11 +2,11 @@
 
 #include <boost/asio/write.hpp>
 #include <optional>
-#include <random>
 #include <string>
 
 #include "banyantrail/net/http_client.h"
 #include "banyantrail/net/http_server.h"
+#include "net/test_ports.h"
 
 namespace banyantrail::test {
 
@@ -16,23 +16,10 @@
   co_return JsonResponse(http::status::ok, request.body());
 }
 
-/// Returns a free port below the ephemeral port range: the system could assign
-/// an ephemeral port to an outgoing connection before the test listens on it.
-inline IpEndpoint FreeEndpoint(asio::io_context& io) {
-  constexpr std::uint16_t kFirstPort = 10'000;
-  constexpr std::uint16_t kPortCount = 20'000;
-  static std::random_device random;
-  while (true) {
-    const auto port =
-        static_cast<std::uint16_t>(kFirstPort + random() % kPortCount);
-    asio::ip::tcp::acceptor probe(io);
-    boost::system::error_code error;
-    probe.open(asio::ip::tcp::v4());
-    probe.bind({asio::ip::make_address("127.0.0.1"), port}, error);
-    if (!error) {
-      return {"127.0.0.1", port};
-    }
-  }
+/// Returns an endpoint with a port of this process on which nobody listens.
+inline IpEndpoint FreeEndpoint(asio::io_context&) {
+  static TestPorts ports;
+  return {"127.0.0.1", ports.Choose()};
 }
 
 struct Exchange {
