Charge a team for requests that follow an id of its own

Cause: a nested call is known by its id, which the caller chooses. Shown by the new test: one token for two requests with the team's key.

Ruled out: telling them by address.

Change: where teams are declared, a request with a key is no nested call.

Measured: RequestWithAKeyIsNoNestedCall fails before (1 token of 2), passes.

Conclusion: the team's limit holds; a caller without any key that guesses a running id is still taken for a backend server (docs/design/TEAM-QUOTA.md).

--- a/packages/proxy/banyantrail/proxy/entry_routing.cc
+++ b/packages/proxy/banyantrail/proxy/entry_routing.cc
@@ -66,14 +66,24 @@
   return std::nullopt;
 }
 
+/// Whether a backend server of this node sends the request for one that it
+/// runs. The id is the caller's choice. Where teams are declared a nested call
+/// carries no key, so that a caller does not spare its team's rate limit by ids
+/// that follow that of its running request.
+bool EntryStage::IsNestedCall(const RequestContext& context) const {
+  const http::request_header<>& head = context.request.head();
+  const std::string& request_id = m_options.dialect.request_id;
+  const bool has_team_key = !context.snapshot->teams().empty() &&
+                            head.count(http::field::authorization) > 0;
+  return !request_id.empty() && !has_team_key &&
+         m_running.IsNestedCall(FieldValue(head, request_id));
+}
+
 /// Determines the team and the priority of a request. Returns a reason if it
 /// lacks a team's key.
 std::optional<RefusalReason> EntryStage::ResolveTeam(RequestContext& context) {
   context.priority = context.route->priority;
-  const std::string& request_id = m_options.dialect.request_id;
-  context.is_nested_call =
-      !request_id.empty() &&
-      m_running.IsNestedCall(FieldValue(context.request.head(), request_id));
+  context.is_nested_call = IsNestedCall(context);
   if (LacksKeyLease(context.request.head(), context.snapshot->revision())) {
     return RefusalReason::kKeyLeaseExpired;
   }
--- a/packages/proxy/banyantrail/proxy/entry_stage.h
+++ b/packages/proxy/banyantrail/proxy/entry_stage.h
@@ -221,6 +221,7 @@
                        const Attempt& attempt);
   RetryPolicy& RetryPolicyFor(const ServiceName& service);
   Duration RetryAfterDelay(const RequestContext& context);
+  bool IsNestedCall(const RequestContext& context) const;
   std::optional<RefusalReason> ResolveTeam(RequestContext& context);
   bool LacksKeyLease(const http::fields& fields, Revision applied) const;
   std::optional<RefusalReason> RecheckKey(const RequestContext& context) const;
--- a/tests/proxy/request_path_test.cc
+++ b/tests/proxy/request_path_test.cc
@@ -1114,20 +1114,20 @@
   LONGS_EQUAL(0, path.quota_requests);
 }
 
-// A nested call belongs to a request that has a token already, also if it
-// carries the key of the team.
-TEST(RequestPath, NestedCallNeedsNoToken) {
+// Sends a request of a team, and while it runs one with an id that follows from
+// its own. Returns the number of tokens taken.
+int TokensWithFollowingId(const std::string& key_of_second) {
   RequestPath* running = nullptr;
-  CallerResponse nested;
+  CallerResponse second;
   bool is_first = true;
   RequestPath path(
       [&](tcp_stream& stream) -> asio::awaitable<void> {
         co_await ReadBackendRequest(stream);
         if (std::exchange(is_first, false)) {
           running->StartSend(
-              "GET /orders HTTP/1.1\r\nHost: mesh\r\nCall-Name: mine.1\r\n"
-              "Authorization: Bearer secret-1\r\n\r\n",
-              {}, nested);
+              "GET /orders HTTP/1.1\r\nHost: mesh\r\nCall-Name: mine.1\r\n" +
+                  key_of_second + "\r\n",
+              {}, second);
           asio::steady_timer timer(stream.get_executor());
           timer.expires_after(milliseconds(100));
           co_await timer.async_wait(asio::use_awaitable);
@@ -1145,7 +1145,19 @@
       "GET /orders HTTP/1.1\r\nHost: mesh\r\nCall-Name: mine\r\n"
       "Authorization: Bearer secret-1\r\n\r\n");
   LONGS_EQUAL(200, response.status);
-  path.RunUntil([&nested] { return nested.complete; });
-  LONGS_EQUAL(200, nested.status);
-  LONGS_EQUAL(1, path.quota_requests);
+  path.RunUntil([&second] { return second.complete; });
+  LONGS_EQUAL(200, second.status);
+  return static_cast<int>(path.quota_requests);
+}
+
+// A nested call belongs to a request that has a token already, and carries no
+// key.
+TEST(RequestPath, NestedCallNeedsNoToken) {
+  LONGS_EQUAL(1, TokensWithFollowingId(""));
+}
+
+// A caller that numbered its requests after one that runs spared its team's
+// limit.
+TEST(RequestPath, RequestWithAKeyIsNoNestedCall) {
+  LONGS_EQUAL(2, TokensWithFollowingId("Authorization: Bearer secret-1\r\n"));
 }
