--- a/tests/proxy/head_memory_test.cc
+++ b/tests/proxy/head_memory_test.cc
@@ -14,7 +14,8 @@
 
 TEST(HeadMemory, InspectCountsFields) {
   LONGS_EQUAL(0, InspectHead("GET / HTTP/1.1\r\n\r\n").fields);
-  const HeadText head = InspectHead("GET / HTTP/1.1\r\nHost: a\r\nB: c\r\n\r\n");
+  const HeadText head =
+      InspectHead("GET / HTTP/1.1\r\nHost: a\r\nB: c\r\n\r\n");
   LONGS_EQUAL(2, head.fields);
   LONGS_EQUAL(33, head.bytes);
   CHECK(!head.has_folded_line);
