Take no refusal without an id for proof on a connection in use again

Cause: any refusal proved "not run", with or without the request's id. Shown by the process test on the code before: 121 runs of 100 orders, each twice run order behind an extra refusal.

Ruled out: bytes that were there before the request was sent; such a connection is not used again. A quiet time before reuse would not help.

Change: on a connection that has carried an answer before, a refusal without an id is skipped, and the node reads on for the answer with the id.

--- a/packages/proxy/banyantrail/proxy/attempt.cc
+++ b/packages/proxy/banyantrail/proxy/attempt.cc
@@ -95,6 +95,15 @@
   const EdgeDialect* dialect = nullptr;
 };
 
+/// Whether a refusal proves that its request did not run. One without a request
+/// id, on a connection that has carried a response before, may be bytes that a
+/// faulty server sent in addition, and the response is yet to come.
+bool IsOwnRefusal(const Attempt& attempt, const ExpectedResponse& expected) {
+  const std::string& id_field = expected.dialect->request_id;
+  return !attempt.upstream->reused || expected.request_id.empty() ||
+         !FieldValue(attempt.response->get(), id_field).empty();
+}
+
 /// Reads responses until one matches the request. A server may have sent
 /// duplicate responses to earlier requests on the connection.
 asio::awaitable<boost::system::error_code> ReadMatchingResponseHead(
@@ -109,8 +118,12 @@
       co_return error;
     }
     const http::response_header<>& head = attempt.response->get();
-    const ResponseVerdict verdict =
+    ResponseVerdict verdict =
         ClassifyResponse(head, expected.request_id, *expected.dialect);
+    if (verdict == ResponseVerdict::kNotRun &&
+        !IsOwnRefusal(attempt, expected)) {
+      verdict = ResponseVerdict::kOtherRequest;
+    }
     attempt.reports_not_run = verdict == ResponseVerdict::kNotRun;
     if (verdict == ResponseVerdict::kMalformed) {
       co_return http::make_error_code(http::error::bad_value);
--- a/tests/process/odd_server_process_test.py
+++ b/tests/process/odd_server_process_test.py
@@ -208,6 +208,52 @@
         self.check(with_id=False)
 
 
+class ExtraRefusalServer(common.Upstream):
+    """Sends a refusal without a request id ahead of each answer to an order on a
+    connection that has carried one before."""
+
+    def __init__(self, record, name):
+        super().__init__(record, "stock", name, behave=self.answer)
+        self._used = set()
+        self.extra = 0
+
+    def answer(self, connection, line, fields, rest):
+        if line.startswith("POST") and connection in self._used:
+            self.extra += 1
+            connection.sendall(b"HTTP/1.1 503 Service Unavailable\r\n"
+                               b"Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+        self._used.add(connection)
+        return NotImplemented
+
+
+class ExtraRefusalTest(unittest.TestCase):
+    """A refusal without an id is no proof where it can be additional bytes."""
+
+    ORDERS = 100
+    MIN_EXTRA = 20
+
+    # The order ran, and was sent to another server as one that had not run.
+    def test_order_behind_an_extra_refusal_runs_once(self):
+        with platform_fleet.PlatformFleet() as fleet:
+            servers = [ExtraRefusalServer(fleet.record, f"i-stock-{number}")
+                       for number in (1, 2)]
+            nodes = [fleet.add(f"n{number}", server)
+                     for number, server in enumerate(servers, 1)]
+            fleet.start(["stock"],
+                        [("r-stock", "/stock/", "unsafe", 1500, "stock")])
+            caller = common.Consumer(nodes[0].listen["outbound"])
+            statuses = [caller.ask("POST", "/stock/2f", os.urandom(8).hex(),
+                                   b"order").status
+                        for _ in range(self.ORDERS)]
+            self.assertGreaterEqual(sum(server.extra for server in servers),
+                                    self.MIN_EXTRA)
+            runs = [request_id for server in servers
+                    for _, request_id, line in server.runs
+                    if line.startswith("POST")]
+            self.assertEqual(len(runs), len(set(runs)))
+            self.assertEqual(statuses, [200] * self.ORDERS)
+
+
 class PlannedStopTest(unittest.TestCase):
     """A stop in calm, with requests that come late in the grace time."""
 
