Make a conversion in a test explicit

The linter refused the narrowing of a whole number to the rate, which has been a double since rates below one are limits. The test's values are the same.

--- a/tests/traffic/quota_simulation_test.cc
+++ b/tests/traffic/quota_simulation_test.cc
@@ -38,10 +38,10 @@
 /// A typical limit: 1.6 times the usual rate, and as much burst.
 RoutedTeam TeamFor(double usual_rate) {
   constexpr double kLimitFactor = 1.6;
-  const auto limit =
-      static_cast<std::uint32_t>(std::lround(kLimitFactor * usual_rate));
-  return {
-      .name = TeamName("surveyors"), .requests_per_s = limit, .burst = limit};
+  const double limit = std::round(kLimitFactor * usual_rate);
+  return {.name = TeamName("surveyors"),
+          .requests_per_s = limit,
+          .burst = static_cast<std::uint32_t>(limit)};
 }
 
 /// Long enough for more than a thousand requests.
