Take no part of a reset answer for the whole of it

Cause: the kernel reports a reset to one call on the socket only. While a body is forwarded that is the write; the reads behind it return what had arrived and then the end, as after an orderly close, and the error of the write was left aside.

Evidence: system calls of the server's own node: recvmsg of head and part, sendmsg = -1 ECONNRESET, recvmsg = 0, then 200 to the caller. If the server had ended its side before, sendmsg gets EPIPE. Ruled out: writes of buffered bodies (nothing is read after a failed one), looks at idle connections (the connection is dropped), disconnect watches (the caller's socket), the client of the store and of the tool (reads after the whole request was written), messages between nodes (they have a length).

Change: the connection remembers that a write found it lost; a body that ends with such a connection is not complete, 502 answer_cut. EPIPE is left out: the end of the answer had come before the reset. The calling stand-in had the same fault and has the same mend.

Conclusion: fixed on both hops.

--- a/packages/proxy/banyantrail/proxy/connection.cc
+++ b/packages/proxy/banyantrail/proxy/connection.cc
@@ -32,6 +32,14 @@
                              ignored);
 }
 
+void Upstream::OnWriteFailed(const boost::system::error_code& error) {
+  // EPIPE: the server had ended its side before it reset the connection, so
+  // all that it sent has arrived.
+  const bool ended_before = error == asio::error::broken_pipe;
+  const bool was_cancelled = error == asio::error::operation_aborted;
+  lost_while_writing = lost_while_writing || !(ended_before || was_cancelled);
+}
+
 bool HasDisconnected(Downstream& downstream) {
   const boost::system::error_code error =
       PeekNonBlocking(downstream.stream.socket());
--- a/packages/proxy/banyantrail/proxy/connection.h
+++ b/packages/proxy/banyantrail/proxy/connection.h
@@ -45,6 +45,11 @@
   /// dropped and do not reach the server after a broken link recovers.
   ~Upstream();
 
+  /// Takes note of why writing a request failed. The kernel reports the loss of
+  /// a connection to one call only: if that was a write, the reads that follow
+  /// return what had arrived and then the end, as after an orderly close.
+  void OnWriteFailed(const boost::system::error_code& error);
+
   beast::tcp_stream stream;
   beast::flat_buffer buffer{kMaxUnparsedBytes};
   IpEndpoint server;
@@ -52,6 +57,9 @@
   bool reused = false;
   /// A request was sent, and its response is not yet read completely.
   bool request_in_flight = false;
+  /// The connection was lost while a request was written. The end of what can
+  /// still be read is not the end of a response.
+  bool lost_while_writing = false;
   TimePoint idle_since{};
   /// The pool does not reuse the connection after this time.
   TimePoint usable_until = TimePoint::max();
--- a/packages/proxy/banyantrail/proxy/request_monitor.cc
+++ b/packages/proxy/banyantrail/proxy/request_monitor.cc
@@ -114,6 +114,7 @@
     if (error && error != http::error::need_buffer) {
       // Not an error yet: the server may have responded before it closed the
       // connection.
+      state.upstream.OnWriteFailed(error);
       co_return;
     }
     error = {};
--- a/packages/proxy/banyantrail/proxy/response_relay.cc
+++ b/packages/proxy/banyantrail/proxy/response_relay.cc
@@ -170,6 +170,9 @@
                                                       TimePoint deadline) {
   Attempt::ResponseParser& parser = *attempt.response;
   constexpr std::size_t kInitialBytes = 4096;
+  if (parser.need_eof() && attempt.upstream->lost_while_writing) {
+    co_return asio::error::connection_reset;
+  }
   boost::system::error_code error;
   while (!parser.is_done() && buffer.size < capacity) {
     if (buffer.bytes.size() == buffer.size) {
--- a/packages/proxy/banyantrail/proxy/response_relay.h
+++ b/packages/proxy/banyantrail/proxy/response_relay.h
@@ -35,7 +35,8 @@
 
 /// Reads until the buffer holds `capacity` bytes or the body has ended. Fails
 /// with a time-out after the deadline: that of the stream does not fire while
-/// data is always there.
+/// data is always there. Fails with connection_reset if the body ends with a
+/// connection that is known to be lost.
 asio::awaitable<boost::system::error_code> FillBuffer(Attempt& attempt,
                                                       BodyBuffer& buffer,
                                                       std::size_t capacity,
--- a/tests/net/http_client_test.cc
+++ b/tests/net/http_client_test.cc
@@ -19,7 +19,10 @@
 using banyantrail::test::Exchange;
 using banyantrail::test::FloodResult;
 using banyantrail::test::FreeEndpoint;
+using banyantrail::test::kLongUploadBytes;
 using banyantrail::test::kMaxFloodBytes;
+using banyantrail::test::RespondEarly;
+using banyantrail::test::ResponseEnd;
 using banyantrail::test::RunExchange;
 using banyantrail::test::SendFlood;
 
@@ -30,6 +33,18 @@
   void RunIo() {
     io.run_for(banyantrail::seconds(2));
   }
+
+  Exchange UploadWithEarlyResponse(ResponseEnd end) {
+    asio::co_spawn(io, RespondEarly(io, endpoint, "perhaps all of it", end),
+                   asio::detached);
+    HttpClient client(io.get_executor(), {.server = endpoint});
+    Exchange exchange;
+    asio::co_spawn(
+        io, RunExchange(client, std::string(kLongUploadBytes, 'u'), exchange),
+        [this](std::exception_ptr) { io.stop(); });
+    RunIo();
+    return exchange;
+  }
 };
 
 TEST(HttpClient, ReturnsTheCompleteResponse) {
@@ -196,6 +211,19 @@
   STRCMP_EQUAL("own", exchange.response->body().c_str());
 }
 
+TEST(HttpClient, EarlyResponseThatIsResetIsAnError) {
+  const Exchange exchange = UploadWithEarlyResponse(ResponseEnd::kReset);
+  CHECK_FALSE(exchange.response.has_value());
+  CHECK(exchange.error.has_value());
+  CHECK(exchange.error->request_sent());
+}
+
+TEST(HttpClient, EarlyResponseThatEndsWithItsConnectionIsComplete) {
+  const Exchange exchange = UploadWithEarlyResponse(ResponseEnd::kClose);
+  CHECK(exchange.response.has_value());
+  STRCMP_EQUAL("perhaps all of it", exchange.response->body().c_str());
+}
+
 namespace {
 
 /// Accepts one connection and responds with a chunked body that never ends.
--- a/tests/net/http_exchange.h
+++ b/tests/net/http_exchange.h
@@ -55,6 +55,43 @@
   status_line.resize(status_line.find('\r'));
 }
 
+/// How a server ends its connection behind a response without a length.
+enum class ResponseEnd { kClose, kReset };
+
+/// Serves one connection: responds without a length before it has read the body
+/// of the request, which has to exceed what sockets hold.
+inline asio::awaitable<void> RespondEarly(asio::io_context& io,
+                                          IpEndpoint endpoint,
+                                          std::string body,
+                                          ResponseEnd end) {
+  constexpr int kReceiveBufferBytes = 16 << 10;
+  constexpr milliseconds kDelay{20};
+  asio::ip::tcp::acceptor acceptor(io, ToTcpEndpoint(endpoint));
+  acceptor.set_option(
+      asio::socket_base::receive_buffer_size(kReceiveBufferBytes));
+  asio::ip::tcp::socket socket =
+      co_await acceptor.async_accept(asio::use_awaitable);
+  const std::string text = "HTTP/1.1 200 OK\r\n\r\n" + body;
+  co_await asio::async_write(socket, asio::buffer(text), asio::use_awaitable);
+  if (end == ResponseEnd::kReset) {
+    asio::steady_timer timer(io, kDelay);
+    co_await timer.async_wait(asio::use_awaitable);
+    socket.set_option(asio::socket_base::linger(true, 0));
+    co_return;
+  }
+  socket.shutdown(asio::ip::tcp::socket::shutdown_send);
+  std::string discarded(64U << 10U, '\0');
+  boost::system::error_code error;
+  while (!error) {
+    co_await socket.async_read_some(
+        asio::buffer(discarded),
+        asio::redirect_error(asio::use_awaitable, error));
+  }
+}
+
+/// Size of an upload that exceeds what sockets hold.
+inline constexpr std::size_t kLongUploadBytes = 8U << 20U;
+
 /// What a peer took in of bytes that never end.
 struct FloodResult {
   std::size_t sent_bytes = 0;
--- a/tests/process/cut_head_process_test.py
+++ b/tests/process/cut_head_process_test.py
@@ -188,15 +188,11 @@
     def test_of_another_node(self):
         with platform_fleet.PlatformFleet() as fleet:
             self.start(fleet)
-            address = (common.LOOPBACK,
-                       int(self.owner.listen["inbound"].split(":")[1]))
-            self.owner.kill()
-            peer = CutServer(fleet.record, address=address)
-            peer.id = self.server.id
+            peer = fleet.replace(self.owner, CutServer)
             # The thread that accepts keeps a socket that is only closed.
             self.addCleanup(peer.listener.shutdown, socket.SHUT_RDWR)
             self.server = peer
-            end = time.monotonic() + 4
+            end = time.monotonic() + platform_fleet.PEER_KNOWN_S
             cases = [(method, body, with_reset)
                      for method, body in (("GET", b""), ("POST", b"order"),
                                           ("POST", BODIES["large"]),
--- a/tests/process/platform_fleet.py
+++ b/tests/process/platform_fleet.py
@@ -17,6 +17,10 @@
 import common  # noqa: E402
 
 
+# Within which a node still sends to one that has just ended.
+PEER_KNOWN_S = 4
+
+
 class PlatformFleet:
     """A store and nodes; as a context manager, ends them."""
 
@@ -74,6 +78,16 @@
     def add(self, name, upstream, **options):
         return self._fleet.add(name, upstream, **options)
 
+    @staticmethod
+    def replace(node, upstream_type):
+        """Kills a node. An upstream that listens at its mesh address answers
+        the other nodes in its place, while they still send there."""
+        address = (common.LOOPBACK, int(node.listen["inbound"].split(":")[1]))
+        node.kill()
+        peer = upstream_type(node.record, address=address)
+        peer.id = node.upstream.id
+        return peer
+
     def start(self, services, routes):
         """Accepts a configuration, starts all nodes and waits until each serves
         every route. `routes` are as in common.Store.put_configuration."""
--- a/tests/standins/call_client.cc
+++ b/tests/standins/call_client.cc
@@ -90,19 +90,25 @@
   connection->stream.expires_at(deadline);
   // The server may respond before it has read the whole body, so the response
   // is read even if the write failed.
-  const bool body_sent = co_await Send(*connection, call);
+  const boost::system::error_code send_error = co_await Send(*connection, call);
 
   http::response_parser<http::string_body> parser;
   parser.body_limit(std::numeric_limits<std::uint64_t>::max());
   parser.skip(call.method == "HEAD");
   co_await http::async_read(connection->stream, connection->buffer, parser,
                             asio::redirect_error(asio::use_awaitable, error));
+  // The kernel reports a reset to one call only. If that was the write, the
+  // read that follows ends as after an orderly close.
+  const bool was_lost = send_error && send_error != asio::error::broken_pipe;
+  if (!error && was_lost && parser.need_eof()) {
+    error = send_error;
+  }
   if (error) {
     const bool timed_out = error == beast::error::timeout;
     co_return CallResult{.status = timed_out ? CallStatus::kTimeout
                                              : CallStatus::kConnectionLost};
   }
-  if (body_sent && parser.get().keep_alive()) {
+  if (!send_error && parser.get().keep_alive()) {
     connection->stream.expires_never();
     m_idle_connections[server].push_back(std::move(connection));
   }
@@ -110,8 +116,9 @@
                        .response = parser.release()};
 }
 
-asio::awaitable<bool> CallClient::Send(Connection& connection,
-                                       const Call& call) {
+asio::awaitable<boost::system::error_code> CallClient::Send(
+    Connection& connection,
+    const Call& call) {
   auto header = MakeHeader(call, connection.server);
   http::request_serializer<http::empty_body> serializer(header);
   boost::system::error_code error;
@@ -133,7 +140,7 @@
         connection.stream, asio::buffer(call.body.data() + sent, size),
         asio::redirect_error(asio::use_awaitable, error));
   }
-  co_return !error;
+  co_return error;
 }
 
 }  // namespace banyantrail::standins
--- a/tests/standins/call_client.h
+++ b/tests/standins/call_client.h
@@ -59,7 +59,8 @@
   using ConnectionPtr = std::unique_ptr<Connection>;
 
   ConnectionPtr AcquireIdleConnection(const IpEndpoint& server);
-  asio::awaitable<bool> Send(Connection& connection, const Call& call);
+  asio::awaitable<boost::system::error_code> Send(Connection& connection,
+                                                  const Call& call);
 
   asio::any_io_executor m_executor;
   std::map<IpEndpoint, std::deque<ConnectionPtr>> m_idle_connections;
