Refuse an answer whose status is not in 100 to 599

Here with bodies above 64 KB; 600 to 999 with any body.

Cause: the parser takes any three digits for a status and nothing looked at the range. Short bodies hid it: the owner node wrote 000 as 0, which the entry node refused. A body in parts goes through the library's serializer, which writes 000 again.

Evidence: system calls of the server's own node: recvmsg "HTTP/1.1 000", then sendmsg "HTTP/1.1 0" and 502 to the caller with 30 bytes of body; with 120,000 bytes sendmsg "HTTP/1.1 000" on both hops. Ruled out: codes of other than three digits, which the parser refuses; 100, 101 and 199, which are passed over as informational with 502 behind them. These were handled; their tests stay.

Change: CheckResponseHead refuses the status where heads are read: node from backend server, node from node, client of the store and of the tool. 600 to 999 are invalid by RFC 9110, 15, and get 502 like 000.

Conclusion: fixed on both hops and for all callers of the client.

--- a/packages/net/banyantrail/net/http_client.cc
+++ b/packages/net/banyantrail/net/http_client.cc
@@ -6,6 +6,8 @@
 #include <boost/beast/http/write.hpp>
 #include <utility>
 
+#include "banyantrail/net/response_head.h"
+
 namespace banyantrail {
 
 HttpClientError::HttpClientError(Options options)
@@ -99,6 +101,9 @@
     co_await http::async_read_header(
         connection.stream, connection.buffer, *parser,
         asio::redirect_error(asio::use_awaitable, error));
+    if (!error) {
+      error = CheckResponseHead(parser->get());
+    }
     if (error || !IsInformational(parser->get().result_int())) {
       co_return error;
     }
--- a/packages/proxy/banyantrail/proxy/attempt.cc
+++ b/packages/proxy/banyantrail/proxy/attempt.cc
@@ -8,6 +8,7 @@
 #include <boost/beast/http/write.hpp>
 #include <utility>
 
+#include "banyantrail/net/response_head.h"
 #include "banyantrail/proxy/disconnect_watch.h"
 #include "banyantrail/proxy/message_head.h"
 #include "banyantrail/proxy/request_monitor.h"
@@ -39,6 +40,9 @@
   co_await http::async_read_header(
       attempt.upstream->stream, attempt.upstream->buffer, *attempt.response,
       asio::redirect_error(asio::use_awaitable, error));
+  if (!error) {
+    error = CheckResponseHead(attempt.response->get());
+  }
   co_return error;
 }
 
--- a/tests/net/http_client_test.cc
+++ b/tests/net/http_client_test.cc
@@ -211,6 +211,24 @@
   STRCMP_EQUAL("own", exchange.response->body().c_str());
 }
 
+// A store or a node in trouble sends no response that way.
+TEST(HttpClient, InvalidStatusIsAnError) {
+  for (const std::string status : {"000", "099", "600", "999", "20", "2x0"}) {
+    const std::string text =
+        "HTTP/1.1 " + status + " Odd\r\nContent-Length: 2\r\n\r\n{}";
+    asio::co_spawn(io, SendResponses(io, endpoint, text), asio::detached);
+    HttpClient client(io.get_executor(), {.server = endpoint});
+    Exchange exchange;
+    asio::co_spawn(io, RunExchange(client, "own", exchange),
+                   [this](std::exception_ptr) { io.stop(); });
+    io.restart();
+    RunIo();
+    CHECK(exchange.error.has_value());
+    CHECK(exchange.error->request_sent());
+    endpoint = FreeEndpoint(io);
+  }
+}
+
 TEST(HttpClient, EarlyResponseThatIsResetIsAnError) {
   const Exchange exchange = UploadWithEarlyResponse(ResponseEnd::kReset);
   CHECK_FALSE(exchange.response.has_value());
