Take the class of a status from its number

Callers saw: a success without the header that proves its origin, if the status was a 2xx that is registered to no meaning, as 209 or 299.

Cause: the library names all codes that it does not know `unknown`, which has no class; no rule for successes or server errors applied to them.

Evidence: test_unregistered_successes_without_a_stamp on the code before: 96 of 96 answers passed on, on both hops; three unit tests failed, with 299 taken for proof of "not run" and 520 for a success of the endpoint. Ruled out: the check of the stamp itself, which holds for 200.

Measured: odd_head_process_test, proxy_test and platform_test pass.

Conclusion: fixed.

--- a/packages/proxy/banyantrail/proxy/attempt_outcome.cc
+++ b/packages/proxy/banyantrail/proxy/attempt_outcome.cc
@@ -34,7 +34,7 @@
       if (IsLocalReply(attempt)) {
         return RefusalOutcomeOf(attempt);
       }
-      return http::to_status_class(attempt.response->get().result()) ==
+      return http::to_status_class(attempt.response->get().result_int()) ==
                      http::status_class::server_error
                  ? EndpointOutcome::kFailed
                  : EndpointOutcome::kSuccess;
--- a/packages/proxy/banyantrail/proxy/message_head.cc
+++ b/packages/proxy/banyantrail/proxy/message_head.cc
@@ -106,16 +106,14 @@
   const bool reports_not_run =
       !not_run.empty() &&
       (dialect.not_run_value.empty() || not_run == dialect.not_run_value);
+  const bool is_success = http::to_status_class(head.result_int()) ==
+                          http::status_class::successful;
   const bool is_misdirected =
       head.result() == http::status::misdirected_request &&
       !dialect.expected_server.empty();
-  if (is_misdirected ||
-      (reports_not_run && http::to_status_class(head.result()) !=
-                              http::status_class::successful)) {
+  if (is_misdirected || (reports_not_run && !is_success)) {
     return ResponseVerdict::kNotRun;
   }
-  const bool is_success =
-      http::to_status_class(head.result()) == http::status_class::successful;
   const bool lacks_stamp = !dialect.response_stamp.empty() &&
                            FieldValue(head, dialect.response_stamp).empty();
   const bool is_encoded = !dialect.response_stamp.empty() &&
--- a/packages/proxy/banyantrail/proxy/owner_stage.cc
+++ b/packages/proxy/banyantrail/proxy/owner_stage.cc
@@ -360,8 +360,8 @@
   } else {
     SetField(head, kLoadHeader, LegacyLoadText(load));
   }
-  const bool failed =
-      http::to_status_class(head.result()) == http::status_class::server_error;
+  const bool failed = http::to_status_class(head.result_int()) ==
+                      http::status_class::server_error;
   context.backend->failures.Record(failed, SystemClock().Now());
   SetFailureField(*context.backend, head);
   std::optional<LinkUse> link;
--- a/tests/process/odd_head_process_test.py
+++ b/tests/process/odd_head_process_test.py
@@ -35,11 +35,17 @@
 ODD_STATUSES = [b"000", b"001", b"099", b"100", b"101", b"199", b"20", b"2000",
                 b"0200", b"2x0", b"-20", b"", b" 200", b"600", b"700", b"999"]
 
+# Codes that are valid but registered to no meaning.
+UNREGISTERED_SUCCESSES = [b"209", b"227", b"250", b"299"]
 
-def message(request_id, framing, body, status=b"200"):
+
+STAMP = b"Response-Stamp: 3e1b.07\r\n"
+
+
+def message(request_id, framing, body, status=b"200", stamp=STAMP):
     return (b"HTTP/1.1 " + status + b" Odd\r\n" +
-            b"Request-Id: " + request_id + b"\r\nResponse-Stamp: 3e1b.07\r\n" +
-            framing + b"\r\n" + body)
+            b"Request-Id: " + request_id + b"\r\n" + stamp + framing +
+            b"\r\n" + body)
 
 
 def maker(framed_body, **options):
@@ -147,6 +153,13 @@
             for status in ODD_STATUSES
             for name, framed in FRAMED_BODIES.items()})
 
+    # The stamp proves that the server made the answer.
+    def test_unregistered_successes_without_a_stamp(self):
+        self.check_all_refused({
+            f"{status!r}, {name}": maker(framed, status=status, stamp=b"")
+            for status in UNREGISTERED_SUCCESSES
+            for name, framed in FRAMED_BODIES.items()})
+
     def test_between_requests_that_are_sent_ahead(self):
         with platform_fleet.PlatformFleet() as fleet:
             self.start(fleet)
