--- a/tests/process/odd_head_process_test.py
+++ b/tests/process/odd_head_process_test.py
@@ -1,5 +1,5 @@
-"""Answers whose status is none, where a node reads heads: at the backend server
-beside it, and at another node."""
+"""Answers whose status is none, or in whose head a line is no field, where a
+node reads heads: at the backend server beside it, and at another node."""
 
 import functools
 import os
@@ -35,6 +35,45 @@
 ODD_STATUSES = [b"000", b"001", b"099", b"100", b"101", b"199", b"20", b"2000",
                 b"0200", b"2x0", b"-20", b"", b" 200", b"600", b"700", b"999"]
 
+ODD_LINES = {
+    "a blank in a name": b"Odd name: 1",
+    "a blank in the name of the length": b"Content Length: 3",
+    "a tab in a name": b"Odd\tname: 1",
+    "a control byte in a name": b"Odd\x01name: 1",
+    "a carriage return in a name": b"Odd\rname: 1",
+    "a line feed in a name": b"Odd\nname: 1",
+    "NUL in a name": b"Odd\x00name: 1",
+    "DEL in a name": b"Odd\x7fname: 1",
+    "a byte above 127 in a name": b"Odd\xe4name: 1",
+    "a parenthesis in a name": b"Odd(name): 1",
+    "a blank before the colon": b"Odd : 1",
+    "a blank before the colon of the length": b"Content-Length : 3",
+    "a tab before the colon of the coding": b"Transfer-Encoding\t: chunked",
+    "a leading blank": b" Odd: 1",
+    "an empty name": b": 1",
+    "no colon": b"Odd",
+    "a control byte in a value": b"Odd: 1\x012",
+    "NUL in a value": b"Odd: 1\x002",
+    "DEL in a value": b"Odd: 1\x7f2",
+    "a carriage return in a value": b"Odd: 1\r2",
+    "a line feed in a value": b"Odd: 1\nOther: 2",
+}
+
+ODD_FRAMINGS = {
+    "a sign": (b"Content-Length: +30\r\n", BODY),
+    "a negative length": (b"Content-Length: -30\r\n", BODY),
+    "a hexadecimal length": (b"Content-Length: 0x1e\r\n", BODY),
+    "two numbers": (b"Content-Length: 30 30\r\n", BODY),
+    "an empty length": (b"Content-Length:\r\n", BODY),
+    "a length out of range": (b"Content-Length: 18446744073709551646\r\n", BODY),
+    "two lengths": (b"Content-Length: 30\r\nContent-Length: 3\r\n", BODY),
+    "a list of lengths": (b"Content-Length: 30, 3\r\n", BODY),
+    "a length and chunks":
+        (b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n", chunked(BODY)),
+    "chunks and a length":
+        (b"Transfer-Encoding: chunked\r\nContent-Length: 3\r\n", chunked(BODY)),
+}
+
 # Codes that are valid but registered to no meaning.
 UNREGISTERED_SUCCESSES = [b"209", b"227", b"250", b"299"]
 
@@ -42,8 +81,10 @@
 STAMP = b"Response-Stamp: 3e1b.07\r\n"
 
 
-def message(request_id, framing, body, status=b"200", stamp=STAMP):
+def message(request_id, framing, body, status=b"200", line=b"", stamp=STAMP):
+    """An answer with `line`, if any, as the first line of its head."""
     return (b"HTTP/1.1 " + status + b" Odd\r\n" +
+            (line + b"\r\n" if line else b"") +
             b"Request-Id: " + request_id + b"\r\n" + stamp + framing +
             b"\r\n" + body)
 
@@ -54,12 +95,26 @@
     return functools.partial(message, framing=framing, body=body, **options)
 
 
+def behind_early_hints(line, request_id):
+    """A sound answer behind an informational head with `line`."""
+    return (b"HTTP/1.1 103 Early Hints\r\n" + line + b"\r\n\r\n" +
+            message(request_id, *FRAMED_BODIES["a length"]))
+
+
+def with_trailer(line):
+    """The framing and body of an answer with `line` as its trailer."""
+    return (b"Transfer-Encoding: chunked\r\n",
+            chunked(BODY)[:-2] + line + b"\r\n\r\n")
+
+
 def odd_answers():
     """What makes an answer of each sort, by its name."""
     large = FRAMED_BODIES["a large length"]
     return {
         **{f"status {status!r}": maker(large, status=status)
            for status in ODD_STATUSES},
+        **{what: maker(large, line=line) for what, line in ODD_LINES.items()},
+        **{what: maker(framed) for what, framed in ODD_FRAMINGS.items()},
     }
 
 
@@ -160,6 +215,25 @@
             for status in UNREGISTERED_SUCCESSES
             for name, framed in FRAMED_BODIES.items()})
 
+    def test_lines(self):
+        self.check_all_refused({
+            f"{what}, {name}": maker(framed, line=line)
+            for what, line in ODD_LINES.items()
+            for name, framed in FRAMED_BODIES.items()})
+
+    def test_lines_of_a_trailer(self):
+        self.check_all_refused({what: maker(with_trailer(line))
+                                for what, line in ODD_LINES.items()})
+
+    def test_lines_of_an_informational_head(self):
+        self.check_all_refused({
+            what: functools.partial(behind_early_hints, line)
+            for what, line in ODD_LINES.items()})
+
+    def test_framings(self):
+        self.check_all_refused({what: maker(framed) for what, framed in
+                                ODD_FRAMINGS.items()})
+
     def test_between_requests_that_are_sent_ahead(self):
         with platform_fleet.PlatformFleet() as fleet:
             self.start(fleet)
