--- a/tests/net/http_client_test.cc
+++ b/tests/net/http_client_test.cc
@@ -26,6 +26,36 @@
 using banyantrail::test::RunExchange;
 using banyantrail::test::SendFlood;
 
+namespace {
+
+/// Serves one connection: answers each request with its responses in turn.
+asio::awaitable<void> SendResponses(asio::io_context& io,
+                                    IpEndpoint endpoint,
+                                    std::string responses) {
+  asio::ip::tcp::acceptor acceptor(io, banyantrail::ToTcpEndpoint(endpoint));
+  while (true) {
+    asio::ip::tcp::socket socket =
+        co_await acceptor.async_accept(asio::use_awaitable);
+    boost::beast::flat_buffer buffer;
+    http::request<http::string_body> request;
+    boost::system::error_code error;
+    while (!error) {
+      request = {};
+      co_await http::async_read(
+          socket, buffer, request,
+          asio::redirect_error(asio::use_awaitable, error));
+      const std::string text =
+          responses + "HTTP/1.1 200 OK\r\nContent-Length: " +
+          std::to_string(request.body().size()) + "\r\n\r\n" + request.body();
+      co_await asio::async_write(
+          socket, asio::buffer(text),
+          asio::redirect_error(asio::use_awaitable, error));
+    }
+  }
+}
+
+}  // namespace
+
 TEST_GROUP(HttpClient) {
   asio::io_context io;
   IpEndpoint endpoint = FreeEndpoint(io);
@@ -34,6 +64,20 @@
     io.run_for(banyantrail::seconds(2));
   }
 
+  /// The server sends `text` ahead of a sound response.
+  void CheckIsError(const std::string& text) {
+    asio::co_spawn(io, SendResponses(io, endpoint, text), asio::detached);
+    HttpClient client(io.get_executor(), {.server = endpoint});
+    Exchange exchange;
+    asio::co_spawn(io, RunExchange(client, "own", exchange),
+                   [this](std::exception_ptr) { io.stop(); });
+    RunIo();
+    CHECK(exchange.error.has_value());
+    CHECK(exchange.error->request_sent());
+    endpoint = FreeEndpoint(io);
+    io.restart();
+  }
+
   Exchange UploadWithEarlyResponse(ResponseEnd end) {
     asio::co_spawn(io, RespondEarly(io, endpoint, "perhaps all of it", end),
                    asio::detached);
@@ -144,36 +188,6 @@
   CHECK(exchange.error->request_sent());
 }
 
-namespace {
-
-/// Serves one connection: answers each request with its responses in turn.
-asio::awaitable<void> SendResponses(asio::io_context& io,
-                                    IpEndpoint endpoint,
-                                    std::string responses) {
-  asio::ip::tcp::acceptor acceptor(io, banyantrail::ToTcpEndpoint(endpoint));
-  while (true) {
-    asio::ip::tcp::socket socket =
-        co_await acceptor.async_accept(asio::use_awaitable);
-    boost::beast::flat_buffer buffer;
-    http::request<http::string_body> request;
-    boost::system::error_code error;
-    while (!error) {
-      request = {};
-      co_await http::async_read(
-          socket, buffer, request,
-          asio::redirect_error(asio::use_awaitable, error));
-      const std::string text =
-          responses + "HTTP/1.1 200 OK\r\nContent-Length: " +
-          std::to_string(request.body().size()) + "\r\n\r\n" + request.body();
-      co_await asio::async_write(
-          socket, asio::buffer(text),
-          asio::redirect_error(asio::use_awaitable, error));
-    }
-  }
-}
-
-}  // namespace
-
 TEST(HttpClient, UnexpectedResponseIsNotTakenForThatToTheNextRequest) {
   asio::co_spawn(io,
                  SendResponses(io, endpoint,
@@ -211,21 +225,18 @@
   STRCMP_EQUAL("own", exchange.response->body().c_str());
 }
 
-// A store or a node in trouble sends no response that way.
+// A store in trouble, and programs at its address, send such responses.
 TEST(HttpClient, InvalidStatusIsAnError) {
   for (const std::string status : {"000", "099", "600", "999", "20", "2x0"}) {
-    const std::string text =
-        "HTTP/1.1 " + status + " Odd\r\nContent-Length: 2\r\n\r\n{}";
-    asio::co_spawn(io, SendResponses(io, endpoint, text), asio::detached);
-    HttpClient client(io.get_executor(), {.server = endpoint});
-    Exchange exchange;
-    asio::co_spawn(io, RunExchange(client, "own", exchange),
-                   [this](std::exception_ptr) { io.stop(); });
-    io.restart();
-    RunIo();
-    CHECK(exchange.error.has_value());
-    CHECK(exchange.error->request_sent());
-    endpoint = FreeEndpoint(io);
+    CheckIsError("HTTP/1.1 " + status + " Odd\r\nContent-Length: 2\r\n\r\n{}");
+  }
+}
+
+TEST(HttpClient, OtherTransferCodingIsAnError) {
+  for (const std::string framing :
+       {"gzip\r\nContent-Length: 2", "gzip, chunked", "chunked, gzip"}) {
+    CheckIsError("HTTP/1.1 200 OK\r\nTransfer-Encoding: " + framing +
+                 "\r\n\r\n2\r\n{}\r\n0\r\n\r\n");
   }
 }
 
--- a/tests/net/response_head_test.cc
+++ b/tests/net/response_head_test.cc
@@ -26,3 +26,29 @@
     CHECK(CheckResponseHead(Head(status)) == http::error::bad_status);
   }
 }
+
+TEST(ResponseHead, AcceptsPlainAndChunkedBodies) {
+  for (const char* coding :
+       {"chunked", "Chunked", "identity", "", "chunked,"}) {
+    http::response_header<> head = Head(200);
+    head.set(http::field::transfer_encoding, coding);
+    CHECK_FALSE(CheckResponseHead(head));
+  }
+}
+
+TEST(ResponseHead, RefusesOtherTransferCodings) {
+  for (const char* coding :
+       {"gzip", "gzip, chunked", "chunked, gzip", "chunked, chunked",
+        "chunked, identity", "xchunked", "chunked gzip", "gzip;q=1"}) {
+    http::response_header<> head = Head(200);
+    head.set(http::field::transfer_encoding, coding);
+    CHECK(CheckResponseHead(head) == http::error::bad_transfer_encoding);
+  }
+}
+
+TEST(ResponseHead, RefusesATransferCodingInAFieldOfItsOwn) {
+  http::response_header<> head = Head(200);
+  head.insert(http::field::transfer_encoding, "gzip");
+  head.insert(http::field::transfer_encoding, "chunked");
+  CHECK(CheckResponseHead(head) == http::error::bad_transfer_encoding);
+}
--- a/tests/process/odd_head_process_test.py
+++ b/tests/process/odd_head_process_test.py
@@ -2,6 +2,7 @@
 node reads heads: at the backend server beside it, and at another node."""
 
 import functools
+import gzip
 import os
 import socket
 import time
@@ -74,6 +75,34 @@
         (b"Transfer-Encoding: chunked\r\nContent-Length: 3\r\n", chunked(BODY)),
 }
 
+CODED = gzip.compress(BODY)
+# The system asks for no transfer coding, and passes on none.
+ODD_CODINGS = {
+    "gzip": (b"Transfer-Encoding: gzip\r\n", CODED),
+    "gzip of a large body": (b"Transfer-Encoding: gzip\r\n",
+                             gzip.compress(os.urandom(200_000))),
+    "gzip and a length":
+        (b"Transfer-Encoding: gzip\r\nContent-Length: %d\r\n" % len(CODED),
+         CODED),
+    "gzip in chunks": (b"Transfer-Encoding: gzip, chunked\r\n", chunked(CODED)),
+    "gzip in chunks, two fields":
+        (b"Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n",
+         chunked(CODED)),
+    "chunks in gzip":
+        (b"Transfer-Encoding: chunked, gzip\r\n", gzip.compress(chunked(BODY))),
+    "chunks twice":
+        (b"Transfer-Encoding: chunked, chunked\r\n", chunked(chunked(BODY))),
+    "an unknown coding": (b"Transfer-Encoding: xchunked\r\n", chunked(BODY)),
+}
+
+# Fields that name no coding, so that the body is plain.
+PLAIN_CODINGS = {
+    "identity": (b"Transfer-Encoding: identity\r\n", BODY),
+    "no coding": (b"Transfer-Encoding:\r\n", BODY),
+    "chunks in capitals": (b"Transfer-Encoding: CHUNKED\r\n", chunked(BODY)),
+    "chunks and a comma": (b"Transfer-Encoding: chunked,\r\n", chunked(BODY)),
+}
+
 # Codes that are valid but registered to no meaning.
 UNREGISTERED_SUCCESSES = [b"209", b"227", b"250", b"299"]
 
@@ -115,6 +144,7 @@
            for status in ODD_STATUSES},
         **{what: maker(large, line=line) for what, line in ODD_LINES.items()},
         **{what: maker(framed) for what, framed in ODD_FRAMINGS.items()},
+        **{what: maker(framed) for what, framed in ODD_CODINGS.items()},
     }
 
 
@@ -198,7 +228,7 @@
     # The answers of the other tests, without what is odd in them.
     def test_sound_answers_are_passed_on(self):
         makers = {name: maker(framed) for name, framed in
-                  FRAMED_BODIES.items()}
+                  (FRAMED_BODIES | PLAIN_CODINGS).items()}
         self.check_each(makers, lambda name, answer: self.check_passed_on(
             answer, LONG_BODY if "large" in name else BODY))
 
@@ -234,6 +264,11 @@
         self.check_all_refused({what: maker(framed) for what, framed in
                                 ODD_FRAMINGS.items()})
 
+    # Coded bytes were passed on as plain ones.
+    def test_transfer_codings(self):
+        self.check_all_refused({what: maker(framed) for what, framed in
+                                ODD_CODINGS.items()})
+
     def test_between_requests_that_are_sent_ahead(self):
         with platform_fleet.PlatformFleet() as fleet:
             self.start(fleet)
