Pass over informational heads in place of "100 Continue"

Callers saw: a head with the status 101 and no answer behind it, if a program at the address of an owner node sent 101 where the entry node waits for "100 Continue" before it sends a long body. No node sends that.

Cause: the head in place of "100 Continue" was taken for the final one whatever its status; everywhere else informational heads are passed over.

Evidence: test_of_another_node with a body of 50 KB failed on the code before, for 101: the caller's wait ended without an answer. Ruled out: bodies below 8 KB, which don't wait and got 502.

Change: both waits read heads by the same loop, which ends at a final head, or at "100 Continue" where that is awaited, and after 16 informational ones.

--- a/packages/proxy/banyantrail/proxy/attempt.cc
+++ b/packages/proxy/banyantrail/proxy/attempt.cc
@@ -85,7 +85,7 @@
     attempt.upstream->stream.cancel();
   });
   const boost::system::error_code error =
-      co_await ReadResponseHead(attempt, method);
+      co_await ReadContinueOrFinalHead(attempt, method);
   co_await watch.Stop();
   if (caller_disconnected) {
     attempt.result = UpstreamResult::kCallerDisconnected;
--- a/packages/proxy/banyantrail/proxy/attempt_response.cc
+++ b/packages/proxy/banyantrail/proxy/attempt_response.cc
@@ -25,10 +25,6 @@
   return parser;
 }
 
-bool IsInformational(const Attempt& attempt) {
-  return banyantrail::IsInformational(attempt.response->get().result_int());
-}
-
 /// Whether a refusal proves that its request did not run. One without a request
 /// id, on a connection that has carried a response before, may be bytes that a
 /// faulty server sent in addition, and the response is yet to come.
@@ -38,14 +34,36 @@
          !FieldValue(attempt.response->get(), id_field).empty();
 }
 
-/// Reads the next response head that is not informational.
-asio::awaitable<boost::system::error_code> ReadFinalResponseHead(
-    Attempt& attempt,
-    http::verb method) {
+/// Reads the next response head, which may be an informational (1xx) one.
+asio::awaitable<boost::system::error_code> ReadResponseHead(Attempt& attempt,
+                                                            http::verb method) {
+  attempt.response = NewResponseParser(method);
+  boost::system::error_code error;
+  co_await http::async_read_header(
+      attempt.upstream->stream, attempt.upstream->buffer, *attempt.response,
+      asio::redirect_error(asio::use_awaitable, error));
+  if (!error) {
+    error = CheckResponseHead(attempt.response->get());
+  }
+  co_return error;
+}
+
+enum class AwaitedHead { kFinal, kContinueOrFinal };
+
+bool IsAwaited(unsigned status, AwaitedHead awaited) {
+  const bool is_continue =
+      status == static_cast<unsigned>(http::status::continue_);
+  return !IsInformational(status) ||
+         (is_continue && awaited == AwaitedHead::kContinueOrFinal);
+}
+
+/// Reads response heads up to the one that is awaited.
+asio::awaitable<boost::system::error_code>
+ReadAwaitedHead(Attempt& attempt, http::verb method, AwaitedHead awaited) {
   boost::system::error_code error;
   for (int i = 0; i <= kMaxInformationalResponses; ++i) {
     error = co_await ReadResponseHead(attempt, method);
-    if (error || !IsInformational(attempt)) {
+    if (error || IsAwaited(attempt.response->get().result_int(), awaited)) {
       co_return error;
     }
   }
@@ -54,16 +72,11 @@
 
 }  // namespace
 
-asio::awaitable<boost::system::error_code> ReadResponseHead(Attempt& attempt,
-                                                            http::verb method) {
-  attempt.response = NewResponseParser(method);
-  boost::system::error_code error;
-  co_await http::async_read_header(
-      attempt.upstream->stream, attempt.upstream->buffer, *attempt.response,
-      asio::redirect_error(asio::use_awaitable, error));
-  if (!error) {
-    error = CheckResponseHead(attempt.response->get());
-  }
+asio::awaitable<boost::system::error_code> ReadContinueOrFinalHead(
+    Attempt& attempt,
+    http::verb method) {
+  const boost::system::error_code error =
+      co_await ReadAwaitedHead(attempt, method, AwaitedHead::kContinueOrFinal);
   co_return error;
 }
 
@@ -103,7 +116,7 @@
   constexpr int kMaxOtherResponses = 16;
   for (int i = 0; i <= kMaxOtherResponses; ++i) {
     boost::system::error_code error =
-        co_await ReadFinalResponseHead(attempt, method);
+        co_await ReadAwaitedHead(attempt, method, AwaitedHead::kFinal);
     if (error || expected.dialect == nullptr) {
       co_return error;
     }
--- a/packages/proxy/banyantrail/proxy/attempt_response.h
+++ b/packages/proxy/banyantrail/proxy/attempt_response.h
@@ -17,9 +17,11 @@
   const EdgeDialect* dialect = nullptr;
 };
 
-/// Reads the next response head, which may be an informational (1xx) one.
-asio::awaitable<boost::system::error_code> ReadResponseHead(Attempt& attempt,
-                                                            http::verb method);
+/// Reads the head of "100 Continue", or of a final response in its place.
+/// Passes over other informational (1xx) ones.
+asio::awaitable<boost::system::error_code> ReadContinueOrFinalHead(
+    Attempt& attempt,
+    http::verb method);
 
 /// Reads responses until one matches the request. A server may have sent
 /// duplicate responses to earlier requests on the connection.
--- a/tests/process/odd_head_process_test.py
+++ b/tests/process/odd_head_process_test.py
@@ -107,6 +107,8 @@
 UNREGISTERED_SUCCESSES = [b"209", b"227", b"250", b"299"]
 
 
+# A body that a node sends to another one only after "100 Continue".
+DEFERRED_BODY = b"o" * 50_000
 STAMP = b"Response-Stamp: 3e1b.07\r\n"
 
 
@@ -161,7 +163,8 @@
     def answer(self, connection, line, fields, rest):
         if not line.split(" ")[1].endswith("/2f"):
             return NotImplemented
-        common.read_body(connection, fields, rest)
+        if not fields.get("expect"):
+            common.read_body(connection, fields, rest)
         self.answers += 1
         connection.sendall(
             self.make(request_id=fields["request-id"].encode()))
@@ -181,10 +184,10 @@
                      ("r-other", "/other/", "safe", TIMEOUT_MS, "other")])
 
     @staticmethod
-    def ask(node, method):
+    def ask(node, method, body=b"order"):
         consumer = common.Consumer(node.listen["outbound"])
-        path, body = (("/odd/2f", b"") if method == "GET" else
-                      ("/order/2f", b"order"))
+        path = "/odd/2f" if method == "GET" else "/order/2f"
+        body = b"" if method == "GET" else body
         answer = consumer.ask(method, path, os.urandom(8).hex(), body)
         consumer.close()
         return answer
@@ -295,7 +298,7 @@
         return answers
 
     # The owner node is killed, and what listens at its address next answers the
-    # node that takes the request.
+    # node that takes the request, also in place of "100 Continue".
     def test_of_another_node(self):
         with platform_fleet.PlatformFleet() as fleet:
             self.start(fleet)
@@ -305,9 +308,11 @@
             end = time.monotonic() + platform_fleet.PEER_KNOWN_S
             while time.monotonic() < end:
                 for what, peer.make in odd_answers().items():
-                    for method in ("GET", "POST"):
-                        answer = self.ask(self.entry, method)
-                        with self.subTest(what=what, method=method):
+                    for method, body in (("GET", b""), ("POST", b"order"),
+                                         ("POST", DEFERRED_BODY)):
+                        answer = self.ask(self.entry, method, body)
+                        with self.subTest(what=what, method=method,
+                                          length=len(body)):
                             self.assertIsNotNone(answer)
                             self.assertIn(answer.status, (502, 503, 504))
                             self.assertNotIn("response-stamp", answer.fields)
