--- a/tests/process/platform_fleet.py
+++ b/tests/process/platform_fleet.py
@@ -6,6 +6,8 @@
 
 import pathlib
 import shutil
+import socket
+import struct
 import sys
 import tempfile
 import threading
@@ -122,5 +124,12 @@
             self.mb = max(self.mb, self._node.resident_mb())
 
 
+def reset(connection):
+    """Closes with a reset, also if nothing is unread."""
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                          struct.pack("ii", 1, 0))
+    connection.close()
+
+
 def sleep_until(moment):
     time.sleep(max(moment - time.monotonic(), 0))
