Show that a time-out behind an early answer is no end of it

The same fault in another form: a server sends a part of an answer without a length and then neither reads nor closes. The kernel of its node gives the connection up after a second of untaken bytes, a write gets ETIMEDOUT, and the read behind it returns 0 (trace of the code before).

--- a/tests/process/early_answer_process_test.py
+++ b/tests/process/early_answer_process_test.py
@@ -30,10 +30,14 @@
 CLOSE_UNREAD = "close with unread bytes, a reset"
 END = "end, and read the rest of the upload"
 END_THEN_RESET = "end, and a reset behind it"
+HOLD = "read nothing and keep the connection, longer than a node waits"
+HOLD_S = 4
 
 Form = collections.namedtuple("Form", "framing read_first_bytes delay_s")
 FORMS = [Form(*values) for values in
          itertools.product(FRAMINGS, READ_FIRST_BYTES, DELAYS_S)]
+# Each form comes more than once.
+FORM_ROUNDS = FORMS * 2
 
 
 def read_to_the_end(connection):
@@ -77,8 +81,8 @@
         if self.ending == END:
             read_to_the_end(connection)
             return
-        time.sleep(self.form.delay_s)
-        if self.ending == RESET:
+        time.sleep(HOLD_S if self.ending == HOLD else self.form.delay_s)
+        if self.ending in (RESET, HOLD):
             platform_fleet.reset(connection)
         else:
             connection.close()
@@ -132,7 +136,6 @@
 
 
 class EarlyAnswerTest(unittest.TestCase):
-    ROUNDS = 2
 
     def start(self, fleet):
         self.server = EarlyServer(fleet.record)
@@ -150,20 +153,19 @@
                                                               chunked)
             yield (body_bytes, chunked), answer
 
-    def cases(self):
+    def cases(self, forms):
         """The answers to all kinds of uploads at both nodes, for each form of
         the early answer."""
-        for _ in range(self.ROUNDS):
-            for self.server.form in FORMS:
-                for node in (self.owner, self.entry):
-                    for kind, answer in self.uploads(node):
-                        yield (node.name, *kind, *self.server.form), answer
+        for self.server.form in forms:
+            for node in (self.owner, self.entry):
+                for kind, answer in self.uploads(node):
+                    yield (node.name, *kind, *self.server.form), answer
 
-    def check_no_success(self, ending, body=ANSWER_BODY):
+    def check_no_success(self, ending, body=ANSWER_BODY, forms=FORM_ROUNDS):
         with platform_fleet.PlatformFleet() as fleet:
             self.start(fleet)
             self.server.ending, self.server.body = ending, body
-            answers = list(self.cases())
+            answers = list(self.cases(forms))
         self.assertGreater(self.server.answers, len(answers) // 2)
         self.assertEqual([case for case, answer in answers
                           if is_whole_success(answer)], [])
@@ -172,7 +174,7 @@
         with platform_fleet.PlatformFleet() as fleet:
             self.start(fleet)
             self.server.ending, self.server.body = ending, body
-            answers = list(self.cases())
+            answers = list(self.cases(FORM_ROUNDS))
         self.assertEqual([case for case, answer in answers
                           if not is_whole_success(answer) or
                           answer.body != body], [])
@@ -187,6 +189,10 @@
     def test_long_answer_that_is_reset(self):
         self.check_no_success(RESET, LONG_ANSWER_BODY)
 
+    # The node's kernel gives the connection up while a write waits.
+    def test_time_out_while_the_upload_is_written(self):
+        self.check_no_success(HOLD, forms=FORMS[:1])
+
     def test_end_while_the_rest_is_read(self):
         self.check_whole(END)
 
