Restore the strict counts of the new tests, and mend their stand-ins

Beside six busy processes and each other the two tests then failed, once each:

test_close_with_unread_bytes: a part was passed on as whole, three times. Trace of the stand-in beside ten busy processes: of 1,340 answers 1,339 had bytes unread at the close, none whole; one had none unread, so that the kernel sent an orderly end, and was whole, as it may be. The stand-in now waits for unread bytes before it closes; the check is unchanged.

test_sound_answers_are_passed_on: the request that sets the case up got 502 connection_lost (1 of 12 runs beside eight busy processes). The stand-in closed connections that it had not announced to close, while the node used them again.

Conclusion: faults of the stand-ins, none of the product.

--- a/tests/process/early_answer_process_test.py
+++ b/tests/process/early_answer_process_test.py
@@ -82,6 +82,9 @@
             read_to_the_end(connection)
             return
         time.sleep(HOLD_S if self.ending == HOLD else self.form.delay_s)
+        if self.ending == CLOSE_UNREAD:
+            # With nothing unread the kernel would end the connection orderly.
+            connection.recv(1, socket.MSG_PEEK)
         if self.ending in (RESET, HOLD):
             platform_fleet.reset(connection)
         else:
@@ -166,7 +169,7 @@
             self.start(fleet)
             self.server.ending, self.server.body = ending, body
             answers = list(self.cases(forms))
-        self.assertGreater(self.server.answers, len(answers) // 2)
+        self.assertEqual(self.server.answers, len(answers))
         self.assertEqual([case for case, answer in answers
                           if is_whole_success(answer)], [])
 
@@ -216,7 +219,7 @@
             while time.monotonic() < end:
                 for peer.form in FORMS:
                     answers += self.uploads(self.entry)
-        self.assertGreater(peer.answers, len(FORMS))
+        self.assertGreater(peer.answers, 30)
         self.assertEqual([kind for kind, answer in answers
                           if is_whole_success(answer)], [])
 
--- a/tests/process/odd_head_process_test.py
+++ b/tests/process/odd_head_process_test.py
@@ -116,8 +116,8 @@
     """An answer with `line`, if any, as the first line of its head."""
     return (b"HTTP/1.1 " + status + b" Odd\r\n" +
             (line + b"\r\n" if line else b"") +
-            b"Request-Id: " + request_id + b"\r\n" + stamp + framing +
-            b"\r\n" + body)
+            b"Request-Id: " + request_id + b"\r\n" + stamp +
+            b"Connection: close\r\n" + framing + b"\r\n" + body)
 
 
 def maker(framed_body, **options):
@@ -199,7 +199,8 @@
         answer = consumer.ask("GET", "/odd/whole", os.urandom(8).hex(),
                               limit_ms=TIMEOUT_MS)
         consumer.close()
-        self.assertTrue(answer and answer.complete and answer.status == 200)
+        self.assertTrue(answer and answer.complete and answer.status == 200,
+                        vars(answer) if answer else None)
 
     def check_refused(self, answer):
         """The answer is the node's own."""
@@ -318,7 +319,7 @@
                             self.assertIsNotNone(answer)
                             self.assertIn(answer.status, (502, 503, 504))
                             self.assertNotIn("response-stamp", answer.fields)
-            self.assertGreater(peer.answers, len(odd_answers()))
+            self.assertGreater(peer.answers, 100)
 
 
 if __name__ == "__main__":
