--- a/review/11/case.py
+++ b/review/11/case.py
@@ -81,7 +81,13 @@
         drill(fleet, saved, newest)
     else:
         time.sleep(AWAY_S)
+    time.sleep(1)
+    calls = fleet.store.calls
     time.sleep(TOUCH_S + PROPAGATION_S)
+    fleet.record.write(f"store: {fleet.store.calls - calls} calls in "
+                       f"{TOUCH_S + PROPAGATION_S} s")
+    print(f"{fleet.store.calls - calls} calls to the store in "
+          f"{TOUCH_S + PROPAGATION_S} s")
     before = send_requests(fleet, TAKEN_KEY, "before")
     if before != {"alpha": REQUESTS_PER_NODE * len(fleet.nodes)}:
         raise kit3.CannotRun("the fleet does not serve before the change")
--- a/review/kit3.py
+++ b/review/kit3.py
@@ -24,6 +24,8 @@
 LOOPBACK = "127.0.0.1"
 HOST = "shop.example"
 MAX_PARSED_TEXT = 10000
+# A list holds "about 500" objects.
+LIST_ITEMS = 500
 EXIT_HELD = 0
 EXIT_BROKEN = 1
 EXIT_CANNOT_RUN = 2
@@ -51,19 +53,37 @@
         self._file.close()
 
 
-def free_ports(count):
-    """The first of `count` consecutive ports that are free, below the range of
-    ephemeral ports."""
-    start = 10000 + os.getpid() % 1000 * 20
-    for first in range(start, 32000, 7):
-        if all(_is_free(first + i) for i in range(count)):
-            if not free_ports.taken.intersection(range(first, first + count)):
-                free_ports.taken.update(range(first, first + count))
-                return first
-    raise CannotRun("no free ports")
+class PortBlock:
+    """A block of ports below the range of ephemeral ports that belongs to this
+    process alone. Its first port stays bound as a lock."""
 
+    FIRST = 10000
+    SIZE = 1000
+    COUNT = 20
 
-free_ports.taken = set()
+    def __init__(self):
+        for step in range(self.COUNT):
+            first = self.FIRST + (os.getpid() + step) % self.COUNT * self.SIZE
+            self._lock = socket.socket()
+            try:
+                self._lock.bind((LOOPBACK, first))
+                self._lock.listen(1)
+            except OSError:
+                self._lock.close()
+                continue
+            self._next = first + 1
+            self._end = first + self.SIZE
+            return
+        raise CannotRun("no free block of ports")
+
+    def take(self, count):
+        """The first of `count` consecutive ports that are free."""
+        while self._next + count <= self._end:
+            first = self._next
+            self._next += count
+            if all(_is_free(first + i) for i in range(count)):
+                return first
+        raise CannotRun("no free ports")
 
 
 def _is_free(port):
@@ -75,6 +95,15 @@
     return True
 
 
+def free_ports(count):
+    if free_ports.block is None:
+        free_ports.block = PortBlock()
+    return free_ports.block.take(count)
+
+
+free_ports.block = None
+
+
 class Store:
     """The platform's metadata store: objects with revisions, watches, stale
     reads that are not stale, and restoring an earlier copy."""
@@ -88,6 +117,7 @@
         self._era = 1
         self._is_down = False
         self.raw_texts = {}
+        self.calls = 0
         store = self
 
         class Handler(http.server.BaseHTTPRequestHandler):
@@ -100,6 +130,7 @@
             def handle_any(self):
                 length = int(self.headers.get("Content-Length", 0))
                 text = self.rfile.read(length)
+                store.calls += 1
                 status, body = store.answer(self.command, self.path, text)
                 data = json.dumps(body)
                 for mark, raw in store.raw_texts.items():
@@ -221,9 +252,18 @@
     def _list(self, kind, fields):
         items = [o for (k, n), o in sorted(self._objects.items())
                  if k == kind and n > fields.get("after", "")]
-        return 200, {"items": items, "has_more": False,
+        return 200, {"items": items[:LIST_ITEMS],
+                     "has_more": len(items) > LIST_ITEMS,
                      "as_of": self._revision}
 
+    def count(self, kind):
+        with self._changed:
+            return sum(k == kind for k, _ in self._objects)
+
+    def holds(self, kind, name):
+        with self._changed:
+            return (kind, name) in self._objects
+
     def _change(self, method, parts, text):
         body = json.loads(text) if text else {}
         kind = parts[0]
@@ -272,10 +312,18 @@
         self._changed.notify_all()
 
 
+class Reply:
+    """Bytes that a server sends, and whether the connection stays open."""
+
+    def __init__(self, data, keeps_open):
+        self.data = data
+        self.keeps_open = keeps_open
+
+
 class Server:
     """A server (upstream) that reports itself to the node beside it and runs
-    requests. `respond(request)` may return bytes to be sent in place of the
-    ordinary answer, and then closes the connection."""
+    requests. `respond(request)` may return a Reply in place of the ordinary
+    answer."""
 
     def __init__(self, record, service, name, slots=18):
         self.record = record
@@ -289,6 +337,7 @@
         self.zone = None
         self.born = int(time.time() * 1000)
         self._sequence = 0
+        self._connections = set()
         self._stopped = threading.Event()
         self._listener = socket.create_server((LOOPBACK, free_ports(1)),
                                               backlog=256)
@@ -322,8 +371,23 @@
 
     def stop(self):
         self._stopped.set()
+        # Wakes the thread that accepts, which keeps the port otherwise.
+        try:
+            self._listener.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass
         self._listener.close()
 
+    def crash(self):
+        """Ends at once, without a word to the node beside it."""
+        self.stop()
+        for connection in list(self._connections):
+            try:
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+        self.record.write(f"server {self.id} ({self.service}): crashed")
+
     def _accept(self):
         while not self._stopped.is_set():
             try:
@@ -336,6 +400,7 @@
     def _serve(self, connection):
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         reader = connection.makefile("rb")
+        self._connections.add(connection)
         try:
             while True:
                 request = read_request(reader)
@@ -346,6 +411,7 @@
         except OSError:
             pass
         finally:
+            self._connections.discard(connection)
             connection.close()
 
     def _answer(self, connection, request):
@@ -361,10 +427,11 @@
         time.sleep(self.work_s)
         special = self.respond(request)
         if special is not None:
-            connection.sendall(special)
-            return False
+            connection.sendall(special.data)
+            return special.keeps_open
         body = f"{self.service} {request_id}".encode()
-        connection.sendall(answer_head(request_id, len(body)) + body)
+        head = answer_head(request_id, len(body))
+        connection.sendall(head if request.method == "HEAD" else head + body)
         return True
 
 
