--- a/review/kit3.py
+++ b/review/kit3.py
@@ -787,8 +787,14 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
+def _end_by_signal(number, _frame):
+    raise CannotRun(f"ended by {signal.Signals(number).name}")
+
+
 def main(case):
     """Runs `case(fleet)`, which returns whether the rule held."""
+    signal.signal(signal.SIGTERM, _end_by_signal)
+    signal.signal(signal.SIGINT, _end_by_signal)
     folder = pathlib.Path(sys.argv[0]).resolve().parent
     try:
         with Fleet(folder) as fleet:
