--- a/review/kit3.py
+++ b/review/kit3.py
@@ -337,7 +337,6 @@
         self.zone = None
         self.born = int(time.time() * 1000)
         self._sequence = 0
-        self._connections = set()
         self._stopped = threading.Event()
         self._listener = socket.create_server((LOOPBACK, free_ports(1)),
                                               backlog=256)
@@ -378,16 +377,6 @@
             pass
         self._listener.close()
 
-    def crash(self):
-        """Ends at once, without a word to the node beside it."""
-        self.stop()
-        for connection in list(self._connections):
-            try:
-                connection.shutdown(socket.SHUT_RDWR)
-            except OSError:
-                pass
-        self.record.write(f"server {self.id} ({self.service}): crashed")
-
     def _accept(self):
         while not self._stopped.is_set():
             try:
@@ -400,7 +389,6 @@
     def _serve(self, connection):
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         reader = connection.makefile("rb")
-        self._connections.add(connection)
         try:
             while True:
                 request = read_request(reader)
@@ -411,7 +399,6 @@
         except OSError:
             pass
         finally:
-            self._connections.discard(connection)
             connection.close()
 
     def _answer(self, connection, request):
