--- a/review/11/case.py
+++ b/review/11/case.py
@@ -8,9 +8,10 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 import kit3  # noqa: E402
 
-BOUNDS = ["strict_revocation=true", "revocation=5000ms"]
+BOUNDS = ["config_propagation=2500ms", "strict_revocation=true",
+          "revocation=5000ms"]
 TOUCH_S = 3
-PROPAGATION_S = 2
+PROPAGATION_S = 2.5
 OUTER_S = 5
 REVOCATION_S = 5
 AWAY_S = 1
