--- a/packages/core/banyantrail/core/revision.h
+++ b/packages/core/banyantrail/core/revision.h
@@ -13,17 +13,12 @@
   std::uint64_t era = 0;
   std::uint64_t number = 0;
 
-  friend std::strong_ordering operator<=>(const StoreRevision& left,
-                                          const StoreRevision& right) {
-    return left.number <=> right.number;
-  }
-  friend bool operator==(const StoreRevision& left,
-                         const StoreRevision& right) {
-    return left.number == right.number;
-  }
+  friend auto operator<=>(const StoreRevision&, const StoreRevision&) = default;
 };
 
-/// Identifies an accepted configuration and defines which of two is newer.
+/// Identifies an accepted configuration and defines which of two is newer: the
+/// operator's versions never decrease, whatever a store shows that has come
+/// back from an older copy.
 struct Revision {
   /// The operator's version of the configuration; 0 if it has none.
   std::uint64_t version = 0;
@@ -36,13 +31,20 @@
   bool exists() const { return number > 0; }
   StoreRevision stored_at() const { return {.era = era, .number = number}; }
 
-  friend std::strong_ordering operator<=>(const Revision& left,
-                                          const Revision& right) {
-    return left.number <=> right.number;
-  }
-  friend bool operator==(const Revision& left, const Revision& right) {
-    return left.number == right.number;
-  }
+  friend auto operator<=>(const Revision&, const Revision&) = default;
 };
 
+/// Whether a store that shows `shown` as its newest configuration is known to
+/// lack `known`: it has come back from an older copy, and may lack others that
+/// this node has never seen.
+constexpr bool Lacks(const Revision& shown, const Revision& known) {
+  return shown.era > known.era && shown.version < known.version;
+}
+
+/// Whether `revision` says anything to a node that has applied `applied`. Nodes
+/// of builds from before versions do not send them.
+constexpr bool IsComparable(const Revision& revision, const Revision& applied) {
+  return revision.version > 0 || applied.version == 0;
+}
+
 }  // namespace banyantrail
--- a/packages/distribution/banyantrail/distribution/configuration_store_task.h
+++ b/packages/distribution/banyantrail/distribution/configuration_store_task.h
@@ -290,8 +290,9 @@
     m_newest_is_unreadable = false;
     m_watch_revision =
         std::max(m_watch_revision, read.release->revision.stored_at());
+    const Revision shown = read.release->revision;
     Deliver(std::move(*read.release));
-    m_options.on_store_read(delivered_revision(), sent_at);
+    m_options.on_store_read(shown, sent_at);
     NotifyConfirmed();
     co_return true;
   }
@@ -300,8 +301,13 @@
     const BootTimePoint sent_at = BootClock::Now();
     ReleaseWatchResult watch =
         co_await m_store.AwaitRelease(m_watch_revision, m_options.watch_wait);
-    if (watch.history_compacted) {
-      m_options.count_event("store_history_gone");
+    const bool is_other_era = watch.resume_after.era != m_watch_revision.era;
+    if (watch.history_compacted || is_other_era) {
+      // The store may show an older configuration at a lower revision than
+      // before, and the changes since the last watch are unknown.
+      m_options.count_event(is_other_era ? "store_era_changed"
+                                         : "store_history_gone");
+      m_watch_revision = {};
       co_return co_await ReadConfiguration();
     }
     m_watch_revision = std::max(m_watch_revision, watch.resume_after);
@@ -318,7 +324,7 @@
     if (!m_newest_is_unreadable) {
       // What the watch returned shows that the store had no other configuration
       // when the watch was sent, but not that it has none now.
-      m_options.on_store_read(delivered_revision(), sent_at);
+      m_options.on_store_read(m_shown_revision, sent_at);
     }
     NotifyConfirmed();
     if (in_burst) {
@@ -361,13 +367,20 @@
     }
   }
 
+  /// Ignores a configuration that is older than the delivered one: the store
+  /// has come back from an older copy.
   void Deliver(Release release) {
+    m_shown_revision = release.revision;
+    m_options.on_store_head(m_shown_revision);
+    if (m_shown_revision < delivered_revision()) {
+      m_options.count_event("store_is_behind");
+      return;
+    }
     if (release.revision != delivered_revision()) {
       m_change_bytes = SizeOf(DiffOf(m_delivered->objects, release.objects));
       m_delivered_at = SystemClock().Now();
     }
     m_delivered = std::make_shared<const Release>(std::move(release));
-    m_options.on_store_head(m_delivered->revision);
     m_options.on_release(m_delivered);
   }
 
@@ -517,6 +530,9 @@
   std::shared_ptr<const Release> m_delivered =
       std::make_shared<const Release>();
   TimePoint m_delivered_at{};
+  /// The configuration that the store shows as its newest, which is older than
+  /// the delivered one when the store has come back from an older copy.
+  Revision m_shown_revision;
   std::size_t m_change_bytes = 0;
   /// Set until the first read and after a failed or omitted watch: changes may
   /// have been missed that the next watch does not report.
--- a/packages/distribution/banyantrail/distribution/key_lease.cc
+++ b/packages/distribution/banyantrail/distribution/key_lease.cc
@@ -14,7 +14,11 @@
 }  // namespace
 
 void KeyLease::OnStoreConfirmed(Revision revision, BootTimePoint sent_at) {
-  if (!revision.exists()) {
+  const bool is_lacking =
+      std::ranges::any_of(m_confirmations, [&](const Confirmation& known) {
+        return Lacks(revision, known.revision);
+      });
+  if (!revision.exists() || is_lacking) {
     return;
   }
   const auto found =
@@ -93,7 +97,10 @@
   std::optional<Duration> age;
   for (const Confirmation& confirmation : m_confirmations) {
     const Duration confirmation_age = now - confirmation.confirmed_at;
-    if (confirmation.revision <= applied && (!age || confirmation_age < *age)) {
+    const bool is_proof = confirmation.revision <= applied &&
+                          IsComparable(confirmation.revision, applied) &&
+                          !Lacks(confirmation.revision, applied);
+    if (is_proof && (!age || confirmation_age < *age)) {
       age = confirmation_age;
     }
   }
--- a/packages/distribution/banyantrail/distribution/key_lease.h
+++ b/packages/distribution/banyantrail/distribution/key_lease.h
@@ -40,9 +40,11 @@
 /// least as new as a confirmation younger than `revocation`, so it cannot have
 /// missed the removal of a key for longer than that. Confirmations come from
 /// the node's own reads of the store and, as the reply to a request, from
-/// peers. Each is dated at its earliest possible moment: when the read, or the
-/// request to the peer, was sent. Messages that are delayed, duplicated or
-/// lost can therefore only end the lease earlier.
+/// peers. A store that shows an older version than the node has, in a later
+/// era, confirms nothing: it lacks what it has accepted, perhaps also the
+/// removal of a key. Each confirmation is dated at its earliest possible
+/// moment: when the read, or the request to the peer, was sent. Messages that
+/// are delayed, duplicated or lost can therefore only end the lease earlier.
 ///
 /// Performs no I/O; time is a parameter.
 class KeyLease {
--- a/packages/distribution/banyantrail/distribution/store_follower.cc
+++ b/packages/distribution/banyantrail/distribution/store_follower.cc
@@ -4,6 +4,9 @@
 
 void StoreFollower::OnConfirmation(const Confirmation& confirmation,
                                    TimePoint now) {
+  if (!IsComparable(confirmation.revision, confirmation.applied)) {
+    return;
+  }
   m_has_confirmation = true;
   m_confirmed_at = now;
   const bool is_new = confirmation.revision > m_awaited_revision;
--- a/packages/distribution/banyantrail/distribution/store_follower.h
+++ b/packages/distribution/banyantrail/distribution/store_follower.h
@@ -71,6 +71,7 @@
     Revision applied;
   };
 
+  /// Ignores a confirmation that says nothing to this node, see IsComparable.
   void OnConfirmation(const Confirmation& confirmation, TimePoint now);
 
   /// A watching node reported that the store does not respond to it.
