--- a/tests/distribution/key_lease_test.cc
+++ b/tests/distribution/key_lease_test.cc
@@ -13,6 +13,7 @@
 using banyantrail::KeyLeaseOptions;
 using banyantrail::milliseconds;
 using banyantrail::NodeId;
+using banyantrail::Revision;
 using banyantrail::seconds;
 using banyantrail::testing::At;
 
@@ -118,3 +119,38 @@
   }
   CHECK(lease.MayAcceptKeys(At(7), start + seconds(1)));
 }
+
+// The store has come back from a copy of before version 7, and shows version 5
+// until the operator writes again. Version 8, which this node has not seen, may
+// have removed a key.
+TEST(KeyLease, StoreThatLacksTheAppliedVersionConfirmsNothing) {
+  const Revision applied{.version = 7, .era = 1, .number = 90};
+  const Revision shown{.version = 5, .era = 2, .number = 95};
+  lease.OnStoreConfirmed(applied, start);
+  lease.OnStoreConfirmed(shown, start + seconds(4));
+  CHECK(lease.MayAcceptKeys(applied, start + seconds(4)));
+  CHECK_FALSE(lease.MayAcceptKeys(applied, start + seconds(5)));
+  CHECK(lease.ReplyTo({.sequence = 1}, start + seconds(4))->revision ==
+        applied);
+  const Revision again{.version = 7, .era = 2, .number = 96};
+  lease.OnStoreConfirmed(again, start + seconds(6));
+  CHECK_FALSE(lease.MayAcceptKeys(applied, start + seconds(6)));
+  CHECK(lease.MayAcceptKeys(again, start + seconds(6)));
+}
+
+// The same from a peer that knows no later version.
+TEST(KeyLease, ReplyOfAPeerThatOnlyKnowsTheOlderCopyProvesNothing) {
+  const Revision applied{.version = 7, .era = 1, .number = 90};
+  const auto request = lease.NextRequest(kPeers, applied, start);
+  lease.OnReply({.sequence = request->message.sequence,
+                 .revision = {.version = 5, .era = 2, .number = 80}});
+  CHECK_FALSE(lease.MayAcceptKeys(applied, start));
+}
+
+// A number alone can be lower than the applied one and yet of a later version.
+TEST(KeyLease, ReplyOfABuildWithoutVersionsProvesNothing) {
+  const Revision applied{.version = 7, .era = 1, .number = 90};
+  const auto request = lease.NextRequest(kPeers, applied, start);
+  lease.OnReply({.sequence = request->message.sequence, .revision = At(91)});
+  CHECK_FALSE(lease.MayAcceptKeys(applied, start));
+}
--- a/tests/distribution/release_store_test.cc
+++ b/tests/distribution/release_store_test.cc
@@ -135,6 +135,47 @@
   CHECK(!StoreAt(5).DeltaFrom(At(6), ""));
 }
 
+// A store that has come back from an older copy gives out its revisions again.
+TEST(ReleaseStore, VersionAndEraComeBeforeTheNumber) {
+  ReleaseStore store({});
+  const auto outcome = [&store](Revision revision) {
+    Release release = MakeRelease(revision.version);
+    release.revision = revision;
+    return store.Apply(std::move(release)).outcome;
+  };
+  CHECK(outcome({.version = 7, .era = 1, .number = 90}) ==
+        ApplyOutcome::kApplied);
+  CHECK(outcome({.version = 5, .era = 2, .number = 95}) ==
+        ApplyOutcome::kAlreadyHave);
+  CHECK(outcome({.version = 7, .era = 2, .number = 81}) ==
+        ApplyOutcome::kApplied);
+  CHECK(outcome({.version = 8, .era = 2, .number = 82}) ==
+        ApplyOutcome::kApplied);
+  CHECK(outcome({.version = 8, .era = 1, .number = 99}) ==
+        ApplyOutcome::kAlreadyHave);
+}
+
+// A store without versions.
+TEST(ReleaseStore, LaterEraIsNewerIfThereAreNoVersions) {
+  ReleaseStore store = StoreAt(5);
+  Release release = MakeRelease(3);
+  release.revision = {.era = 1, .number = 3};
+  CHECK(store.Apply(std::move(release)).outcome == ApplyOutcome::kApplied);
+}
+
+// A delta between two eras, as a peer that has both sends it.
+TEST(ReleaseStore, DeltaLeadsToTheSameVersionOfALaterEra) {
+  ReleaseStore sender = StoreAt(3);
+  Release again = MakeRelease(3);
+  again.revision = {.era = 1, .number = 2};
+  sender.Apply(again);
+  const auto delta = sender.DeltaFrom(At(3), again.digest);
+  CHECK(delta->updates.empty());
+  ReleaseStore receiver = StoreAt(3);
+  CHECK(receiver.Apply(*delta).outcome == ApplyOutcome::kApplied);
+  CHECK(*receiver.current() == again);
+}
+
 TEST(ReleaseStore, ADeltaOnAnotherBaseNeedsItsParent) {
   ReleaseStore store = StoreAt(3);
   const auto result = store.Apply(MessageBetween(4, 5, false));
--- a/tests/distribution/store_follower_test.cc
+++ b/tests/distribution/store_follower_test.cc
@@ -52,6 +52,13 @@
   CHECK(Watches(milliseconds(1), 0));
 }
 
+// A watcher of a build without versions can't tell whether its number is newer.
+TEST(StoreFollower, IgnoresConfirmationsWithoutAVersion) {
+  const Revision held{.version = 7, .era = 1, .number = 90};
+  follower.OnConfirmation({.revision = At(91), .applied = held}, kStart);
+  CHECK_FALSE(follower.HasValidConfirmation(kStart));
+}
+
 // When all nodes of a fleet start at once, each would read the configuration
 // and watch for more until it hears from the watcher of its domain.
 TEST(StoreFollower, WaitsForAFirstConfirmationAfterTheStart) {
