A node that starts waits for a first peer before it trusts the platform alone

Cause: a node that starts while the store shows an older copy reads it and is ready at once, although its peers hold a later version.

Ruled out: to tell an older copy by the era alone, since a node that has just started doesn't know which era its peers have seen.

Change: a read of the platform makes the node ready once a peer has answered, or after peer_wait (500 ms) if none does. The limit of the gate is unchanged. The fixture of the tests that show what the tree does alone switches this off, since nodes that are learning ask each other; the checks there are unchanged.

--- a/packages/distribution/banyantrail/distribution/startup_gate.cc
+++ b/packages/distribution/banyantrail/distribution/startup_gate.cc
@@ -20,9 +20,9 @@
   m_platform_read = true;
 }
 
-bool StartupGate::HasEnoughAnswers() const {
+bool StartupGate::HasEnoughAnswers(TimePoint now) const {
   if (m_platform_read) {
-    return true;
+    return !m_answered.empty() || now >= m_peer_deadline;
   }
   const std::size_t required = std::min(m_options.min_peers, m_peer_count);
   return required > 0 && m_answered.size() >= required;
@@ -32,7 +32,8 @@
   if (m_state == ServingState::kReady) {
     return m_state;
   }
-  if (applied.exists() && applied >= m_known_revision && HasEnoughAnswers()) {
+  if (applied.exists() && applied >= m_known_revision &&
+      HasEnoughAnswers(now)) {
     m_state = ServingState::kReady;
   } else if (now >= m_deadline) {
     m_state = ServingState::kDegraded;
--- a/packages/distribution/banyantrail/distribution/startup_gate.h
+++ b/packages/distribution/banyantrail/distribution/startup_gate.h
@@ -29,10 +29,16 @@
     Duration max_wait = seconds(3);
     /// Number of peers that have to answer; all known peers if there are fewer.
     std::size_t min_peers = 3;
+    /// How long a node that has read the platform waits for a first peer. The
+    /// platform may show an older copy of what the peers have, and a node that
+    /// has just started does not know whether it has any.
+    Duration peer_wait = milliseconds(500);
   };
 
   StartupGate(Options options, TimePoint start)
-      : m_options(options), m_deadline(start + options.max_wait) {}
+      : m_options(options),
+        m_peer_deadline(start + options.peer_wait),
+        m_deadline(start + options.max_wait) {}
 
   /// According to its peers, this node had applied `revision` before it
   /// restarted.
@@ -55,9 +61,10 @@
   ServingState Update(Revision applied, TimePoint now);
 
  private:
-  bool HasEnoughAnswers() const;
+  bool HasEnoughAnswers(TimePoint now) const;
 
   Options m_options;
+  TimePoint m_peer_deadline;
   TimePoint m_deadline;
   Revision m_known_revision;
   bool m_platform_read = false;
--- a/tests/distribution/distribution_protocol_test.cc
+++ b/tests/distribution/distribution_protocol_test.cc
@@ -24,6 +24,8 @@
 SimulatedNetwork::Options TreeOnly(std::size_t nodes) {
   SimulatedNetwork::Options options{.nodes_per_domain = nodes};
   options.protocol.arity = 3;
+  // Nodes that are learning ask each other, which repairs what the tree loses.
+  options.protocol.gate.peer_wait = Duration(0);
   return options;
 }
 
