--- a/tests/process/platform_fleet.py
+++ b/tests/process/platform_fleet.py
@@ -26,7 +26,8 @@
 class PlatformFleet:
     """A store and nodes; as a context manager, ends them."""
 
-    def __init__(self):
+    def __init__(self, store_type=None):
+        """`store_type` takes the place of common.Store."""
         self._ports = harness.PortBlock()
         self.work_dir = pathlib.Path(tempfile.mkdtemp(prefix="banyantrail-"))
         # The stand-ins run what the deploy file says, below this folder.
@@ -36,6 +37,10 @@
         common.free_ports = self._allocate
         self.record = common.Record(str(self.work_dir))
         self._fleet = common.Fleet(self.record)
+        if store_type:
+            self._fleet.store.server.shutdown()
+            self._fleet.store.server.server_close()
+            self._fleet.store = store_type(self.record)
 
     def __enter__(self):
         return self
