All calls to the platform's store follow its era

Cause: only three kinds of response were looked at for Store-Era, each for itself. A response of the store of before, which arrives after one of the store that came back, was taken for the newest state, and a change that the entry's calls showed went unnoticed.

The stand-in can name an era, come back from a copy and hold a response back; a watch from a revision above its counter gets 410.

Ruled out: a response type that carries its era, since nothing runs between a response and its caller, and the roll-outs' functions stay as they are but for the name of the era.

--- a/tests/platform/object_store_stand_in.cc
+++ b/tests/platform/object_store_stand_in.cc
@@ -32,7 +32,7 @@
   m_server = std::make_unique<HttpServer>(
       io, HttpServer::Options{.endpoint = m_address,
                               .handler = [this](HttpRequest request) {
-                                return Handle(std::move(request));
+                                return Respond(std::move(request));
                               }});
 }
 
@@ -60,6 +60,39 @@
   m_objects.erase(found);
 }
 
+ObjectStoreStandIn::Copy ObjectStoreStandIn::TakeCopy() const {
+  Copy copy;
+  copy.m_revision = m_revision;
+  copy.m_objects = m_objects;
+  copy.m_changes = m_changes;
+  return copy;
+}
+
+void ObjectStoreStandIn::ComeBack(const Copy& copy) {
+  m_revision = copy.m_revision;
+  m_objects = copy.m_objects;
+  m_changes = copy.m_changes;
+  if (era) {
+    ++*era;
+  }
+}
+
+asio::awaitable<HttpResponse> ObjectStoreStandIn::Respond(HttpRequest request) {
+  const std::string target(request.target());
+  const std::string call = std::string(request.method_string()) + " " +
+                           target.substr(0, target.find('?'));
+  HttpResponse response = co_await Handle(std::move(request));
+  if (era) {
+    response.set("Store-Era", era_text.value_or(std::to_string(*era)));
+  }
+  asio::steady_timer timer(m_io);
+  while (held_call == call) {
+    timer.expires_after(milliseconds(2));
+    co_await timer.async_wait(asio::use_awaitable);
+  }
+  co_return response;
+}
+
 asio::awaitable<HttpResponse> ObjectStoreStandIn::Handle(HttpRequest request) {
   const std::string target(request.target());
   const std::size_t query_start = target.find('?');
@@ -169,10 +202,11 @@
   if (after < m_history_from) {
     co_return MakeResponse(410, json::object());
   }
+  const auto is_ahead = [this, after] { return after > m_revision; };
   const TimePoint end = SystemClock().Now() + wait;
   asio::steady_timer timer(m_io);
   json events = EventsAfter(kind, after);
-  while (events.empty() && SystemClock().Now() < end) {
+  while (!is_ahead() && events.empty() && SystemClock().Now() < end) {
     if (unresponsive) {
       co_await NeverRespond();
     }
@@ -180,6 +214,9 @@
     co_await timer.async_wait(asio::use_awaitable);
     events = EventsAfter(kind, after);
   }
+  if (is_ahead()) {
+    co_return MakeResponse(410, json::object());
+  }
   co_return WithRawItems({{"as_of", m_revision}}, "events", events);
 }
 
--- a/tests/platform/object_store_stand_in.h
+++ b/tests/platform/object_store_stand_in.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -29,6 +30,22 @@
   /// revision fail with status 410.
   void Compact() { m_history_from = m_revision; }
 
+  /// A copy of what the store holds.
+  class Copy;
+  Copy TakeCopy() const;
+
+  /// Comes back from a copy, in the next era: what was written since is gone,
+  /// and its revisions are given out again.
+  void ComeBack(const Copy& copy);
+
+  /// The era that all responses name; none if empty.
+  std::optional<std::uint64_t> era;
+  /// If set, the text of the header in place of the era.
+  std::optional<std::string> era_text;
+  /// The call, by method and path, whose response is held back while this is
+  /// set. It names the era in which it was given.
+  std::string held_call;
+
   /// If not 0, the status of the response to every call.
   unsigned error_status = 0;
   /// While set, calls that arrive or are pending get no response.
@@ -59,6 +76,7 @@
   using Key = std::pair<std::string, std::string>;
 
   asio::awaitable<void> NeverRespond();
+  asio::awaitable<HttpResponse> Respond(HttpRequest request);
   asio::awaitable<HttpResponse> Handle(HttpRequest request);
   HttpResponse ApplyChange(const HttpRequest& request, const Key& key);
   HttpResponse WriteStatus(const Key& key, const nlohmann::json& body);
@@ -81,4 +99,13 @@
   std::unique_ptr<HttpServer> m_server;
 };
 
+class ObjectStoreStandIn::Copy {
+ private:
+  friend class ObjectStoreStandIn;
+
+  std::uint64_t m_revision = 0;
+  std::map<Key, nlohmann::json> m_objects;
+  std::vector<Change> m_changes;
+};
+
 }  // namespace banyantrail::test
--- a/tests/platform/object_store_test.cc
+++ b/tests/platform/object_store_test.cc
@@ -3,8 +3,10 @@
 #include <CppUTest/TestHarness.h>
 
 #include <algorithm>
+#include <functional>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "banyantrail/core/errors.h"
 #include "platform/object_store_stand_in.h"
@@ -258,3 +260,109 @@
   CHECK(read.changes.front().object.state ==
         banyantrail::RolloutState::kRunning);
 }
+
+// A store that has come back from an older copy gives out its revisions again,
+// so that a number alone does not tell which state it names.
+TEST(ObjectStore, NamesTheEraOfWhatItReads) {
+  stand_in.era = 4;
+  const auto copy = stand_in.TakeCopy();
+  const std::uint64_t first =
+      stand_in.Write("config", "main", Configuration("orders"));
+  LONGS_EQUAL(4, Read()->revision.era);
+  stand_in.ComeBack(copy);
+  CHECK_FALSE(Read().has_value());
+  LONGS_EQUAL(1, store.era_changes());
+  LONGS_EQUAL(first,
+              stand_in.Write("config", "main", Configuration("lookups")));
+  const auto watch = Await(first - 1);
+  LONGS_EQUAL(5, watch.release->revision.era);
+  LONGS_EQUAL(5, watch.resume_after.era);
+}
+
+TEST(ObjectStore, WatchFromALostRevisionReportsLostHistory) {
+  const auto copy = stand_in.TakeCopy();
+  const std::uint64_t lost =
+      stand_in.Write("config", "main", Configuration("orders"));
+  stand_in.ComeBack(copy);
+  CHECK(Await(lost).history_compacted);
+}
+
+// Each kind of call may be the first one after the change.
+TEST(ObjectStore, EveryCallShowsAChangeOfEra) {
+  stand_in.era = 4;
+  stand_in.Write("config", "main", Configuration("orders"));
+  CHECK(Read().has_value());
+  const banyantrail::RolloutObject rollout{
+      .service = banyantrail::ServiceName("orders")};
+  const std::vector<std::function<asio::awaitable<void>()>> calls{
+      [&]() -> asio::awaitable<void> {
+        co_await store.AwaitRelease({}, milliseconds(5));
+      },
+      [&]() -> asio::awaitable<void> {
+        co_await store.ListNodes(ReadConsistency::kMayBeStale);
+      },
+      [&]() -> asio::awaitable<void> {
+        co_await store.CreateNode(Entry("n1"));
+      },
+      [&]() -> asio::awaitable<void> { co_await store.WriteNode(Entry("n1")); },
+      [&]() -> asio::awaitable<void> { co_await store.ReadNode(NodeId("n1")); },
+      [&]() -> asio::awaitable<void> { co_await store.HasNode(NodeId("n1")); },
+      [&]() -> asio::awaitable<void> {
+        co_await store.DeleteNode(NodeId("n1"));
+      },
+      [&]() -> asio::awaitable<void> { co_await store.ListRollouts(); },
+      [&]() -> asio::awaitable<void> {
+        co_await store.AwaitRollouts({}, milliseconds(5));
+      },
+      [&]() -> asio::awaitable<void> {
+        co_await store.WriteRolloutState(rollout,
+                                         banyantrail::RolloutState::kRunning);
+      }};
+  for (const auto& call : calls) {
+    stand_in.ComeBack(stand_in.TakeCopy());
+    const std::uint64_t changes = store.era_changes();
+    CHECK_FALSE(Run(call).has_value());
+    LONGS_EQUAL(changes + 1, store.era_changes());
+    LONGS_EQUAL(*stand_in.era, store.era());
+  }
+}
+
+TEST(ObjectStore, DiscardsResponsesOfAnEarlierEra) {
+  stand_in.era = 4;
+  stand_in.Write("config", "main", Configuration("orders"));
+  CHECK(Read().has_value());
+  const auto run_held = [&](const std::string& held, auto call) {
+    stand_in.held_call = held;
+    std::optional<ErrorKind> failure;
+    bool done = false;
+    asio::co_spawn(io, call(), [&](std::exception_ptr error) {
+      done = true;
+      try {
+        if (error) {
+          std::rethrow_exception(error);
+        }
+      } catch (const banyantrail::Error& caught) {
+        failure = caught.kind();
+      }
+    });
+    io.run_for(milliseconds(30));
+    io.restart();
+    stand_in.ComeBack(stand_in.TakeCopy());
+    Nodes();
+    stand_in.held_call.clear();
+    const auto is_done = [&done] { return done; };
+    while (!is_done()) {
+      io.run_one_for(milliseconds(100));
+      io.restart();
+    }
+    return failure;
+  };
+  CHECK(run_held("GET /-/objects/config/main", [&]() -> asio::awaitable<void> {
+          co_await store.ReadRelease(ReadConsistency::kLinearizable);
+        }) == ErrorKind::kPlatformUnavailable);
+  CHECK(run_held("POST /-/objects/banyantrail-nodes",
+                 [&]() -> asio::awaitable<void> {
+                   co_await store.CreateNode(Entry("n1"));
+                 }) == ErrorKind::kOutcomeUnknown);
+  LONGS_EQUAL(6, store.era());
+}
