The watch of the configuration and the own entry follow the store's era

Cause: a change of era was seen by the watch alone, and one that a call for the entry showed was not acted on. An older unreadable version of the copy counted as the newest. The check of the entry asked only whether there is one, and the copy may hold an older one.

Change: a change of era on any call leads to a whole read, and the watch goes on from what was read. After it and after a 410 the read is the list of the kind, which names the store's revision; a 410 that follows all the same leads to a pause. An unreadable version that is older than a known one counts as the store being behind, and a store known to lack an unreadable version confirms no keys. The own entry is written again within entry_check_spread (1.5 s), or at once when a departure waits for its acknowledgement, and does not count as stored before. store_is_behind is counted once per run and logged when it begins and ends.

Ruled out: ReadNode before the write, one call more; a pause alone after a 410, since the watch would never succeed.

--- a/packages/distribution/banyantrail/distribution/configuration_store.h
+++ b/packages/distribution/banyantrail/distribution/configuration_store.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <concepts>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
@@ -45,6 +46,10 @@
 struct ReleaseReadResult {
   std::optional<Release> release;
   std::optional<UnreadableRelease> unreadable;
+  /// A revision such that a watch from it reports all later changes. The store
+  /// may not have its history so far back, unless the result is from
+  /// ListRelease.
+  StoreRevision as_of;
 };
 
 /// The result of waiting for a configuration.
@@ -73,6 +78,8 @@
   {
     store.ReadRelease(consistency)
     } -> std::same_as<asio::awaitable<ReleaseReadResult>>;
+  // The same as a linearizable read, with the store's revision at that moment.
+  { store.ListRelease() } -> std::same_as<asio::awaitable<ReleaseReadResult>>;
   {
     store.AwaitRelease(after, wait)
     } -> std::same_as<asio::awaitable<ReleaseWatchResult>>;
@@ -86,6 +93,9 @@
   { store.HasNode(entry.node) } -> std::same_as<asio::awaitable<bool>>;
   { store.DeleteNode(entry.node) } -> std::same_as<asio::awaitable<void>>;
   { store.reachable() } -> std::convertible_to<bool>;
+  // The era in which the last call was answered, and how often it has changed.
+  { store.era() } -> std::same_as<std::uint64_t>;
+  { store.era_changes() } -> std::same_as<std::uint64_t>;
 };
 
 }  // namespace banyantrail
--- a/packages/distribution/banyantrail/distribution/configuration_store_task.h
+++ b/packages/distribution/banyantrail/distribution/configuration_store_task.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include <algorithm>
+#include <cstdint>
 #include <functional>
 #include <limits>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -70,11 +72,17 @@
   Duration stored_entry_wait = milliseconds(500);
   /// How often the own entry is checked once it is written and peers are found.
   Duration entry_check_interval = seconds(60);
+  /// After a change of the store's era, the own entry is written again at a
+  /// random moment within this time, so that the nodes of a fleet do not all
+  /// call the store at once.
+  milliseconds entry_check_spread{1500};
 
   std::function<void(std::shared_ptr<const Release>)> on_release;
   /// The store's newest configuration cannot be read.
   std::function<void(const UnreadableRelease&)> on_release_unreadable =
       [](const UnreadableRelease&) {};
+  /// Receives the revision that the store shows as its newest, which may be
+  /// older than one before.
   std::function<void(Revision)> on_store_head;
   /// Receives the revision that the store has just reported as its newest, and
   /// the size in bytes of the difference from the one before.
@@ -118,6 +126,7 @@
         m_store(store),
         m_options(std::move(options)),
         m_rng(m_options.seed),
+        m_era_changes(m_store.era_changes()),
         m_watch_timer(m_executor),
         m_entry_timer(m_executor) {}
 
@@ -147,11 +156,16 @@
 
   /// Waits until the store holds the current own entry, or for a limited time.
   /// A departure that is acknowledged afterwards is remembered if the node is
-  /// killed right after the acknowledgement.
+  /// killed right after the acknowledgement. After a change of the store's era
+  /// the entry is written at once.
   asio::awaitable<void> AwaitStoredEntry() {
-    co_await PollUntil(
-        [this] { return m_stored_entry == m_options.own_entry(); },
-        m_options.stored_entry_wait);
+    FollowEra();
+    if (m_entry_check_at) {
+      m_entry_check_at = SystemClock().Now();
+      m_entry_timer.cancel();
+    }
+    co_await PollUntil([this] { return IsEntryStored(); },
+                       m_options.stored_entry_wait);
   }
 
   /// After Stop, changes of the own entry are no longer stored.
@@ -168,6 +182,7 @@
     Backoff search_backoff(m_options.search_backoff);
     Backoff outage_backoff(m_options.outage_backoff);
     while (!m_stopped) {
+      FollowEra();
       const StoreDuty duty = m_options.store_duty();
       if (!IsDue(duty)) {
         // Changes are missed in the meantime, so a read precedes the next
@@ -197,10 +212,28 @@
                            : delay);
       } else if (!found) {
         co_await Sleep(m_watch_timer, search_backoff.Next(m_rng));
+      } else {
+        search_backoff.Reset();
       }
     }
   }
 
+  /// Acts on a change of the store's era that any call has shown, also one of
+  /// another task: revisions read before say nothing about the store any more,
+  /// and what was written may be gone.
+  void FollowEra() {
+    if (m_era_changes == m_store.era_changes()) {
+      return;
+    }
+    m_era_changes = m_store.era_changes();
+    m_must_read_configuration = true;
+    m_position_is_lost = true;
+    m_watch_revision = {};
+    if (m_entry_era_changes != m_era_changes) {
+      ScheduleEntryCheck();
+    }
+  }
+
   asio::awaitable<void> ReadAtStart() {
     if (!m_options.reads_at_start || m_has_read_at_start) {
       co_return;
@@ -229,7 +262,8 @@
     return true;
   }
 
-  /// Returns false if the store has no configuration.
+  /// Returns false if the store has no configuration, or if the next call has
+  /// to wait for another reason.
   asio::awaitable<bool> Perform(StoreDuty duty) {
     bool found = false;
     if (duty.kind == StoreDuty::Kind::kCatchUp) {
@@ -273,41 +307,53 @@
   /// Reads the whole configuration. Returns false if the store has none.
   asio::awaitable<bool> ReadConfiguration() {
     const BootTimePoint sent_at = BootClock::Now();
-    ReleaseReadResult read =
-        co_await m_store.ReadRelease(ReadConsistency::kLinearizable);
-    if (read.unreadable) {
+    ReleaseReadResult read;
+    if (m_position_is_lost) {
+      read = co_await m_store.ListRelease();
+    } else {
+      read = co_await m_store.ReadRelease(ReadConsistency::kLinearizable);
+    }
+    FollowEra();
+    const bool found = read.release || read.unreadable;
+    if (found) {
       m_must_read_configuration = false;
+      m_position_is_lost = false;
+      TakePosition(read.as_of);
+    }
+    if (read.unreadable) {
       OnUnreadable(*read.unreadable);
-      NotifyConfirmed();
-      co_return true;
+    } else if (read.release) {
+      Deliver(std::move(*read.release));
+    } else {
+      OnShown({});
     }
-    if (!read.release) {
-      m_options.on_store_head({});
-      NotifyConfirmed();
-      co_return false;
+    if (found) {
+      ReportRead(sent_at);
     }
-    m_must_read_configuration = false;
-    m_newest_is_unreadable = false;
-    m_watch_revision =
-        std::max(m_watch_revision, read.release->revision.stored_at());
-    const Revision shown = read.release->revision;
-    Deliver(std::move(*read.release));
-    m_options.on_store_read(shown, sent_at);
     NotifyConfirmed();
-    co_return true;
+    co_return found;
+  }
+
+  /// Watches on from what was read. A read within an era may name no more than
+  /// the revision of the configuration, which does not move the watch back.
+  void TakePosition(StoreRevision as_of) {
+    m_watch_revision = as_of.era == m_watch_revision.era
+                           ? std::max(m_watch_revision, as_of)
+                           : as_of;
   }
 
   asio::awaitable<bool> WatchOnce() {
     const BootTimePoint sent_at = BootClock::Now();
     ReleaseWatchResult watch =
         co_await m_store.AwaitRelease(m_watch_revision, m_options.watch_wait);
-    const bool is_other_era = watch.resume_after.era != m_watch_revision.era;
-    if (watch.history_compacted || is_other_era) {
+    FollowEra();
+    if (watch.history_compacted) {
+      co_return co_await ReadAfterLostHistory();
+    }
+    m_history_is_lost = false;
+    if (m_must_read_configuration) {
       // The store may show an older configuration at a lower revision than
       // before, and the changes since the last watch are unknown.
-      m_options.count_event(is_other_era ? "store_era_changed"
-                                         : "store_history_gone");
-      m_watch_revision = {};
       co_return co_await ReadConfiguration();
     }
     m_watch_revision = std::max(m_watch_revision, watch.resume_after);
@@ -316,16 +362,13 @@
       const TimePoint now = SystemClock().Now();
       in_burst = now - m_delivered_at < m_options.burst_gap;
       Deliver(std::move(*watch.release));
-      m_newest_is_unreadable = false;
     }
     if (watch.unreadable) {
       OnUnreadable(*watch.unreadable);
     }
-    if (!m_newest_is_unreadable) {
-      // What the watch returned shows that the store had no other configuration
-      // when the watch was sent, but not that it has none now.
-      m_options.on_store_read(m_shown_revision, sent_at);
-    }
+    // What the watch returned shows that the store had no other configuration
+    // when the watch was sent, but not that it has none now.
+    ReportRead(sent_at);
     NotifyConfirmed();
     if (in_burst) {
       co_await ReadUntilUnchanged();
@@ -333,6 +376,18 @@
     co_return true;
   }
 
+  /// The store does not have the changes since the last watch. Returns false if
+  /// it lacks those since the read after that too, so that the next attempt has
+  /// to wait.
+  asio::awaitable<bool> ReadAfterLostHistory() {
+    m_options.count_event("store_history_gone");
+    m_watch_revision = {};
+    m_position_is_lost = true;
+    const bool is_repeated = std::exchange(m_history_is_lost, true);
+    const bool found = co_await ReadConfiguration();
+    co_return found && !is_repeated;
+  }
+
   /// Reads the newest configuration periodically until it stops changing.
   asio::awaitable<void> ReadUntilUnchanged() {
     Revision last_revision;
@@ -344,16 +399,72 @@
   }
 
   /// The store has accepted a configuration that this node cannot apply, so
-  /// that the delivered one is no longer the newest.
+  /// that the delivered one is no longer the newest. One with a version older
+  /// than a known one is what a store shows that has come back from an older
+  /// copy. An unreadable one may have no version, and then counts as the
+  /// newest.
   void OnUnreadable(const UnreadableRelease& unreadable) {
+    const Revision revision = unreadable.revision;
+    if (revision.version > 0 && revision < newest_known()) {
+      m_newest_is_unreadable = false;
+      OnShown(revision);
+      return;
+    }
     m_newest_is_unreadable = true;
-    m_unreadable_revision =
-        std::max(m_unreadable_revision, unreadable.revision);
-    m_watch_revision =
-        std::max(m_watch_revision, unreadable.revision.stored_at());
+    m_unreadable_revision = std::max(m_unreadable_revision, revision);
+    if (revision == newest_known()) {
+      SetBehind(false, revision);
+    }
     m_options.on_release_unreadable(unreadable);
   }
 
+  /// The newest configuration that this node has read, whether it could apply
+  /// it or not.
+  Revision newest_known() const {
+    return std::max(delivered_revision(), m_unreadable_revision);
+  }
+
+  /// The store shows `revision` as its newest configuration. If that is older
+  /// than a known one, the store has come back from an older copy, and the
+  /// operator has not written again yet.
+  void OnShown(Revision revision) {
+    m_shown_revision = revision;
+    m_options.on_store_head(revision);
+    SetBehind(revision < newest_known(), revision);
+  }
+
+  void SetBehind(bool is_behind, const Revision& shown) {
+    if (is_behind == m_store_is_behind) {
+      return;
+    }
+    m_store_is_behind = is_behind;
+    const std::string revisions = "The store shows " + Text(shown) + ", and " +
+                                  Text(delivered_revision()) + " is in force";
+    if (is_behind) {
+      m_options.count_event("store_is_behind");
+      kLog.Warn(revisions + " and stays so: the store lacks what it has " +
+                "accepted. Write the configuration again.");
+    } else {
+      kLog.Info(revisions + ": the store is no longer behind.");
+    }
+  }
+
+  static std::string Text(const Revision& revision) {
+    return "version " + std::to_string(revision.version) + " (revision " +
+           std::to_string(revision.number) + " of era " +
+           std::to_string(revision.era) + ")";
+  }
+
+  /// Reports what the store showed when the call was sent. Not while it is
+  /// known to have accepted another configuration that this node cannot read,
+  /// which may have removed a key.
+  void ReportRead(BootTimePoint sent_at) {
+    if (!m_newest_is_unreadable &&
+        !Lacks(m_shown_revision, m_unreadable_revision)) {
+      m_options.on_store_read(m_shown_revision, sent_at);
+    }
+  }
+
   Revision delivered_revision() const { return m_delivered->revision; }
 
   /// A revision that this node cannot read is confirmed too, so that the other
@@ -367,13 +478,11 @@
     }
   }
 
-  /// Ignores a configuration that is older than the delivered one: the store
-  /// has come back from an older copy.
+  /// Ignores a configuration that is older than the delivered one.
   void Deliver(Release release) {
-    m_shown_revision = release.revision;
-    m_options.on_store_head(m_shown_revision);
-    if (m_shown_revision < delivered_revision()) {
-      m_options.count_event("store_is_behind");
+    m_newest_is_unreadable = false;
+    OnShown(release.revision);
+    if (release.revision < delivered_revision()) {
       return;
     }
     if (release.revision != delivered_revision()) {
@@ -416,33 +525,70 @@
         kLog.Warn("Maintaining the node's entry in the store failed: " +
                   std::string(error.what()) + ".");
       }
-      const bool is_settled =
-          m_stored_entry == m_options.own_entry() && m_options.has_joined();
-      if (is_settled) {
-        retry_backoff.Reset();
-      }
-      Duration delay = retry_backoff.Next(m_rng);
-      if (is_settled) {
-        delay = m_options.entry_check_interval;
-      } else if (m_stored_entry == m_options.own_entry() && m_found_peers) {
-        delay = m_options.peer_search_interval;
-      }
-      co_await Sleep(m_entry_timer, delay);
+      FollowEra();
+      co_await Sleep(m_entry_timer, NextEntryDelay(retry_backoff));
     }
   }
 
+  Duration NextEntryDelay(Backoff& retry_backoff) {
+    const TimePoint now = SystemClock().Now();
+    Duration delay = retry_backoff.Next(m_rng);
+    if (m_stored_entry != m_options.own_entry() || IsEntryCheckDue(now)) {
+      return delay;
+    }
+    if (m_options.has_joined()) {
+      retry_backoff.Reset();
+      delay = m_options.entry_check_interval;
+    } else if (m_found_peers) {
+      delay = m_options.peer_search_interval;
+    }
+    return m_entry_check_at ? std::min<Duration>(delay, *m_entry_check_at - now)
+                            : delay;
+  }
+
+  /// Whether the store holds the current own entry, as far as known. One stored
+  /// in an earlier era may be gone, or be an older one again.
+  bool IsEntryStored() const {
+    return m_stored_entry == m_options.own_entry() && !m_entry_check_at &&
+           m_entry_era_changes == m_store.era_changes();
+  }
+
+  bool IsEntryCheckDue(TimePoint now) const {
+    return m_entry_check_at && now >= *m_entry_check_at;
+  }
+
+  /// Has the own entry written again within entry_check_spread. An entry that
+  /// was never written is written anyway.
+  void ScheduleEntryCheck() {
+    if (m_entry_check_at || !m_has_read_previous_entry) {
+      return;
+    }
+    const auto spread =
+        static_cast<std::size_t>(m_options.entry_check_spread.count());
+    m_entry_check_at =
+        SystemClock().Now() + milliseconds(UniformIndex(m_rng, spread + 1));
+    m_entry_timer.cancel();
+  }
+
+  /// The store has answered that it holds `entry`.
+  void OnEntryStored(NodeEntry entry) {
+    m_stored_entry = std::move(entry);
+    m_entry_era_changes = m_store.era_changes();
+    m_entry_check_at.reset();
+    m_entry_checked_at = SystemClock().Now();
+  }
+
   /// Brings the node's entry in the store up to date.
   asio::awaitable<void> StoreEntry() {
     if (!m_has_read_previous_entry) {
       co_await CreateEntry();
-    } else if (m_stored_entry == m_options.own_entry()) {
+    } else if (IsEntryStored()) {
       co_await CheckEntry();
     }
     const NodeEntry own = m_options.own_entry();
-    if (m_stored_entry != own) {
+    if (m_stored_entry != own || IsEntryCheckDue(SystemClock().Now())) {
       co_await m_store.WriteNode(own);
-      m_stored_entry = own;
-      m_entry_checked_at = SystemClock().Now();
+      OnEntryStored(own);
       m_options.count_event("entry_written");
     }
   }
@@ -452,8 +598,7 @@
   asio::awaitable<void> CreateEntry() {
     const NodeEntry own = m_options.own_entry();
     const std::optional<NodeEntry> previous = co_await m_store.CreateNode(own);
-    m_stored_entry = previous ? previous : own;
-    m_entry_checked_at = SystemClock().Now();
+    OnEntryStored(previous.value_or(own));
     if (previous) {
       m_options.on_previous_entry(*previous);
     } else {
@@ -521,6 +666,8 @@
   Store& m_store;
   ConfigurationStoreTaskOptions m_options;
   Rng m_rng;
+  /// The changes of the store's era that this task has acted on.
+  std::uint64_t m_era_changes;
   asio::steady_timer m_watch_timer;
   asio::steady_timer m_entry_timer;
   /// The revision from which the next watch starts.
@@ -533,10 +680,15 @@
   /// The configuration that the store shows as its newest, which is older than
   /// the delivered one when the store has come back from an older copy.
   Revision m_shown_revision;
+  bool m_store_is_behind = false;
   std::size_t m_change_bytes = 0;
   /// Set until the first read and after a failed or omitted watch: changes may
   /// have been missed that the next watch does not report.
   bool m_must_read_configuration = true;
+  /// The next read has to name the revision from which a watch can go on.
+  bool m_position_is_lost = false;
+  /// The store did not have the history for the last watch.
+  bool m_history_is_lost = false;
   /// The delivered configuration is not the store's newest one.
   bool m_newest_is_unreadable = false;
   /// The newest revision that could not be read, or 0.
@@ -546,6 +698,10 @@
   /// The entry that the store holds for this node, as far as known.
   std::optional<NodeEntry> m_stored_entry;
   TimePoint m_entry_checked_at{};
+  /// The changes of the store's era that preceded the last write of the entry.
+  std::uint64_t m_entry_era_changes = 0;
+  /// When the entry has to be written again after a change of era.
+  std::optional<TimePoint> m_entry_check_at;
   /// Number of searches for peers in the store.
   std::uint32_t m_searches = 0;
   bool m_found_peers = false;
--- a/tests/platform/configuration_store_task_test.cc
+++ b/tests/platform/configuration_store_task_test.cc
@@ -39,6 +39,9 @@
 constexpr BackoffOptions kFastBackoff{.initial = milliseconds(2),
                                       .max = milliseconds(10)};
 
+/// Short, so that a test sees the check, and longer than a call.
+constexpr milliseconds kEntryCheckSpread{100};
+
 json Configuration(int timeout_ms) {
   return {{"services", {{{"name", "orders"}}}},
           {"limits",
@@ -49,6 +52,17 @@
           {"virtual_hosts", json::array()}};
 }
 
+/// The same with the operator's version.
+json Versioned(const std::string& version, int timeout_ms = 1) {
+  json configuration = Configuration(timeout_ms);
+  configuration["version"] = version;
+  return configuration;
+}
+
+json Unreadable(const std::string& version) {
+  return {{"version", version}, {"services", 7}};
+}
+
 }  // namespace
 
 TEST_GROUP(ConfigurationStoreTask) {
@@ -69,8 +83,12 @@
   std::uint64_t missing_revision = 0;
   bool confirmed_by_peer = false;
   bool reads_at_start = false;
+  BackoffOptions search_backoff = kFastBackoff;
+  milliseconds entry_check_interval{20};
+  milliseconds entry_check_spread = kEntryCheckSpread;
   int store_failures = 0;
   std::vector<Revision> confirmed;
+  std::vector<Revision> heads;
   struct StoreRead {
     Revision revision;
     BootTimePoint sent_at;
@@ -82,6 +100,7 @@
                 .domain = DomainId("a"),
                 .peer_address = {.address = "10.0.0.1", .port = 7600}};
   std::optional<NodeEntry> previous;
+  ObjectStoreStandIn::Copy copy;
 
   /// The node's entry in the store.
   std::optional<NodeEntry> StoredEntry() {
@@ -128,10 +147,11 @@
         .watch_wait = watch_wait,
         .duty_check_interval = milliseconds(5),
         .catch_up_wait = milliseconds(20),
-        .search_backoff = kFastBackoff,
+        .search_backoff = search_backoff,
         .outage_backoff = kFastBackoff,
         .entry_backoff = kFastBackoff,
-        .entry_check_interval = milliseconds(20),
+        .entry_check_interval = entry_check_interval,
+        .entry_check_spread = entry_check_spread,
         .on_release =
             [this](std::shared_ptr<const Release> release) {
               releases.push_back(release->revision);
@@ -140,7 +160,8 @@
             [this](const banyantrail::UnreadableRelease& found) {
               unreadable.push_back(found.revision);
             },
-        .on_store_head = [](Revision) {},
+        .on_store_head =
+            [this](Revision revision) { heads.push_back(revision); },
         .on_store_confirmed =
             [this](Revision revision, std::size_t bytes) {
               confirmed.push_back(revision);
@@ -174,6 +195,61 @@
     return condition();
   }
 
+  std::ptrdiff_t Count(const std::string& event) const {
+    return std::ranges::count(events, event);
+  }
+
+  void RunFor(milliseconds duration) {
+    io.run_for(duration);
+    io.restart();
+  }
+
+  int EntryWrites() {
+    return stand_in.calls["PUT /-/objects/banyantrail-nodes/n1"] +
+           stand_in.calls["POST /-/objects/banyantrail-nodes"];
+  }
+
+  /// Has the node see the store's era by a call of another task.
+  void CallElsewhere() {
+    asio::co_spawn(
+        io,
+        [&]() -> asio::awaitable<void> {
+          co_await store.HasNode(NodeId("n2"));
+        },
+        asio::detached);
+  }
+
+  /// A node that has joined, and checks its entry for no other reason than a
+  /// change of era, of a store with eras.
+  void StartInEra(std::uint64_t era) {
+    stand_in.era = era;
+    joined = true;
+    entry_check_interval = seconds(60);
+    Start(milliseconds(30));
+    CHECK(RunUntil([&] { return StoredEntry() == own; }));
+  }
+
+  /// Follows version 1 from a position that other changes have moved up.
+  void StartBelowOtherChanges() {
+    stand_in.Write("config", "main", Versioned("1"));
+    copy = stand_in.TakeCopy();
+    for (int i = 0; i < 3; ++i) {
+      stand_in.Write("elsewhere", "x", json::object());
+    }
+    StartInEra(4);
+    CHECK(RunUntil([&] { return store_reads.size() >= 2; }));
+  }
+
+  /// The store comes back without those changes. It gets version 2 at a
+  /// revision below the position, and others up to one above it.
+  void ComeBackBeyondThePosition() {
+    stand_in.ComeBack(copy);
+    stand_in.Write("config", "main", Versioned("2"));
+    for (int i = 0; i < 9; ++i) {
+      stand_in.Write("elsewhere", "x", json::object());
+    }
+  }
+
   bool HasRelease(std::uint64_t revision) {
     return RunUntil([&] {
       return !releases.empty() && releases.back().number == revision;
@@ -574,3 +650,206 @@
       stand_in.Write("config", "main", Configuration(3));
   CHECK(RunUntil([&] { return store_reads.back().revision.number == third; }));
 }
+
+// A store that came back from an older copy gave its revisions out again, and
+// the changes up to the old position were not read.
+TEST(ConfigurationStoreTask, ReadsAgainAfterAChangeOfEra) {
+  stand_in.Write("config", "main", Versioned("1"));
+  StartInEra(4);
+  copy = stand_in.TakeCopy();
+  stand_in.Write("config", "main", Versioned("2"));
+  CHECK(RunUntil([&] { return releases.back().version == 2; }));
+  stand_in.ComeBack(copy);
+  CHECK(RunUntil([&] { return heads.back().version == 1; }));
+  LONGS_EQUAL(2, releases.back().version);
+  LONGS_EQUAL(5, heads.back().era);
+  CHECK(store_reads.back().revision == heads.back());
+  stand_in.Write("config", "main", Versioned("3"));
+  CHECK(RunUntil([&] { return releases.back().version == 3; }));
+  LONGS_EQUAL(5, releases.back().era);
+}
+
+// The store's counter has passed the position of the watch before the node
+// calls again, so that no 410 tells of the change.
+TEST(ConfigurationStoreTask, ReadsWhatWasWrittenBelowTheOldPosition) {
+  StartBelowOtherChanges();
+  ComeBackBeyondThePosition();
+  CHECK(RunUntil([&] { return releases.back().version == 2; }));
+  LONGS_EQUAL(5, releases.back().era);
+  LONGS_EQUAL(0, Count("store_history_gone"));
+}
+
+TEST(ConfigurationStoreTask, ReadsAgainAfterAnEraThatFalls) {
+  StartBelowOtherChanges();
+  ComeBackBeyondThePosition();
+  stand_in.era = 2;
+  CHECK(RunUntil([&] { return releases.back().version == 2; }));
+  LONGS_EQUAL(2, releases.back().era);
+  LONGS_EQUAL(0, Count("store_history_gone"));
+}
+
+// A call for the node's entry, or of another task, may be the only one that is
+// answered in an era between two watches.
+TEST(ConfigurationStoreTask, ReadsAgainAfterAChangeSeenByAnotherCall) {
+  stand_in.Write("config", "main", Versioned("1"));
+  StartInEra(4);
+  CHECK(RunUntil([&] { return !releases.empty(); }));
+  stand_in.held_call = "GET /-/objects/config";
+  RunFor(milliseconds(60));
+  const std::size_t shown = heads.size();
+  for (const std::uint64_t era : {5, 4}) {
+    stand_in.era = era;
+    CallElsewhere();
+    CHECK(RunUntil([&] { return store.era() == era; }));
+  }
+  LONGS_EQUAL(shown, heads.size());
+  stand_in.held_call.clear();
+  CHECK(RunUntil([&] { return heads.size() > shown; }));
+  LONGS_EQUAL(0, store_failures);
+}
+
+// Without the header, only a 410 tells that the store has come back.
+TEST(ConfigurationStoreTask, TakesALowerPositionOverAfterLostHistory) {
+  copy = stand_in.TakeCopy();
+  for (int i = 0; i < 5; ++i) {
+    stand_in.Write("config", "main", Versioned("1"));
+  }
+  Start(milliseconds(30));
+  CHECK(RunUntil([&] { return !releases.empty(); }));
+  stand_in.ComeBack(copy);
+  stand_in.Write("config", "main", Versioned("2"));
+  CHECK(RunUntil([&] { return releases.back().version == 2; }));
+  stand_in.Write("config", "main", Versioned("3"));
+  CHECK(RunUntil([&] { return releases.back().version == 3; }));
+  LONGS_EQUAL(1, Count("store_history_gone"));
+}
+
+// A configuration that was last written before the store's history began can't
+// be the position of a watch: each read led to a watch that got 410, and that
+// to a read, without a pause.
+TEST(ConfigurationStoreTask, WatchesOnFromTheStoresRevision) {
+  const std::uint64_t first =
+      stand_in.Write("config", "main", Configuration(1));
+  stand_in.Write("elsewhere", "x", json::object());
+  stand_in.Compact();
+  Start(milliseconds(30));
+  CHECK(HasRelease(first));
+  RunFor(milliseconds(200));
+  LONGS_EQUAL(1, Count("store_history_gone"));
+  const std::uint64_t second =
+      stand_in.Write("config", "main", Configuration(2));
+  CHECK(HasRelease(second));
+}
+
+TEST(ConfigurationStoreTask, PausesWhileTheStoreKeepsNoHistory) {
+  constexpr int kMaxWatches = 3;  // The least pause is half of the longest.
+  search_backoff = {.initial = milliseconds(200), .max = milliseconds(200)};
+  stand_in.Write("config", "main", Configuration(1));
+  stand_in.keeps_no_history = true;
+  Start(milliseconds(30));
+  CHECK(RunUntil([&] { return Count("store_history_gone") >= 2; }));
+  const auto before = Count("store_history_gone");
+  RunFor(milliseconds(300));
+  CHECK(Count("store_history_gone") - before <= kMaxWatches);
+  stand_in.keeps_no_history = false;
+  CHECK(HasRelease(stand_in.Write("config", "main", Configuration(2))));
+}
+
+TEST(ConfigurationStoreTask, AnOlderUnreadableVersionIsNotTheNewest) {
+  stand_in.Write("config", "main", Unreadable("1"));
+  StartInEra(4);
+  CHECK(RunUntil([&] { return !unreadable.empty(); }));
+  copy = stand_in.TakeCopy();
+  stand_in.Write("config", "main", Versioned("2"));
+  CHECK(RunUntil([&] { return !releases.empty(); }));
+  const std::size_t reported = unreadable.size();
+  stand_in.ComeBack(copy);
+  CHECK(RunUntil([&] { return Count("store_is_behind") == 1; }));
+  CHECK(RunUntil([&] { return heads.back().version == 1; }));
+  RunFor(milliseconds(100));
+  LONGS_EQUAL(reported, unreadable.size());
+  LONGS_EQUAL(2, confirmed.back().version);
+}
+
+// The lost version, which this node could not read, may have removed a key.
+TEST(ConfigurationStoreTask,
+     ReportsNoReadOfAStoreThatLacksAnUnreadableVersion) {
+  stand_in.Write("config", "main", Versioned("1"));
+  StartInEra(4);
+  copy = stand_in.TakeCopy();
+  stand_in.Write("config", "main", Unreadable("2"));
+  CHECK(RunUntil([&] { return !unreadable.empty(); }));
+  const std::size_t reads = store_reads.size();
+  stand_in.ComeBack(copy);
+  CHECK(RunUntil([&] { return releases.back().era == 5; }));
+  RunFor(milliseconds(100));
+  LONGS_EQUAL(reads, store_reads.size());
+  LONGS_EQUAL(1, Count("store_is_behind"));
+  stand_in.Write("config", "main", Versioned("3"));
+  CHECK(RunUntil([&] { return store_reads.back().revision.version == 3; }));
+}
+
+TEST(ConfigurationStoreTask, CountsOnceThatTheStoreIsBehind) {
+  stand_in.Write("config", "main", Versioned("1"));
+  StartInEra(4);
+  copy = stand_in.TakeCopy();
+  stand_in.Write("config", "main", Versioned("3"));
+  CHECK(RunUntil([&] { return releases.back().version == 3; }));
+  for (int i = 0; i < 2; ++i) {
+    stand_in.ComeBack(copy);
+    CHECK(RunUntil([&] { return heads.back() < releases.back(); }));
+    stand_in.Write("config", "main", Versioned("2"));
+    CHECK(RunUntil([&] { return heads.back().version == 2; }));
+    LONGS_EQUAL(i + 1, Count("store_is_behind"));
+    stand_in.Write("config", "main", Versioned("3"));
+    CHECK(RunUntil([&] { return heads.back() == releases.back(); }));
+  }
+}
+
+// The copy may hold an older entry of this node, which is no less wrong than
+// none: it lacks departures that were acknowledged.
+TEST(ConfigurationStoreTask, WritesItsEntryAgainAfterAChangeOfEra) {
+  StartInEra(4);
+  copy = stand_in.TakeCopy();
+  own.departures = {{.id = BackendServerId("s1"), .generation = 5}};
+  task->OnOwnEntryChanged();
+  CHECK(RunUntil([&] { return StoredEntry() == own; }));
+  const int writes = EntryWrites();
+  stand_in.ComeBack(copy);
+  const TimePoint returned = SystemClock().Now();
+  CHECK(RunUntil([&] { return StoredEntry() == own; }));
+  CHECK(SystemClock().Now() - returned < seconds(2));
+  RunFor(2 * kEntryCheckSpread);
+  LONGS_EQUAL(writes + 1, EntryWrites());
+}
+
+// 296 nodes must not all write at the moment the store returns.
+TEST(ConfigurationStoreTask, SpreadsTheCheckOfItsEntry) {
+  entry_check_spread = seconds(1000);
+  StartInEra(4);
+  const int writes = EntryWrites();
+  stand_in.ComeBack(stand_in.TakeCopy());
+  CHECK(RunUntil([&] { return store.era_changes() == 1; }));
+  RunFor(milliseconds(200));
+  LONGS_EQUAL(writes, EntryWrites());
+}
+
+TEST(ConfigurationStoreTask, DoesNotTakeAnEntryOfAnEarlierEraAsStored) {
+  entry_check_spread = seconds(1000);
+  StartInEra(4);
+  copy = stand_in.TakeCopy();
+  own.departures = {{.id = BackendServerId("s1"), .generation = 5}};
+  task->OnOwnEntryChanged();
+  CHECK(RunUntil([&] { return StoredEntry() == own; }));
+  stand_in.ComeBack(copy);
+  CHECK(StoredEntry() != own);
+  stand_in.held_call = "PUT /-/objects/banyantrail-nodes/n1";
+  bool done = false;
+  asio::co_spawn(io, task->AwaitStoredEntry(),
+                 [&](std::exception_ptr) { done = true; });
+  RunFor(milliseconds(50));
+  CHECK_FALSE(done);
+  stand_in.held_call.clear();
+  CHECK(RunUntil([&] { return done; }));
+  CHECK(StoredEntry() == own);
+}
--- a/tests/platform/object_store_stand_in.cc
+++ b/tests/platform/object_store_stand_in.cc
@@ -199,7 +199,7 @@
 asio::awaitable<HttpResponse> ObjectStoreStandIn::Watch(std::string kind,
                                                         std::uint64_t after,
                                                         milliseconds wait) {
-  if (after < m_history_from) {
+  if (keeps_no_history || after < m_history_from) {
     co_return MakeResponse(410, json::object());
   }
   const auto is_ahead = [this, after] { return after > m_revision; };
--- a/tests/platform/object_store_stand_in.h
+++ b/tests/platform/object_store_stand_in.h
@@ -46,6 +46,8 @@
   /// set. It names the era in which it was given.
   std::string held_call;
 
+  /// Every watch fails with status 410.
+  bool keeps_no_history = false;
   /// If not 0, the status of the response to every call.
   unsigned error_status = 0;
   /// While set, calls that arrive or are pending get no response.
