Nodes that don't watch the store learn of a change of its era

It noticed that its own entry was gone by the periodic check only, up to a minute later, and an older entry not at all.

Change: StoreHeadMessage ends with store_era, the era that the watching node knows, which may be later than that of the confirmed configuration. A node that knows a lower one writes its entry again within entry_check_spread, once for each era named. 0 says nothing: earlier builds do not send the field, and skip it.

Ruled out: acting on a lower era too. Two watching nodes, one of them behind, would have the others write in turn; an era that falls is seen at the next call.

Seen to fail with their mechanism off: ChecksItsEntryWhenAWatching- NodeNamesALaterEra (the announced era not acted on), ConfirmsTheErasOfTheStore (the configuration's era sent instead), DecodesTheEraOfTheStore (field not packed), ExchangesStoreHeadsWithEarlierBuilds (field in the middle). The lines of control_plane, node and environment that hand the era on have no unit test: there is no test of the control plane yet.

--- a/packages/distribution/banyantrail/distribution/configuration_store_task.h
+++ b/packages/distribution/banyantrail/distribution/configuration_store_task.h
@@ -85,9 +85,10 @@
   /// older than one before.
   std::function<void(Revision)> on_store_head;
   /// Receives the revision that the store has just reported as its newest, and
-  /// the size in bytes of the difference from the one before.
-  std::function<void(Revision, std::size_t)> on_store_confirmed =
-      [](Revision, std::size_t) {};
+  /// the size in bytes of the difference from the one before, and the store's
+  /// era.
+  std::function<void(Revision, std::size_t, std::uint64_t)> on_store_confirmed =
+      [](Revision, std::size_t, std::uint64_t) {};
   /// Receives the newest revision in the store, and when the linearizable read
   /// or the watch that returned it was sent: at that moment it was the newest
   /// one, or older than this one. See KeyLease.
@@ -144,6 +145,17 @@
   /// The own entry has changed and has to be written again.
   void OnOwnEntryChanged() { m_entry_timer.cancel(); }
 
+  /// A node that watches the store has seen it in this era. If this node has
+  /// not, its entry is checked.
+  void OnAnnouncedEra(std::uint64_t era) {
+    if (!m_has_read_previous_entry || era <= m_store.era() ||
+        era == m_announced_era) {
+      return;
+    }
+    m_announced_era = era;
+    ScheduleEntryCheck();
+  }
+
   /// Whether the entry that the node stored before it restarted has been read.
   bool has_read_previous_entry() const { return m_has_read_previous_entry; }
 
@@ -472,9 +484,11 @@
   /// what it cannot apply.
   void NotifyConfirmed() {
     if (m_newest_is_unreadable) {
-      m_options.on_store_confirmed(m_unreadable_revision, kNotPushed);
+      m_options.on_store_confirmed(m_unreadable_revision, kNotPushed,
+                                   m_store.era());
     } else {
-      m_options.on_store_confirmed(delivered_revision(), m_change_bytes);
+      m_options.on_store_confirmed(delivered_revision(), m_change_bytes,
+                                   m_store.era());
     }
   }
 
@@ -702,6 +716,8 @@
   std::uint64_t m_entry_era_changes = 0;
   /// When the entry has to be written again after a change of era.
   std::optional<TimePoint> m_entry_check_at;
+  /// The last era that a watching node named and this one had not seen.
+  std::uint64_t m_announced_era = 0;
   /// Number of searches for peers in the store.
   std::uint32_t m_searches = 0;
   bool m_found_peers = false;
--- a/packages/node/banyantrail/node/control_plane.cc
+++ b/packages/node/banyantrail/node/control_plane.cc
@@ -269,6 +269,9 @@
                                    .is_pushed = head.is_pushed,
                                    .applied = m_applied_release->revision},
                                   now);
+  if (head.store_era > 0) {
+    m_hooks.on_store_era(head.store_era);
+  }
 }
 
 void ControlPlane::OnUnreachable(const NodeId& node) {
@@ -416,13 +419,15 @@
 }
 
 void ControlPlane::ConfirmStoreHead(Revision revision,
-                                    std::size_t change_bytes) {
+                                    std::size_t change_bytes,
+                                    std::uint64_t store_era) {
   const std::string digest = m_applied_release->revision == revision
                                  ? m_applied_release->digest
                                  : std::string();
   SendToFollowers({.revision = revision,
                    .release_digest = digest,
-                   .is_pushed = change_bytes <= m_max_pushed_bytes});
+                   .is_pushed = change_bytes <= m_max_pushed_bytes,
+                   .store_era = store_era});
 }
 
 void ControlPlane::ReportStoreFailure() {
--- a/packages/node/banyantrail/node/control_plane.h
+++ b/packages/node/banyantrail/node/control_plane.h
@@ -33,6 +33,8 @@
   /// A message of the team rate limits.
   std::function<void(const NodeId&, const PeerMessage&)> on_quota_message =
       [](const NodeId&, const PeerMessage&) {};
+  /// A node that watches the store has named the era that it knows.
+  std::function<void(std::uint64_t)> on_store_era = [](std::uint64_t) {};
   /// A RolloutDirectiveMessage or RolloutReportMessage arrived.
   std::function<void(const NodeId&, const PeerMessage&)> on_rollout_message =
       [](const NodeId&, const PeerMessage&) {};
@@ -78,9 +80,12 @@
   void OnUnreadableRelease(Revision revision, std::string reason);
   void OnPlatformHead(Revision revision);
   /// Called when the store has confirmed `revision` as its newest one, which
-  /// differs from the preceding one by `change_bytes`. Forwards this to the
-  /// nodes of the failure domain that rely on this node's watch.
-  void ConfirmStoreHead(Revision revision, std::size_t change_bytes);
+  /// differs from the preceding one by `change_bytes`, in the era `store_era`.
+  /// Forwards this to the nodes of the failure domain that rely on this node's
+  /// watch.
+  void ConfirmStoreHead(Revision revision,
+                        std::size_t change_bytes,
+                        std::uint64_t store_era);
   /// See KeyLeaseRunner::OnStoreRead.
   void OnStoreRead(Revision revision, BootTimePoint sent_at) {
     m_key_lease.OnStoreRead(revision, sent_at);
--- a/packages/node/banyantrail/node/node.cc
+++ b/packages/node/banyantrail/node/node.cc
@@ -154,6 +154,10 @@
               [&components](const NodeId& from, const PeerMessage& message) {
                 components.quotas->OnMessage(from, message);
               },
+          .on_store_era =
+              [&components](std::uint64_t era) {
+                components.environment.on_store_era(era);
+              },
           .on_rollout_message =
               [&components](const NodeId& from, const PeerMessage& message) {
                 if (components.rollouts) {
@@ -231,8 +235,10 @@
             components.control->OnPlatformHead(revision);
           },
       .on_store_confirmed =
-          [&components](Revision revision, std::size_t change_bytes) {
-            components.control->ConfirmStoreHead(revision, change_bytes);
+          [&components](Revision revision, std::size_t change_bytes,
+                        std::uint64_t store_era) {
+            components.control->ConfirmStoreHead(revision, change_bytes,
+                                                 store_era);
           },
       .on_store_read =
           [&components](Revision revision, BootTimePoint sent_at) {
--- a/packages/node/banyantrail/node/node_services.h
+++ b/packages/node/banyantrail/node/node_services.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -43,8 +44,9 @@
   /// The newest revision in the store was read.
   std::function<void(Revision)> on_store_head;
   /// The store has confirmed that this is its newest revision. The second
-  /// argument is the size in bytes of the change from the preceding one.
-  std::function<void(Revision, std::size_t)> on_store_confirmed;
+  /// argument is the size in bytes of the change from the preceding one, the
+  /// third one the store's era.
+  std::function<void(Revision, std::size_t, std::uint64_t)> on_store_confirmed;
   /// The newest revision in the store, and when the read that returned it was
   /// sent. Used with strict revocation only.
   std::function<void(Revision, BootTimePoint)> on_store_read;
@@ -72,6 +74,8 @@
   std::function<void()> stop = [] {};
   /// Called when the settings file may have changed.
   std::function<void()> reload = [] {};
+  /// Called when a node that watches the store has named the store's era.
+  std::function<void(std::uint64_t)> on_store_era = [](std::uint64_t) {};
   /// Owns the objects that the functions above refer to.
   std::shared_ptr<void> resources;
 };
--- a/packages/wire/banyantrail/wire/peer_messages.h
+++ b/packages/wire/banyantrail/wire/peer_messages.h
@@ -218,6 +218,9 @@
   /// The store does not respond to the sender; the other fields are not set.
   /// Earlier versions do not send this field.
   bool store_failed = false;
+  /// The era of the store that the sender knows, which may be later than that
+  /// of `revision`. 0 if it knows none; earlier versions do not send it.
+  std::uint64_t store_era = 0;
 
   friend bool operator==(const StoreHeadMessage&,
                          const StoreHeadMessage&) = default;
@@ -226,7 +229,8 @@
                  is_pushed,
                  store_failed,
                  revision.version,
-                 revision.era)
+                 revision.era,
+                 store_era)
 };
 
 /// Asks for the receiver's newest confirmation of the store's revision.
--- a/tests/platform/configuration_store_task_test.cc
+++ b/tests/platform/configuration_store_task_test.cc
@@ -89,6 +89,7 @@
   int store_failures = 0;
   std::vector<Revision> confirmed;
   std::vector<Revision> heads;
+  std::uint64_t confirmed_era = 0;
   struct StoreRead {
     Revision revision;
     BootTimePoint sent_at;
@@ -163,9 +164,10 @@
         .on_store_head =
             [this](Revision revision) { heads.push_back(revision); },
         .on_store_confirmed =
-            [this](Revision revision, std::size_t bytes) {
+            [this](Revision revision, std::size_t bytes, std::uint64_t era) {
               confirmed.push_back(revision);
               change_bytes = bytes;
+              confirmed_era = era;
             },
         .on_store_read =
             [this](Revision revision, BootTimePoint sent_at) {
@@ -853,3 +855,40 @@
   CHECK(RunUntil([&] { return done; }));
   CHECK(StoredEntry() == own);
 }
+
+TEST(ConfigurationStoreTask, ConfirmsTheErasOfTheStore) {
+  stand_in.Write("config", "main", Versioned("1"));
+  StartInEra(4);
+  CHECK(RunUntil([&] { return confirmed_era == 4; }));
+  copy = stand_in.TakeCopy();
+  stand_in.Write("config", "main", Versioned("2"));
+  CHECK(RunUntil([&] { return confirmed.back().version == 2; }));
+  stand_in.ComeBack(copy);
+  // Also while the confirmed configuration is of an earlier era.
+  CHECK(RunUntil([&] { return confirmed_era == 5; }));
+  LONGS_EQUAL(4, confirmed.back().era);
+}
+
+// A node that does not watch makes no call on a calm day, and would notice the
+// loss of its entry by the periodic check only.
+TEST(ConfigurationStoreTask, ChecksItsEntryWhenAWatchingNodeNamesALaterEra) {
+  must_watch = false;
+  StartInEra(4);
+  copy = stand_in.TakeCopy();
+  own.departures = {{.id = BackendServerId("s1"), .generation = 5}};
+  task->OnOwnEntryChanged();
+  CHECK(RunUntil([&] { return StoredEntry() == own; }));
+  const int writes = EntryWrites();
+  for (const std::uint64_t era : {0, 3, 4}) {
+    task->OnAnnouncedEra(era);
+  }
+  RunFor(2 * kEntryCheckSpread);
+  LONGS_EQUAL(writes, EntryWrites());
+  stand_in.ComeBack(copy);
+  for (int i = 0; i < 3; ++i) {
+    task->OnAnnouncedEra(5);
+  }
+  RunFor(3 * kEntryCheckSpread);
+  LONGS_EQUAL(writes + 1, EntryWrites());
+  CHECK(StoredEntry() == own);
+}
--- a/tests/wire/frame_codec_test.cc
+++ b/tests/wire/frame_codec_test.cc
@@ -24,6 +24,28 @@
   return DecodePayload(payload);
 }
 
+/// A StoreHeadMessage of a build that does not know the store's era.
+struct EarlierStoreHead {
+  banyantrail::Revision revision;
+  std::string release_digest;
+  bool is_pushed = true;
+  bool store_failed = false;
+
+  MSGPACK_DEFINE(revision.number,
+                 release_digest,
+                 is_pushed,
+                 store_failed,
+                 revision.version,
+                 revision.era)
+};
+
+template <typename Message>
+msgpack::object_handle Packed(const Message& message) {
+  msgpack::sbuffer buffer;
+  msgpack::pack(buffer, message);
+  return msgpack::unpack(buffer.data(), buffer.size());
+}
+
 }  // namespace
 
 TEST_GROUP(FrameCodec){};
@@ -65,6 +87,36 @@
   CHECK(RoundTrip(reply) == reply);
 }
 
+TEST(FrameCodec, DecodesTheEraOfTheStore) {
+  const PeerMessage head = banyantrail::StoreHeadMessage{
+      .revision = {.version = 9, .era = 4, .number = 4711},
+      .release_digest = "d",
+      .store_era = 0xFEDCBA9876543210};
+  CHECK(RoundTrip(head) == head);
+}
+
+// Nodes of several builds run side by side while the fleet is replaced.
+TEST(FrameCodec, ExchangesStoreHeadsWithEarlierBuilds) {
+  const banyantrail::StoreHeadMessage head{
+      .revision = {.version = 9, .era = 4, .number = 4711},
+      .release_digest = "d",
+      .store_era = 5};
+  const EarlierStoreHead earlier{.revision = head.revision,
+                                 .release_digest = head.release_digest};
+  const msgpack::object_handle sent = Packed(earlier);
+  banyantrail::StoreHeadMessage received;
+  sent.get().convert(received);
+  banyantrail::StoreHeadMessage expected = head;
+  expected.store_era = 0;
+  CHECK(received == expected);
+
+  const msgpack::object_handle answered = Packed(head);
+  EarlierStoreHead received_by_earlier;
+  answered.get().convert(received_by_earlier);
+  CHECK(received_by_earlier.revision == head.revision);
+  CHECK(received_by_earlier.is_pushed == head.is_pushed);
+}
+
 TEST(FrameCodec, RejectsLengthOutOfBounds) {
   CHECK_THROWS(Error, DecodePayloadLength(std::string("\xFF\xFF\xFF\xFF", 4)));
   CHECK_THROWS(Error, DecodePayloadLength(std::string(4, '\0')));
