Nodes report version, era and what the store shows

Cause: in the incident of configurations that were not in force, a node's status named the bare number of the store's revision. Whether the store was ahead of the node, behind it or unreadable could not be read from any node.

Change: StoreView keeps what the node's own reads of the users' platform showed. GET /v1/status has version and era beside revision for the applied, the known and the refused configuration, `store`, and `store_is_behind`; /readyz has version and era. New gauges banyantrail_applied_version, _store_era and _store_is_behind. The lines on a refused configuration name version and era.

Ruled out: comparing the last read with the configuration now applied. Peers push a configuration before the node's own watch returns it, and a node that has ceased to watch would compare with an old read. So the read counts at its moment, later only if the store is known to lack what is applied, and a node that relies on another one's watch shows null.

The known revision is no less than the applied one in status: a process test saw it lag, because the status of the distribution comes a moment later.

Conclusion: a node that watches the store tells a store that is behind from one that is ahead.

--- a/packages/core/banyantrail/core/revision.h
+++ b/packages/core/banyantrail/core/revision.h
@@ -3,6 +3,7 @@
 #include <compare>
 #include <cstdint>
 #include <ostream>
+#include <string>
 
 namespace banyantrail {
 
@@ -34,6 +35,10 @@
   friend auto operator<=>(const Revision&, const Revision&) = default;
 };
 
+/// The version as the users' operator writes it: lower-case hexadecimal of at
+/// least eight digits. Empty if there is none.
+std::string VersionText(const Revision& revision);
+
 /// Whether a store that shows `shown` as its newest configuration is known to
 /// lack `known`: it has come back from an older copy, and may lack others that
 /// this node has never seen.
--- a/packages/node/banyantrail/node/admin_api.cc
+++ b/packages/node/banyantrail/node/admin_api.cc
@@ -178,6 +178,20 @@
   return teams;
 }
 
+/// The fields that identify a configuration. `version` and `era` are empty and
+/// 0 where releases come from the project's own store.
+json RevisionJson(const Revision& revision) {
+  return {{"revision", revision.number},
+          {"version", VersionText(revision)},
+          {"era", revision.era}};
+}
+
+/// What the store shows; null if this node does not read it itself.
+json ShownJson(const ControlPlane& control) {
+  const std::optional<Revision>& shown = control.store_view().shown();
+  return shown ? RevisionJson(*shown) : json();
+}
+
 /// The newest revision that this node has refused and has not replaced by a
 /// later one; null if there is none.
 json RefusedJson(const ControlPlane& control) {
@@ -185,8 +199,9 @@
   if (!report.refused_revision.exists()) {
     return nullptr;
   }
-  return {{"revision", report.refused_revision.number},
-          {"reason", report.refusal_reason}};
+  json refused = RevisionJson(report.refused_revision);
+  refused["reason"] = report.refusal_reason;
+  return refused;
 }
 
 HttpResponse PublishResponse(const PublishOutcome& outcome) {
@@ -305,9 +320,8 @@
 HttpResponse AdminApi::Readiness() const {
   const DistributionStatus& distribution =
       m_options.control.distribution_status();
-  json body = {
-      {"revision", m_options.control.applied_release()->revision.number},
-      {"known_revision", distribution.known_revision.number}};
+  json body = RevisionJson(m_options.control.applied_release()->revision);
+  body["known_revision"] = distribution.known_revision.number;
   if (m_options.is_draining()) {
     body["reason"] = "draining";
   } else if (distribution.serving == ServingState::kLearning) {
@@ -470,14 +484,26 @@
   co_return PublishResponse(outcome);
 }
 
+/// The part of the status that needs no call of the platform.
+json AdminApi::OwnStatus() const {
+  const ControlPlane& control = m_options.control;
+  const Revision& applied = control.applied_release()->revision;
+  json body = RevisionJson(applied);
+  // The status of the distribution arrives a moment after what it applied.
+  body["known"] = RevisionJson(
+      std::max(applied, control.distribution_status().known_revision));
+  body["refused"] = RefusedJson(control);
+  body["store"] = ShownJson(control);
+  body["store_is_behind"] = control.store_is_behind();
+  body["platform"] = "reachable";
+  body["domains"] = json::array();
+  body["teams"] = TeamsJson(m_options.quotas);
+  return body;
+}
+
 asio::awaitable<HttpResponse> AdminApi::Status() {
   constexpr std::string_view kStatusPrefix = "status/";
-  json body = {
-      {"revision", m_options.control.applied_release()->revision.number},
-      {"refused", RefusedJson(m_options.control)},
-      {"platform", "reachable"},
-      {"domains", json::array()},
-      {"teams", TeamsJson(m_options.quotas)}};
+  json body = OwnStatus();
   try {
     const std::string prefix(kStatusPrefix);
     const auto listed = co_await m_options.platform.List(prefix);
--- a/packages/node/banyantrail/node/admin_api.h
+++ b/packages/node/banyantrail/node/admin_api.h
@@ -65,6 +65,7 @@
   asio::awaitable<HttpResponse> History(ParsedRequest request);
   asio::awaitable<HttpResponse> ProposeChange(ParsedRequest request);
   asio::awaitable<HttpResponse> Status();
+  nlohmann::json OwnStatus() const;
 
   Options m_options;
 };
--- a/packages/node/banyantrail/node/control_plane.cc
+++ b/packages/node/banyantrail/node/control_plane.cc
@@ -102,6 +102,12 @@
   return RendezvousOrder(view.self.domain, members, kMaxStoreWatchers);
 }
 
+std::string VersionAndEra(const Revision& revision) {
+  const std::string version = VersionText(revision);
+  return "(version " + (version.empty() ? "none" : version) + ", era " +
+         std::to_string(revision.era) + ")";
+}
+
 void LogMember(const MemberRecord& record) {
   kLog.Event({{"event", "member"},
               {"member", record.node.str()},
@@ -139,6 +145,7 @@
       m_tick_timer(io),
       m_peer_address(settings.listen.peer),
       m_knows_other_nodes(NamesOthers(settings.seeds, settings.listen.peer)),
+      m_reads_users_platform(settings.platform.empty()),
       m_store_follower(FollowerOptions(settings), SystemClock().Now()),
       m_key_lease(settings.revocation,
                   metrics,
@@ -307,6 +314,7 @@
               {"era", m_applied_release->revision.era},
               {"digest", m_applied_release->digest},
               {"objects", m_applied_release->objects.size()}});
+  ExportMetrics();
   caf::anon_send(m_membership_actor, ReleaseApplied{m_applied_release});
   caf::anon_send(m_routing_actor, ReleaseApplied{m_applied_release});
 }
@@ -330,20 +338,48 @@
   const StatusReportMessage& report = m_distribution_status.report;
   if (!report.refused_revision.exists()) {
     kLog.Info("Configuration " +
-              std::to_string(report.applied_revision.number) +
+              std::to_string(report.applied_revision.number) + " " +
+              VersionAndEra(report.applied_revision) +
               " is applied; none above it is refused.");
     return;
   }
   m_metrics.CountControlEvent("configuration_refused");
   kLog.Warn("Configuration " + std::to_string(report.refused_revision.number) +
-            " is refused: " + report.refusal_reason + ". Configuration " +
-            std::to_string(report.applied_revision.number) +
+            " is refused " + VersionAndEra(report.refused_revision) + ": " +
+            report.refusal_reason + ". Configuration " +
+            std::to_string(report.applied_revision.number) + " " +
+            VersionAndEra(report.applied_revision) +
             " stays in force at this node. Correct it in the store.");
 }
 
+void ControlPlane::OnStoreShows(const Revision& revision) {
+  if (m_reads_users_platform) {
+    m_store_view.OnRead(revision, m_applied_release->revision);
+    ExportStoreMetrics();
+  }
+}
+
+/// What the store showed is no longer known once another node watches it.
+void ControlPlane::ForgetUnwatchedStore() {
+  if (m_store_view.shown() &&
+      CurrentStoreDuty().kind != StoreDuty::Kind::kWatch) {
+    m_store_view.Forget();
+    ExportStoreMetrics();
+  }
+}
+
+void ControlPlane::ExportStoreMetrics() {
+  m_metrics.SetGauge("banyantrail_store_era",
+                     static_cast<double>(m_store_view.era()));
+  m_metrics.SetGauge("banyantrail_store_is_behind", store_is_behind() ? 1 : 0);
+}
+
 void ControlPlane::ExportMetrics() {
   m_metrics.SetGauge("banyantrail_applied_revision",
                      static_cast<double>(m_applied_release->revision.number));
+  m_metrics.SetGauge("banyantrail_applied_version",
+                     static_cast<double>(m_applied_release->revision.version));
+  ExportStoreMetrics();
   m_metrics.SetGauge(
       "banyantrail_known_revision",
       static_cast<double>(m_distribution_status.known_revision.number));
@@ -382,6 +418,7 @@
       co_return;
     }
     m_key_lease.OnTick();
+    ForgetUnwatchedStore();
     const TickMessage tick{SystemClock().Now()};
     RepeatCrashReports(tick.now);
     caf::anon_send(m_membership_actor, tick);
@@ -407,11 +444,13 @@
 }
 
 void ControlPlane::OnUnreadableRelease(Revision revision, std::string reason) {
+  OnStoreShows(revision);
   caf::anon_send(m_distribution_actor,
                  UnreadableReleaseFound{revision, std::move(reason)});
 }
 
 void ControlPlane::OnPlatformHead(Revision revision) {
+  OnStoreShows(revision);
   caf::anon_send(m_distribution_actor, PlatformHeadRead{revision});
 }
 
--- a/packages/node/banyantrail/node/control_plane.h
+++ b/packages/node/banyantrail/node/control_plane.h
@@ -15,6 +15,7 @@
 #include "banyantrail/node/metrics.h"
 #include "banyantrail/node/peer_transport.h"
 #include "banyantrail/node/settings.h"
+#include "banyantrail/node/store_view.h"
 #include "banyantrail/traffic/crash_report_log.h"
 #include "banyantrail/traffic/routing_snapshot.h"
 
@@ -64,6 +65,14 @@
     return m_distribution_status;
   }
 
+  /// What the users' platform shows, as far as this node reads it itself. Stays
+  /// unknown where releases come from the project's own store.
+  const StoreView& store_view() const { return m_store_view; }
+  /// Whether the store shows something older than what is in force here.
+  bool store_is_behind() const {
+    return m_store_view.IsBehind(m_applied_release->revision);
+  }
+
   void SetBackendServers(std::vector<BackendServerRecord> servers);
   void SetSeeds(std::vector<IpEndpoint> seeds);
   /// Whether addresses of other nodes are known that this node can join
@@ -76,6 +85,8 @@
   void OnReleaseRead(std::shared_ptr<const Release> release);
   /// The store's newest revision cannot be read; `reason` is one line.
   void OnUnreadableRelease(Revision revision, std::string reason);
+  /// The store shows `revision` as its newest one, which may be older than the
+  /// applied one; a revision that does not exist if it has no configuration.
   void OnPlatformHead(Revision revision);
   /// Called when the store has confirmed `revision` as its newest one, which
   /// differs from the preceding one by `change_bytes`. Forwards this to the
@@ -128,8 +139,11 @@
   void OnDistributionStatus(DistributionStatus status);
   asio::awaitable<void> RunTicks();
   void ReportRefusedRevision();
+  void OnStoreShows(const Revision& revision);
+  void ForgetUnwatchedStore();
   void RepeatCrashReports(TimePoint now);
   void ExportMetrics();
+  void ExportStoreMetrics();
 
   asio::io_context& m_io;
   Metrics& m_metrics;
@@ -157,6 +171,9 @@
   std::shared_ptr<const Release> m_applied_release =
       std::make_shared<const Release>();
   DistributionStatus m_distribution_status;
+  /// Whether releases come from the users' platform.
+  bool m_reads_users_platform;
+  StoreView m_store_view;
   StoreFollower m_store_follower;
   /// The members of this node's failure domain that may watch the store for
   /// the others, in order of precedence: the first one watches, the next one
