banyantrailctl status names the version and a store that is behind

Cause: the tool printed the bare number, and an operator could not see that the store had come back from an older copy, nor what to do then.

Change: the first line names version and era if there are any; a line of its own says that the store shows something older, what stays in force, and to write the newest version again. JSON output has `applied`, `store` and `store_is_behind`.

Ruled out: saying that the store has surely come back from a copy. Without the store's era a lower version that was written by mistake looks the same, so the line names both. Nodes of earlier builds send none of the fields; the output is as before.

Conclusion: the tool needs no other source than the node.

--- a/packages/ctl/banyantrail/ctl/node_responses.cc
+++ b/packages/ctl/banyantrail/ctl/node_responses.cc
@@ -47,6 +47,21 @@
   return member;
 }
 
+/// Nodes of builds from before eras do not report it.
+std::optional<ShownConfiguration> ReadShown(const json& status,
+                                            std::vector<Fault>& faults) {
+  const auto found = status.find("store");
+  if (found == status.end() || found->is_null()) {
+    return std::nullopt;
+  }
+  JsonObjectReader reader(*found, "store", faults);
+  return ShownConfiguration{
+      .revision =
+          reader.RequiredInteger("revision", {.max_accepted = UINT64_MAX}),
+      .version = reader.OptionalString("version", kLineRule, ""),
+      .era = reader.OptionalInteger("era", {.max_accepted = UINT64_MAX}, 0)};
+}
+
 }  // namespace
 
 FleetStatus ParseFleetStatus(const json& value) {
@@ -54,11 +69,15 @@
   JsonObjectReader reader(value, "status", faults);
   FleetStatus fleet;
   fleet.revision = reader.RequiredInteger("revision", {});
+  fleet.version = reader.OptionalString("version", kLineRule, "");
+  fleet.era = reader.OptionalInteger("era", {}, 0);
+  fleet.store_is_behind = reader.OptionalBool("store_is_behind", false);
   fleet.platform_reachable =
       reader.RequiredString("platform", kPlatformStateRule) == "reachable";
   for (json& summary : reader.OptionalArray("domains", kMaxSummaries)) {
     fleet.domains.push_back(ReadDomain(std::move(summary), faults));
   }
+  fleet.store = ReadShown(value, faults);
   ThrowIfInvalid(faults, kRemedy);
   return fleet;
 }
--- a/packages/ctl/banyantrail/ctl/query_commands.cc
+++ b/packages/ctl/banyantrail/ctl/query_commands.cc
@@ -72,7 +72,10 @@
 }
 
 std::string StatusHeader(const Release& declared, const FleetStatus& fleet) {
-  std::string text = "revision " + std::to_string(declared.revision.number);
+  const bool is_applied = declared.revision.number == fleet.revision;
+  std::string text =
+      RevisionText(declared.revision.number, is_applied ? fleet.version : "",
+                   is_applied ? fleet.era : 0);
   if (!fleet.platform_reachable) {
     text +=
         ", as applied by the queried node; the platform is unreachable, so the "
@@ -230,10 +233,16 @@
     PrintJson(context, {{"revision", declared.revision.number},
                         {"platform_reachable", fleet.platform_reachable},
                         {"rules", RuleStatusJson(statuses)},
+                        {"applied",
+                         {{"revision", fleet.revision},
+                          {"version", fleet.version},
+                          {"era", fleet.era}}},
+                        {"store", ShownJson(fleet)},
+                        {"store_is_behind", fleet.store_is_behind},
                         {"refused", RefusedOf(response)},
                         {"teams", TeamsOf(response)}});
   } else {
-    context.out << StatusHeader(declared, fleet)
+    context.out << StatusHeader(declared, fleet) << StoreBehindText(fleet)
                 << RefusedText(RefusedOf(response), fleet.revision)
                 << RuleStatusText(statuses) << TeamsText(TeamsOf(response));
   }
--- a/packages/ctl/banyantrail/ctl/render.cc
+++ b/packages/ctl/banyantrail/ctl/render.cc
@@ -189,6 +189,48 @@
   return {{"changes", changes}, {"kept", diff.kept}};
 }
 
+std::string RevisionText(ReleaseNumber revision,
+                         const std::string& version,
+                         std::uint64_t era) {
+  std::string text = "revision " + std::to_string(revision);
+  if (!version.empty()) {
+    text += ", version " + version;
+  }
+  if (era > 0) {
+    text += ", era " + std::to_string(era);
+  }
+  return text;
+}
+
+std::string StoreBehindText(const FleetStatus& fleet) {
+  if (!fleet.store_is_behind) {
+    return "";
+  }
+  const ShownConfiguration shown = fleet.store.value_or(ShownConfiguration{});
+  const std::string in_force = fleet.version.empty()
+                                   ? RevisionText(fleet.revision, "", fleet.era)
+                                   : "version " + fleet.version;
+  return "the store shows " +
+         (shown.revision == 0
+              ? "no configuration"
+              : RevisionText(shown.revision, shown.version, shown.era)) +
+         ", but " + RevisionText(fleet.revision, fleet.version, fleet.era) +
+         " is in force at the queried node: the store has come back from an "
+         "older copy, or an older version was written. Write the newest "
+         "version "
+         "again; until then " +
+         in_force + " stays in force\n";
+}
+
+json ShownJson(const FleetStatus& fleet) {
+  if (!fleet.store) {
+    return nullptr;
+  }
+  return {{"revision", fleet.store->revision},
+          {"version", fleet.store->version},
+          {"era", fleet.store->era}};
+}
+
 std::string RuleStatusText(const std::vector<RuleStatus>& statuses) {
   std::string text;
   for (const RuleStatus& status : statuses) {
--- a/packages/ctl/banyantrail/ctl/rule_status.h
+++ b/packages/ctl/banyantrail/ctl/rule_status.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -30,10 +32,30 @@
   friend bool operator==(const MemberProxy&, const MemberProxy&) = default;
 };
 
+/// What the store shows as its newest configuration.
+struct ShownConfiguration {
+  /// 0 if the store has no configuration.
+  ReleaseNumber revision = 0;
+  /// The operator's version in hexadecimal; empty if there is none.
+  std::string version;
+  std::uint64_t era = 0;
+
+  friend bool operator==(const ShownConfiguration&,
+                         const ShownConfiguration&) = default;
+};
+
 /// The response to GET /v1/status, and the proxies that it should cover.
 struct FleetStatus {
   /// The newest revision that the queried node knows.
   ReleaseNumber revision = 0;
+  /// The operator's version of that revision in hexadecimal; empty if it has
+  /// none, or if the node is of a build that does not report it.
+  std::string version;
+  std::uint64_t era = 0;
+  /// Empty if the queried node does not read the store itself.
+  std::optional<ShownConfiguration> store;
+  /// The store shows something older than what is in force at the node.
+  bool store_is_behind = false;
   bool platform_reachable = false;
   std::vector<ReportedDomain> domains;
   /// Members that no relay reports get the state kUnknown.
--- a/tests/ctl/node_responses_test.cc
+++ b/tests/ctl/node_responses_test.cc
@@ -9,6 +9,7 @@
 using banyantrail::milliseconds;
 using banyantrail::ctl::ParseFleetStatus;
 using banyantrail::ctl::ParseMembers;
+using banyantrail::ctl::ShownConfiguration;
 
 TEST_GROUP(NodeResponses){};
 
@@ -22,6 +23,40 @@
   CHECK(fleet.domains.at(0).age == milliseconds(250));
 }
 
+TEST(NodeResponses, ParsesVersionsAndWhatTheStoreShows) {
+  const auto fleet = ParseFleetStatus(nlohmann::json::parse(R"({
+      "revision":4,"version":"0000001a","era":1,"platform":"unreachable",
+      "store":{"revision":3,"version":"00000019","era":2},
+      "store_is_behind":true})"));
+  STRCMP_EQUAL("0000001a", fleet.version.c_str());
+  LONGS_EQUAL(1, fleet.era);
+  CHECK(fleet.store_is_behind);
+  const ShownConfiguration shown{
+      .revision = 3, .version = "00000019", .era = 2};
+  CHECK(fleet.store == shown);
+}
+
+TEST(NodeResponses, ParsesStatusOfAnEarlierBuildWithoutVersions) {
+  const auto fleet = ParseFleetStatus(
+      nlohmann::json::parse(R"({"revision":4,"platform":"unreachable"})"));
+  STRCMP_EQUAL("", fleet.version.c_str());
+  LONGS_EQUAL(0, fleet.era);
+  CHECK(!fleet.store);
+  CHECK_FALSE(fleet.store_is_behind);
+}
+
+TEST(NodeResponses, ParsesUnknownStore) {
+  const auto fleet = ParseFleetStatus(nlohmann::json::parse(
+      R"({"revision":4,"platform":"unreachable","store":null})"));
+  CHECK(!fleet.store);
+}
+
+TEST(NodeResponses, RejectsStoreThatIsNoObject) {
+  CHECK_THROWS(Error,
+               ParseFleetStatus(nlohmann::json::parse(
+                   R"({"revision":4,"platform":"reachable","store":7})")));
+}
+
 TEST(NodeResponses, RejectsStatusWithoutAge) {
   CHECK_THROWS(Error, ParseFleetStatus(nlohmann::json::parse(R"({
       "revision":4,"platform":"reachable",
