Process test: versions and a store that is behind, in status

Cause: the new fields of GET /v1/status, the gauges and the lines of banyantrailctl had unit tests for their parts only, not for a real node that reads a store.

Change: a method of status_report_process_test writes version 1a, then the lower 19, then 1b, at two nodes. After each it checks the applied version and the known one, `store` and `store_is_behind` at the nodes that read the store, null and false at the others, the gauges, and both outputs of banyantrailctl. The store sends no Store-Era, so the era is 0 throughout; eras are for the tests of the drill.

Conclusion: an operator reads the state from any node that watches the store.

--- a/tests/process/status_report_process_test.py
+++ b/tests/process/status_report_process_test.py
@@ -1,8 +1,10 @@
 """Status reports of another writer: they name no backend server, and change
-nothing about those that are known or have left."""
+nothing about those that are known or have left. And what a node itself reports
+of the configuration and of the store."""
 
 import json
 import os
+import subprocess
 import time
 import unittest
 
@@ -123,6 +125,88 @@
             harness.wait_until(lambda node=node: self.is_routed(node),
                                PROPAGATION_S, f"{node.name} routes to it")
 
+    def status_of(self, node):
+        return harness.get_json(self.fleet.admin_address(node), "/v1/status")
+
+    def metrics_of(self, node):
+        _, _, text = harness.request(self.fleet.admin_address(node), "GET",
+                                     "/metrics")
+        return dict(line.rsplit(" ", 1) for line in text.decode().splitlines()
+                    if not line.startswith("#"))
+
+    def ctl_status_of(self, node, output="text"):
+        return subprocess.run(
+            [str(harness.CTL_PROGRAM), "--node",
+             self.fleet.admin_address(node), "--output", output, "status"],
+            capture_output=True, text=True, timeout=10, check=True).stdout
+
+    def write_version(self, version):
+        """Returns what the store shows from now on."""
+        self.fleet.store.put_configuration(
+            ["orders"], [("r-orders", "/orders/", "unsafe", TIMEOUT_MS,
+                          "orders")], version=version)
+        return {"revision": self.fleet.store.revision,
+                "version": f"{version:08x}", "era": 0}
+
+    def watchers_that_show(self, shown):
+        """Nodes that read the store themselves, if all of those show that."""
+        stores = [(node, self.status_of(node)["store"])
+                  for node in self.fleet.nodes]
+        read = [node for node, store in stores if store is not None]
+        agree = all(store in (None, shown) for _, store in stores)
+        return read if agree else []
+
+    def check_applied(self, applied):
+        def is_applied(node):
+            status = self.status_of(node)
+            return applied == {name: status[name] for name in applied}
+        for node in self.fleet.nodes:
+            harness.wait_until(lambda node=node: is_applied(node),
+                               PROPAGATION_S, f"{node.name} applies it")
+            status = self.status_of(node)
+            self.assertEqual(status["known"], applied)
+            self.assertIsNone(status["refused"])
+            self.assertEqual(
+                float(self.metrics_of(node)["banyantrail_applied_version"]),
+                int(applied["version"], 16))
+            self.assertIn(f"version {applied['version']}",
+                          self.ctl_status_of(node))
+
+    def check_store(self, shown, is_behind):
+        """What the nodes report that read the store themselves; the others
+        don't know it."""
+        harness.wait_until(lambda: self.watchers_that_show(shown),
+                           PROPAGATION_S, "a node shows the store")
+        watchers = self.watchers_that_show(shown)
+        for node in self.fleet.nodes:
+            status = self.status_of(node)
+            metrics = self.metrics_of(node)
+            reports_it = is_behind and node in watchers
+            self.assertIs(status["store_is_behind"], reports_it)
+            self.assertEqual(float(metrics["banyantrail_store_is_behind"]),
+                             reports_it)
+            self.assertEqual(float(metrics["banyantrail_store_era"]), 0)
+            self.assertEqual("Write the newest version again"
+                             in self.ctl_status_of(node), reports_it)
+            as_json = json.loads(self.ctl_status_of(node, "json"))
+            self.assertEqual(as_json["store"], status["store"])
+            self.assertIs(as_json["store_is_behind"], reports_it)
+
+    # Neither the version nor what the store shows could be read from a node
+    # that keeps a configuration in force while the store shows an older one.
+    def test_status_names_versions_and_a_store_that_is_behind(self):
+        first = self.write_version(0x1a)
+        self.check_applied(first)
+        self.check_store(first, is_behind=False)
+
+        older = self.write_version(0x19)
+        self.check_store(older, is_behind=True)
+        self.check_applied(first)
+
+        again = self.write_version(0x1b)
+        self.check_applied(again)
+        self.check_store(again, is_behind=False)
+
 
 if __name__ == "__main__":
     unittest.main()
