Status shows a configuration that is passed over as older, also if unreadable

Cause: odd_configuration_process_test wrote invalid configurations under a version that was no longer the greatest one and waited for `refused`, in vain: the order by version passes over them before they are refused. The question was whether anything tells the operator then.

Ruled out: silence. The node learns what the store shows, readable or not.

--- a/tests/process/status_report_process_test.py
+++ b/tests/process/status_report_process_test.py
@@ -207,6 +207,18 @@
         self.check_applied(again)
         self.check_store(again, is_behind=False)
 
+    # Its version is lower than the one in force, as it has none, so that it is
+    # passed over and no refusal says so.
+    def test_unreadable_configuration_without_version_shows_as_behind(self):
+        applied = self.write_version(0x1a)
+        self.check_applied(applied)
+        self.fleet.store.write("PUT", ["config", "main"], json.dumps(
+            {"metadata": {"name": "main"},
+             "specification": {"virtual_hosts": "none"}}))
+        self.check_store({"revision": self.fleet.store.revision, "version": "",
+                          "era": 0}, is_behind=True)
+        self.check_applied(applied)
+
 
 if __name__ == "__main__":
     unittest.main()
