A new era's confirmations wait for a peer; unreadable without a version

Cause 1: a node that was frozen when a version took a key away wakes while the store shows a copy with just the version of that node. Change: confirmations of a later era count once a peer has replied to a request sent after the first of them, or after the revocation time; one that lacks what a peer reports is dropped. Lacks holds for an era that falls, too. Cause 2: a configuration whose version can't be read has version 0, so it was passed over in silence, and followers ignored its confirmation. Change: it counts as a newer one of the version that is known, and is refused and reported as before.

Ruled out: to trust a later era only after the revocation time, which would shut a whole fleet out after each return of its store.

--- a/packages/core/banyantrail/core/revision.h
+++ b/packages/core/banyantrail/core/revision.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <ostream>
 #include <string>
+#include <tuple>
 
 namespace banyantrail {
 
@@ -14,7 +15,12 @@
   std::uint64_t era = 0;
   std::uint64_t number = 0;
 
-  friend auto operator<=>(const StoreRevision&, const StoreRevision&) = default;
+  friend auto operator<=>(const StoreRevision& left,
+                          const StoreRevision& right) {
+    return std::tie(left.era, left.number) <=>
+           std::tie(right.era, right.number);
+  }
+  friend bool operator==(const StoreRevision&, const StoreRevision&) = default;
 };
 
 /// Identifies an accepted configuration and defines which of two is newer: the
@@ -32,7 +38,11 @@
   bool exists() const { return number > 0; }
   StoreRevision stored_at() const { return {.era = era, .number = number}; }
 
-  friend auto operator<=>(const Revision&, const Revision&) = default;
+  friend auto operator<=>(const Revision& left, const Revision& right) {
+    return std::tie(left.version, left.era, left.number) <=>
+           std::tie(right.version, right.era, right.number);
+  }
+  friend bool operator==(const Revision&, const Revision&) = default;
 };
 
 /// The version as the users' operator writes it: lower-case hexadecimal of at
@@ -43,7 +53,7 @@
 /// lack `known`: it has come back from an older copy, and may lack others that
 /// this node has never seen.
 constexpr bool Lacks(const Revision& shown, const Revision& known) {
-  return shown.era > known.era && shown.version < known.version;
+  return shown.era != known.era && shown.version < known.version;
 }
 
 /// Whether `revision` says anything to a node that has applied `applied`. Nodes
--- a/packages/distribution/banyantrail/distribution/configuration_store_task.h
+++ b/packages/distribution/banyantrail/distribution/configuration_store_task.h
@@ -413,11 +413,15 @@
   /// The store has accepted a configuration that this node cannot apply, so
   /// that the delivered one is no longer the newest. One with a version older
   /// than a known one is what a store shows that has come back from an older
-  /// copy. An unreadable one may have no version, and then counts as the
-  /// newest.
+  /// copy. An unreadable one may have no version, and then counts as a newer
+  /// one of the version that is known.
   void OnUnreadable(const UnreadableRelease& unreadable) {
-    const Revision revision = unreadable.revision;
-    if (revision.version > 0 && revision < newest_known()) {
+    UnreadableRelease newest = unreadable;
+    if (!IsComparable(newest.revision, newest_known())) {
+      newest.revision.version = newest_known().version;
+    }
+    const Revision revision = newest.revision;
+    if (revision < newest_known()) {
       m_newest_is_unreadable = false;
       OnShown(revision);
       return;
@@ -427,7 +431,7 @@
     if (revision == newest_known()) {
       SetBehind(false, revision);
     }
-    m_options.on_release_unreadable(unreadable);
+    m_options.on_release_unreadable(newest);
   }
 
   /// The newest configuration that this node has read, whether it could apply
--- a/packages/distribution/banyantrail/distribution/key_lease.cc
+++ b/packages/distribution/banyantrail/distribution/key_lease.cc
@@ -1,6 +1,7 @@
 #include "banyantrail/distribution/key_lease.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace banyantrail {
 namespace {
@@ -14,6 +15,11 @@
 }  // namespace
 
 void KeyLease::OnStoreConfirmed(Revision revision, BootTimePoint sent_at) {
+  Record({.revision = revision, .confirmed_at = sent_at});
+}
+
+void KeyLease::Record(const Confirmation& confirmation) {
+  const Revision& revision = confirmation.revision;
   const bool is_lacking =
       std::ranges::any_of(m_confirmations, [&](const Confirmation& known) {
         return Lacks(revision, known.revision);
@@ -21,25 +27,46 @@
   if (!revision.exists() || is_lacking) {
     return;
   }
+  std::erase_if(m_confirmations, [&](const Confirmation& known) {
+    return known.revision.era > revision.era && Lacks(known.revision, revision);
+  });
+  if (m_confirmations.empty() && !m_new_era_at) {
+    m_era = std::max(m_era, revision.era);
+  }
+  if (!IsTrusted(confirmation) && !m_new_era_at) {
+    m_new_era_at = confirmation.confirmed_at;
+  }
   const auto found =
       std::ranges::find(m_confirmations, revision, &Confirmation::revision);
   if (found != m_confirmations.end()) {
-    found->confirmed_at = std::max(found->confirmed_at, sent_at);
+    found->confirmed_at =
+        std::max(found->confirmed_at, confirmation.confirmed_at);
     return;
   }
-  m_confirmations.push_back({.revision = revision, .confirmed_at = sent_at});
+  m_confirmations.push_back(confirmation);
   if (m_confirmations.size() > kMaxConfirmations) {
     m_confirmations.erase(std::ranges::min_element(
         m_confirmations, {}, &Confirmation::confirmed_at));
   }
 }
 
+void KeyLease::TrustNewEra() {
+  for (const Confirmation& confirmation : m_confirmations) {
+    m_era = std::max(m_era, confirmation.revision.era);
+  }
+  m_new_era_at.reset();
+}
+
 std::optional<KeyLease::Request> KeyLease::NextRequest(
     const std::vector<NodeId>& peers,
     Revision applied,
     BootTimePoint now) {
+  if (m_new_era_at &&
+      (peers.empty() || now - *m_new_era_at >= m_options.revocation)) {
+    TrustNewEra();
+  }
   const std::optional<Duration> age = Age(applied, now);
-  if (age && *age < m_options.max_fresh_age) {
+  if (!m_new_era_at && age && *age < m_options.max_fresh_age) {
     m_next_peer = 0;
     return std::nullopt;
   }
@@ -62,24 +89,34 @@
 void KeyLease::OnReply(const ConfirmationReplyMessage& reply) {
   const auto sent = std::ranges::find(m_sent_requests, reply.sequence,
                                       &SentRequest::sequence);
-  if (sent != m_sent_requests.end()) {
-    OnStoreConfirmed(reply.revision,
-                     sent->sent_at - milliseconds(reply.age_ms));
+  if (sent == m_sent_requests.end()) {
+    return;
+  }
+  const bool settles_era = m_new_era_at && sent->sent_at >= *m_new_era_at;
+  Record({.revision = reply.revision,
+          .confirmed_at = sent->sent_at - milliseconds(reply.age_ms)});
+  if (settles_era) {
+    TrustNewEra();
   }
 }
 
 std::optional<ConfirmationReplyMessage> KeyLease::ReplyTo(
     const ConfirmationRequestMessage& request,
     BootTimePoint now) const {
-  const auto newest = std::ranges::max_element(m_confirmations, {},
-                                               &Confirmation::confirmed_at);
-  if (newest == m_confirmations.end()) {
-    return std::nullopt;
+  const Confirmation* newest = nullptr;
+  for (const Confirmation& known : m_confirmations) {
+    const bool is_valid = now - known.confirmed_at < m_options.revocation;
+    const auto rank = [this](const Confirmation& confirmation) {
+      return std::pair(IsTrusted(confirmation), confirmation.confirmed_at);
+    };
+    if (is_valid && (newest == nullptr || rank(known) > rank(*newest))) {
+      newest = &known;
+    }
   }
-  const Duration age = now - newest->confirmed_at;
-  if (age >= m_options.revocation) {
+  if (newest == nullptr) {
     return std::nullopt;
   }
+  const Duration age = now - newest->confirmed_at;
   return ConfirmationReplyMessage{
       .sequence = request.sequence,
       .revision = newest->revision,
@@ -98,6 +135,7 @@
   for (const Confirmation& confirmation : m_confirmations) {
     const Duration confirmation_age = now - confirmation.confirmed_at;
     const bool is_proof = confirmation.revision <= applied &&
+                          IsTrusted(confirmation) &&
                           IsComparable(confirmation.revision, applied) &&
                           !Lacks(confirmation.revision, applied);
     if (is_proof && (!age || confirmation_age < *age)) {
--- a/packages/distribution/banyantrail/distribution/key_lease.h
+++ b/packages/distribution/banyantrail/distribution/key_lease.h
@@ -46,6 +46,11 @@
 /// moment: when the read, or the request to the peer, was sent. Messages that
 /// are delayed, duplicated or lost can therefore only end the lease earlier.
 ///
+/// A copy that holds just the version of this node, which has missed the next
+/// one, looks like a store that has lost nothing. So confirmations of a later
+/// era count only once a peer, which may know more, has replied to a request
+/// that was sent after the first of them; or after `revocation`.
+///
 /// Performs no I/O; time is a parameter.
 class KeyLease {
  public:
@@ -92,6 +97,13 @@
     /// A moment at which `revision` was the newest one.
     BootTimePoint confirmed_at;
   };
+  void Record(const Confirmation& confirmation);
+  void TrustNewEra();
+  /// Whether the era of the confirmation counts.
+  bool IsTrusted(const Confirmation& confirmation) const {
+    return confirmation.revision.era <= m_era;
+  }
+
   struct SentRequest {
     std::uint64_t sequence = 0;
     BootTimePoint sent_at;
@@ -101,6 +113,10 @@
   /// The newest confirmation of each revision; those of revisions above the
   /// applied one are kept until it is applied.
   std::vector<Confirmation> m_confirmations;
+  /// The latest era whose confirmations count.
+  std::uint64_t m_era = 0;
+  /// When the first confirmation of a later era was sent.
+  std::optional<BootTimePoint> m_new_era_at;
   std::deque<SentRequest> m_sent_requests;
   std::uint64_t m_next_sequence;
   /// Index of the next peer to ask.
--- a/tests/distribution/key_lease_test.cc
+++ b/tests/distribution/key_lease_test.cc
@@ -134,10 +134,49 @@
         applied);
   const Revision again{.version = 7, .era = 2, .number = 96};
   lease.OnStoreConfirmed(again, start + seconds(6));
+  CHECK_FALSE(lease.NextRequest({}, again, start + seconds(6)).has_value());
   CHECK_FALSE(lease.MayAcceptKeys(applied, start + seconds(6)));
   CHECK(lease.MayAcceptKeys(again, start + seconds(6)));
 }
 
+// The copy holds the version of this node, which was frozen when the next one
+// took a key away. A peer knows of it.
+TEST(KeyLease, ConfirmationOfANewEraWaitsForAPeer) {
+  const Revision missed{.version = 8, .era = 1, .number = 91};
+  const Revision shown{.version = 7, .era = 2, .number = 80};
+  lease.OnStoreConfirmed({.version = 7, .era = 1, .number = 80}, start);
+  const BootTimePoint now = start + seconds(8);
+  lease.OnStoreConfirmed(shown, now);
+  CHECK_FALSE(lease.MayAcceptKeys(shown, now));
+  const auto request = lease.NextRequest(kPeers, shown, now);
+  CHECK(request.has_value());
+  lease.OnReply({.sequence = request->message.sequence, .revision = missed});
+  CHECK_FALSE(lease.MayAcceptKeys(shown, now));
+}
+
+TEST(KeyLease, ReplyOfAPeerThatKnowsNoMoreSettlesTheNewEra) {
+  const Revision shown{.version = 7, .era = 2, .number = 80};
+  lease.OnStoreConfirmed({.version = 7, .era = 1, .number = 90}, start);
+  lease.OnStoreConfirmed(shown, start + seconds(1));
+  const auto request = lease.NextRequest(kPeers, shown, start + seconds(1));
+  lease.OnReply({.sequence = request->message.sequence, .revision = shown});
+  CHECK(lease.MayAcceptKeys(shown, start + seconds(5)));
+}
+
+// A node whose peers are all lost is not shut out for ever.
+TEST(KeyLease, NewEraCountsAfterTheRevocationTimeWithoutAReply) {
+  const Revision shown{.version = 7, .era = 2, .number = 80};
+  lease.OnStoreConfirmed({.version = 7, .era = 1, .number = 90}, start);
+  BootTimePoint now = start + seconds(6);
+  lease.OnStoreConfirmed(shown, now);
+  CHECK(lease.NextRequest(kPeers, shown, now).has_value());
+  CHECK_FALSE(lease.MayAcceptKeys(shown, now));
+  now += options.revocation;
+  lease.OnStoreConfirmed(shown, now);
+  lease.NextRequest(kPeers, shown, now);
+  CHECK(lease.MayAcceptKeys(shown, now));
+}
+
 // The same from a peer that knows no later version.
 TEST(KeyLease, ReplyOfAPeerThatOnlyKnowsTheOlderCopyProvesNothing) {
   const Revision applied{.version = 7, .era = 1, .number = 90};
