A write of a replaced roll-out doesn't end the one in its place

Cause: the director looked a written state up by service alone. If the object was replaced while the completion of the old roll-out was being written, the roll-out of the new version became completed without a verdict. Found while reading for changes of era, where an order is replaced more often; it doesn't need one. Change: a result counts only for a roll-out that is writing. Measured: WriteOfAReplacedRollOutIsIgnored fails on the code before, and with the condition switched off. The director's group passes with it.

--- a/packages/distribution/banyantrail/distribution/rollout_director.cc
+++ b/packages/distribution/banyantrail/distribution/rollout_director.cc
@@ -211,7 +211,9 @@
 void RolloutDirector::OnWritten(const RolloutWrite& write,
                                 std::optional<bool> written) {
   const auto found = m_rollouts.find(write.object.service);
-  if (found == m_rollouts.end()) {
+  const bool is_of_this_rollout =
+      found != m_rollouts.end() && found->second.writing;
+  if (!is_of_this_rollout) {
     return;
   }
   Rollout& rollout = found->second;
--- a/tests/distribution/rollout_director_test.cc
+++ b/tests/distribution/rollout_director_test.cc
@@ -6,15 +6,16 @@
 using banyantrail::KnownRollouts;
 using banyantrail::milliseconds;
 using banyantrail::NodeId;
-using banyantrail::Revision;
 using banyantrail::RolloutDirectiveMessage;
 using banyantrail::RolloutDirector;
 using banyantrail::RolloutObject;
 using banyantrail::RolloutPhase;
+using banyantrail::RolloutReadResult;
 using banyantrail::RolloutState;
 using banyantrail::RolloutWrite;
 using banyantrail::seconds;
 using banyantrail::ServiceName;
+using banyantrail::StoreRevision;
 using banyantrail::TimePoint;
 
 namespace {
@@ -23,14 +24,17 @@
 const NodeId kSelf("n1");
 
 RolloutObject Object(std::uint64_t revision,
-                     RolloutState state = RolloutState::kNone) {
+                     RolloutState state = RolloutState::kNone,
+                     std::uint64_t era = 0) {
   return {.service = kService,
           .target_version = "v2",
           .duration = seconds(12),
-          .revision = {.number = revision},
+          .revision = {.era = era, .number = revision},
           .state = state};
 }
 
+constexpr StoreRevision kId{.number = 5};
+
 }  // namespace
 
 TEST_GROUP(RolloutDirector) {
@@ -84,6 +88,61 @@
     Confirm();
     Tick();
   }
+
+  /// All roll-outs, as a store of this era lists them.
+  void List(std::uint64_t era, const std::vector<RolloutObject>& objects,
+            const KnownRollouts& known = {}) {
+    RolloutReadResult read{.resume_after = {.era = era, .number = 3}};
+    for (const RolloutObject& object : objects) {
+      read.changes.push_back({.object = object});
+    }
+    director.OnRead(read, true, known, now);
+  }
+
+  /// The directive that a node gets which joins now.
+  RolloutDirectiveMessage Current() {
+    Tick();
+    const std::vector<RolloutDirectiveMessage> directives = director.All(now);
+    CHECK_FALSE(directives.empty());
+    return directives.front();
+  }
+
+  void CheckWrites(RolloutState state, const RolloutObject& object) {
+    const std::optional<RolloutWrite> write = director.NextWrite();
+    CHECK(write.has_value());
+    CHECK(write->state == state);
+    CHECK(write->object == object);
+    director.OnWritten(*write, true);
+  }
+
+  /// What a node knows from the directives of an earlier judge.
+  KnownRollouts Known(RolloutPhase phase) const {
+    return {{kService,
+             {.directive = {.service = kService,
+                            .target_version = "v2",
+                            .rollout = kId,
+                            .phase = phase},
+              .started = now}}};
+  }
+
+  void StartRunning() {
+    Read(Object(5));
+    Tick();
+    director.OnWritten(*director.NextWrite(), true);
+  }
+
+  void RollBack() {
+    StartRunning();
+    ReportFailures();
+    Tick();
+    director.OnWritten(*director.NextWrite(), true);
+  }
+
+  void Complete() {
+    ReachConfirmation();
+    director.OnWritten(*director.NextWrite(), true);
+    Tick();
+  }
 };
 
 TEST(RolloutDirector, WritesRunningOnceAndRepeatsDirectives) {
@@ -188,3 +247,15 @@
   LONGS_EQUAL(9, message.rollout.number);
   CHECK(director.NextWrite()->state == RolloutState::kRunning);
 }
+
+// Guards against the completion of one version that ends another's roll-out.
+TEST(RolloutDirector, WriteOfAReplacedRollOutIsIgnored) {
+  ReachConfirmation();
+  const std::optional<RolloutWrite> write = director.NextWrite();
+  RolloutObject other = Object(9);
+  other.target_version = "v3";
+  Read(other);
+  director.OnWritten(*write, true);
+  STRCMP_EQUAL("v3", Current().target_version.c_str());
+  CHECK(Current().phase == RolloutPhase::kCanary);
+}
