A roll-out continues when the store lost its state

Cause: an object without a state at a greater revision was taken for a restart, also in a new era, where the store has only lost the state. A bad version was tried again, a completed one started anew; a completed one was never written again, as the wanted state of that phase was "running". Change: the first sight of a version in a new era continues it with id, start time and decision, and the state is written under the new revision. A restart is recognised after return_wait (5 s). A completion that may have been written stays; a write accepted in the earlier era is repeated; a list of an earlier era is ignored. Ruled out: comparing numbers, which are given out again.

--- a/packages/distribution/banyantrail/distribution/rollout_director.cc
+++ b/packages/distribution/banyantrail/distribution/rollout_director.cc
@@ -41,11 +41,8 @@
                              bool is_list,
                              const KnownRollouts& known,
                              TimePoint now) {
-  std::set<ServiceName> found;
   for (const RolloutChange& change : read.changes) {
-    const ServiceName& service = change.object.service;
-    found.insert(service);
-    const auto rollout = m_rollouts.find(service);
+    const auto rollout = m_rollouts.find(change.object.service);
     if (!change.deleted) {
       OnObject(change.object, known, now);
     } else if (rollout != m_rollouts.end() &&
@@ -53,8 +50,20 @@
       Withdraw(rollout->second);
     }
   }
+  if (is_list) {
+    OnMissing(read);
+  }
+}
+
+/// A list of an earlier era than the object's was answered before the change.
+void RolloutDirector::OnMissing(const RolloutReadResult& read) {
+  std::set<ServiceName> found;
+  for (const RolloutChange& change : read.changes) {
+    found.insert(change.object.service);
+  }
+  const std::uint64_t era = read.resume_after.era;
   for (auto& [service, rollout] : m_rollouts) {
-    if (is_list && !found.contains(service)) {
+    if (!found.contains(service) && era >= rollout.object.revision.era) {
       Withdraw(rollout);
     }
   }
@@ -69,6 +78,14 @@
     return;
   }
   Rollout& rollout = found->second;
+  const std::uint64_t known_era = rollout.object.revision.era;
+  if (object.revision.era < known_era) {
+    return;
+  }
+  if (object.revision.era > known_era) {
+    OnObjectOfNewEra(rollout, object, now);
+    return;
+  }
   if (!rollout.writing) {
     rollout.is_in_doubt = false;
     rollout.may_be_completed = false;
@@ -78,21 +95,50 @@
   }
   const bool is_restarted = object.state == RolloutState::kNone &&
                             object.revision > rollout.object.revision &&
-                            rollout.object.state != RolloutState::kNone;
+                            rollout.object.state != RolloutState::kNone &&
+                            now >= rollout.returns_until;
   if (rollout.withdrawn || is_restarted ||
       object.target_version != rollout.object.target_version) {
-    m_rollouts.erase(found);
-    Start(object, {}, now);
+    Replace(object, now);
     return;
   }
+  Continue(rollout, object);
+}
+
+/// The first sight of a roll-out in a new era is never a restart: the state may
+/// have been lost.
+void RolloutDirector::OnObjectOfNewEra(Rollout& rollout,
+                                       const RolloutObject& object,
+                                       TimePoint now) {
+  const std::string& version = rollout.object.target_version;
+  if (object.target_version != version) {
+    Replace(object, now);
+    return;
+  }
+  rollout.has_lost_completion =
+      rollout.has_lost_completion || rollout.may_be_completed;
+  rollout.is_in_doubt = false;
+  rollout.withdrawn = false;
+  rollout.returns_until = now + m_options.return_wait;
+  Continue(rollout, object);
+}
+
+void RolloutDirector::Continue(Rollout& rollout,
+                               const RolloutObject& object) const {
   rollout.object = object;
   rollout.judge.SetDuration(object.duration);
   if (IsFinal(object.state)) {
+    rollout.has_lost_completion = false;
     rollout.judge.SetFinalPhase(PhaseOf(object.state),
                                 "the store has this state");
   }
 }
 
+void RolloutDirector::Replace(const RolloutObject& object, TimePoint now) {
+  m_rollouts.erase(object.service);
+  Start(object, {}, now);
+}
+
 /// Continues the roll-out with the phase that an earlier judge has directed, or
 /// starts it.
 void RolloutDirector::Start(const RolloutObject& object,
@@ -135,7 +181,9 @@
     TimePoint now) {
   std::vector<DueDirective> due;
   for (auto& [service, rollout] : m_rollouts) {
-    if (!rollout.may_be_completed) {
+    const bool may_change =
+        !rollout.may_be_completed && !rollout.has_lost_completion;
+    if (may_change) {
       rollout.decision = rollout.judge.Decide(required, now);
     }
     const RolloutPhase phase = rollout.decision.phase;
@@ -188,6 +236,9 @@
   if (rollout.decision.phase == RolloutPhase::kRolledBack) {
     return RolloutState::kRolledBack;
   }
+  if (rollout.decision.phase == RolloutPhase::kCompleted) {
+    return RolloutState::kCompleted;
+  }
   return rollout.decision.may_complete ? RolloutState::kCompleted
                                        : RolloutState::kRunning;
 }
@@ -223,8 +274,12 @@
     return;
   }
   rollout.may_be_completed = false;
-  rollout.object.state = write.state;
+  // A state that the store has accepted in an earlier era is lost with it.
+  if (write.object.revision.era == rollout.object.revision.era) {
+    rollout.object.state = write.state;
+  }
   if (IsFinal(write.state)) {
+    rollout.has_lost_completion = false;
     rollout.judge.SetFinalPhase(PhaseOf(write.state), rollout.decision.reason);
   }
 }
--- a/packages/distribution/banyantrail/distribution/rollout_director.h
+++ b/packages/distribution/banyantrail/distribution/rollout_director.h
@@ -34,6 +34,9 @@
     /// nodes confirm its promotion.
     Duration repeat_interval = milliseconds(1500);
     Duration promoted_repeat_interval = milliseconds(400);
+    /// How long after a change of era the operator writes lost orders again. An
+    /// order of the same version within this time is no restart.
+    Duration return_wait = seconds(5);
   };
 
   /// A directive that is due, and whether its phase is new.
@@ -72,9 +75,12 @@
 
  private:
   struct Rollout {
+    /// The newest one of this roll-out.
     RolloutObject object;
     StoreRevision id;
     RolloutJudge judge;
+    /// Until when an order of the same version is the lost one.
+    TimePoint returns_until = TimePoint::min();
     RolloutDecision decision;
     std::optional<RolloutPhase> directed;
     TimePoint directed_at{};
@@ -87,6 +93,9 @@
     /// The state "completed" may have been written, so the other versions may
     /// have stopped: the decision is not changed until that is known.
     bool may_be_completed = false;
+    /// The same when the store has come back from an older copy, for good: what
+    /// it shows no longer tells.
+    bool has_lost_completion = false;
   };
 
   void OnObject(const RolloutObject& object,
@@ -95,6 +104,12 @@
   void Start(const RolloutObject& object,
              const KnownRollouts& known,
              TimePoint now);
+  void Replace(const RolloutObject& object, TimePoint now);
+  void OnObjectOfNewEra(Rollout& rollout,
+                        const RolloutObject& object,
+                        TimePoint now);
+  void OnMissing(const RolloutReadResult& read);
+  void Continue(Rollout& rollout, const RolloutObject& object) const;
   static void Withdraw(Rollout& rollout);
   static RolloutState WantedState(const Rollout& rollout);
   Duration RepeatInterval(const Rollout& rollout) const;
--- a/tests/distribution/rollout_director_test.cc
+++ b/tests/distribution/rollout_director_test.cc
@@ -248,6 +248,137 @@
   CHECK(director.NextWrite()->state == RolloutState::kRunning);
 }
 
+// Guards against exposure and a time limit that start anew when the state was
+// lost with the store's last seconds.
+TEST(RolloutDirector, RunningRollOutContinuesInANewEra) {
+  StartRunning();
+  now += seconds(4);
+  List(1, {Object(5, RolloutState::kNone, 1)});
+  CHECK(Current().rollout == kId);
+  LONGS_EQUAL(4000, Current().age_ms);
+  CheckWrites(RolloutState::kRunning, Object(5, RolloutState::kNone, 1));
+}
+
+// Guards against a bad version that is tried a second time.
+TEST(RolloutDirector, RollbackHoldsAndIsWrittenAgainInANewEra) {
+  for (const RolloutState shown :
+       {RolloutState::kNone, RolloutState::kRunning}) {
+    director.Clear();
+    RollBack();
+    List(1, {Object(4, shown, 1)});
+    CHECK(Current().rollout == kId);
+    CHECK(Current().phase == RolloutPhase::kRolledBack);
+    CheckWrites(RolloutState::kRolledBack, Object(4, shown, 1));
+  }
+}
+
+// Guards against requests to the old servers, which have stopped.
+TEST(RolloutDirector, CompletionHoldsAndIsWrittenAgainInANewEra) {
+  for (const RolloutState shown :
+       {RolloutState::kNone, RolloutState::kRunning}) {
+    director.Clear();
+    Complete();
+    List(1, {Object(6, shown, 1)});
+    CHECK(Current().rollout == kId);
+    CHECK(Current().phase == RolloutPhase::kCompleted);
+    CheckWrites(RolloutState::kCompleted, Object(6, shown, 1));
+    CHECK_FALSE(director.NextWrite().has_value());
+  }
+}
+
+// Guards against a rollback after a completion that has stopped the old servers
+// and was lost together with its response.
+TEST(RolloutDirector, CompletionInDoubtHoldsInANewEra) {
+  ReachConfirmation();
+  director.OnWritten(*director.NextWrite(), std::nullopt);
+  List(1, {Object(6, RolloutState::kRunning, 1)});
+  List(1, {Object(6, RolloutState::kRunning, 1)});
+  now += seconds(20);
+  ReportFailures();
+  CHECK(Current().phase == RolloutPhase::kPromoted);
+  CheckWrites(RolloutState::kCompleted, Object(6, RolloutState::kRunning, 1));
+}
+
+// Guards against a state that the store has accepted before it came back
+// without it.
+TEST(RolloutDirector, WriteOfTheEarlierEraIsRepeated) {
+  StartRunning();
+  ReportFailures();
+  Tick();
+  const std::optional<RolloutWrite> write = director.NextWrite();
+  List(1, {Object(6, RolloutState::kRunning, 1)});
+  director.OnWritten(*write, true);
+  CheckWrites(RolloutState::kRolledBack, Object(6, RolloutState::kRunning, 1));
+}
+
+// Guards against a version that was withdrawn and comes back with the copy.
+TEST(RolloutDirector, WithdrawnRollOutIsNotTriedAgainInANewEra) {
+  StartRunning();
+  Read(Object(8, RolloutState::kRunning), {}, true);
+  Tick();
+  List(1, {Object(6, RolloutState::kRunning, 1)});
+  CHECK(Current().rollout == kId);
+  CHECK(Current().phase == RolloutPhase::kRolledBack);
+  CheckWrites(RolloutState::kRolledBack, Object(6, RolloutState::kRunning, 1));
+}
+
+// Guards against an order that is lost and written again being taken for a new
+// one, and against a new one being taken for that for good.
+TEST(RolloutDirector, RestartIsRecognisedAfterTheReturnInANewEra) {
+  RollBack();
+  List(1, {Object(5, RolloutState::kNone, 1)});
+  Tick();
+  CheckWrites(RolloutState::kRolledBack, Object(5, RolloutState::kNone, 1));
+  now += milliseconds(4900);
+  Read(Object(7, RolloutState::kNone, 1));
+  CHECK(Current().phase == RolloutPhase::kRolledBack);
+  CheckWrites(RolloutState::kRolledBack, Object(7, RolloutState::kNone, 1));
+  now += milliseconds(100);
+  Read(Object(9, RolloutState::kNone, 1));
+  CHECK(Current().phase == RolloutPhase::kCanary);
+  CHECK(Current().rollout == (StoreRevision{.era = 1, .number = 9}));
+}
+
+// Guards against a withdrawal that takes the wait of a change of era.
+TEST(RolloutDirector, MissingRollOutIsWithdrawnAtOnceWithinAnEra) {
+  StartRunning();
+  List(1, {Object(5, RolloutState::kNone, 1)});
+  List(1, {});
+  CHECK(Current().phase == RolloutPhase::kRolledBack);
+}
+
+// Guards against a withdrawal by a list that was answered before the change.
+TEST(RolloutDirector, ListOfAnEarlierEraIsIgnored) {
+  StartRunning();
+  List(1, {Object(5, RolloutState::kNone, 1)});
+  List(0, {});
+  CHECK(Current().phase == RolloutPhase::kCanary);
+  CheckWrites(RolloutState::kRunning, Object(5, RolloutState::kNone, 1));
+}
+
+TEST(RolloutDirector, OrderToAnotherVersionInANewEraIsANewRollOut) {
+  StartRunning();
+  RolloutObject other = Object(4, RolloutState::kNone, 1);
+  other.target_version = "v3";
+  List(1, {other});
+  STRCMP_EQUAL("v3", Current().target_version.c_str());
+  CHECK(Current().rollout == other.revision);
+}
+
+// Guards against judges with different views of the store whose directives
+// displace each other.
+TEST(RolloutDirector, JudgesOfTwoErasDirectTheSameRollOut) {
+  RolloutDirector other{{.self = NodeId("n2")}};
+  other.OnRead({.changes = {{.object = Object(5)}}}, true, {}, now);
+  StartRunning();
+  ReportFailures();
+  Tick();
+  List(1, {Object(4, RolloutState::kNone, 1)});
+  other.Tick({}, now);
+  CHECK(other.All(now).front().rollout == Current().rollout);
+  CHECK(Current().phase == RolloutPhase::kRolledBack);
+}
+
 // Guards against the completion of one version that ends another's roll-out.
 TEST(RolloutDirector, WriteOfAReplacedRollOutIsIgnored) {
   ReachConfirmation();
