An order that a new era lacks is held, not withdrawn at once

Cause: a copy from before the operator's order shows no object, or that of the roll-out before. The first rolled a good version back at once; the second put the earlier version's "completed" into force, so that nodes excluded the servers in use. Change: such a roll-out is held for return_wait: nothing for a canary, a promoted one stays, no time limit and no write; evidence still ends it. Then the store's word counts, unless the roll-out is decided. A copy keeps its numbers, so a written state with a number below the order's is from before it. Ruled out: waiting without a limit.

--- a/packages/distribution/banyantrail/distribution/rollout_director.cc
+++ b/packages/distribution/banyantrail/distribution/rollout_director.cc
@@ -35,6 +35,22 @@
          object.revision == directive.rollout;
 }
 
+/// Whether an object of a new era is what the store held before the order of a
+/// roll-out to `target_version`, of which `since` is a revision in an earlier
+/// era: a copy keeps the numbers from before it was made. Without a state it is
+/// an order, and the operator's last word counts.
+bool IsFromBefore(const RolloutObject& object,
+                  const std::string& target_version,
+                  StoreRevision since,
+                  RolloutPhase phase) {
+  const bool is_older =
+      object.revision.era > since.era && object.revision.number < since.number;
+  if (object.target_version != target_version) {
+    return is_older && object.state != RolloutState::kNone;
+  }
+  return is_older && IsFinal(object.state) && PhaseOf(object.state) != phase;
+}
+
 }  // namespace
 
 void RolloutDirector::OnRead(const RolloutReadResult& read,
@@ -45,26 +61,36 @@
     const auto rollout = m_rollouts.find(change.object.service);
     if (!change.deleted) {
       OnObject(change.object, known, now);
+    } else if (rollout != m_rollouts.end() && rollout->second.hold) {
+      rollout->second.hold->shown.reset();
     } else if (rollout != m_rollouts.end() &&
                change.object.revision >= rollout->second.object.revision) {
       Withdraw(rollout->second);
     }
   }
   if (is_list) {
-    OnMissing(read);
+    OnMissing(read, now);
   }
 }
 
-/// A list of an earlier era than the object's was answered before the change.
-void RolloutDirector::OnMissing(const RolloutReadResult& read) {
+/// In the list of a new era, an order may be missing until it is written again.
+void RolloutDirector::OnMissing(const RolloutReadResult& read, TimePoint now) {
   std::set<ServiceName> found;
   for (const RolloutChange& change : read.changes) {
     found.insert(change.object.service);
   }
   const std::uint64_t era = read.resume_after.era;
   for (auto& [service, rollout] : m_rollouts) {
-    if (!found.contains(service) && era >= rollout.object.revision.era) {
+    const std::uint64_t known_era = rollout.object.revision.era;
+    if (found.contains(service) || era < known_era) {
+      continue;
+    }
+    if (era == known_era) {
       Withdraw(rollout);
+    } else if (rollout.withdrawn) {
+      rollout.object.revision = {.era = era};
+    } else {
+      BeginHold(rollout, std::nullopt, era, now);
     }
   }
 }
@@ -111,6 +137,11 @@
                                        const RolloutObject& object,
                                        TimePoint now) {
   const std::string& version = rollout.object.target_version;
+  if (IsFromBefore(object, version, rollout.first_seen,
+                   rollout.judge.phase())) {
+    BeginHold(rollout, object, object.revision.era, now);
+    return;
+  }
   if (object.target_version != version) {
     Replace(object, now);
     return;
@@ -118,7 +149,10 @@
   rollout.has_lost_completion =
       rollout.has_lost_completion || rollout.may_be_completed;
   rollout.is_in_doubt = false;
+  rollout.hold.reset();
+  rollout.judge.SetHeld(false);
   rollout.withdrawn = false;
+  rollout.first_seen = object.revision;
   rollout.returns_until = now + m_options.return_wait;
   Continue(rollout, object);
 }
@@ -156,9 +190,51 @@
   if (IsFinal(object.state)) {
     options.phase = PhaseOf(object.state);
   }
-  m_rollouts.insert_or_assign(
-      object.service,
-      Rollout{.object = object, .id = id, .judge = RolloutJudge(options)});
+  m_rollouts.insert_or_assign(object.service,
+                              Rollout{.object = object,
+                                      .id = id,
+                                      .first_seen = object.revision,
+                                      .judge = RolloutJudge(options)});
+}
+
+/// A further sight does not extend the hold.
+void RolloutDirector::BeginHold(Rollout& rollout,
+                                const std::optional<RolloutObject>& shown,
+                                std::uint64_t era,
+                                TimePoint now) const {
+  const TimePoint until =
+      rollout.hold ? rollout.hold->until : now + m_options.return_wait;
+  rollout.hold = Hold{.until = until, .shown = shown, .era = era};
+  rollout.judge.SetHeld(true);
+}
+
+/// Whether the roll-out has ended, or its completion may have been written,
+/// which has stopped the other versions.
+bool RolloutDirector::IsDecided(const Rollout& rollout) {
+  return rollout.may_be_completed || rollout.has_lost_completion ||
+         IsFinal(rollout.judge.phase());
+}
+
+/// What the operator has not written again in time is withdrawn. A decision
+/// holds.
+void RolloutDirector::EndHolds(TimePoint now) {
+  std::vector<RolloutObject> replacing;
+  for (auto& [service, rollout] : m_rollouts) {
+    if (!rollout.hold || now < rollout.hold->until || IsDecided(rollout)) {
+      continue;
+    }
+    const Hold hold = *rollout.hold;
+    if (hold.shown) {
+      replacing.push_back(*hold.shown);
+    } else {
+      rollout.hold.reset();
+      rollout.object.revision = {.era = hold.era};
+      Withdraw(rollout);
+    }
+  }
+  for (const RolloutObject& object : replacing) {
+    Replace(object, now);
+  }
 }
 
 void RolloutDirector::Withdraw(Rollout& rollout) {
@@ -179,6 +255,7 @@
 std::vector<RolloutDirector::DueDirective> RolloutDirector::Tick(
     const std::vector<RolloutJudge::RequiredNode>& required,
     TimePoint now) {
+  EndHolds(now);
   std::vector<DueDirective> due;
   for (auto& [service, rollout] : m_rollouts) {
     const bool may_change =
@@ -246,10 +323,10 @@
 std::optional<RolloutWrite> RolloutDirector::NextWrite() {
   for (auto& [service, rollout] : m_rollouts) {
     const RolloutState wanted = WantedState(rollout);
-    const bool is_due = rollout.directed && !rollout.withdrawn &&
-                        !rollout.writing && !rollout.is_in_doubt &&
-                        !IsFinal(rollout.object.state) &&
-                        rollout.object.state != wanted;
+    const bool is_due =
+        rollout.directed && !rollout.withdrawn && !rollout.hold &&
+        !rollout.writing && !rollout.is_in_doubt &&
+        !IsFinal(rollout.object.state) && rollout.object.state != wanted;
     if (is_due) {
       rollout.writing = wanted;
       rollout.may_be_completed = wanted == RolloutState::kCompleted;
--- a/packages/distribution/banyantrail/distribution/rollout_director.h
+++ b/packages/distribution/banyantrail/distribution/rollout_director.h
@@ -34,8 +34,9 @@
     /// nodes confirm its promotion.
     Duration repeat_interval = milliseconds(1500);
     Duration promoted_repeat_interval = milliseconds(400);
-    /// How long after a change of era the operator writes lost orders again. An
-    /// order of the same version within this time is no restart.
+    /// How long a roll-out is held that the store lacks after a change of era:
+    /// the operator writes the lost order again. An order of the same version
+    /// within this time is that one, and no restart.
     Duration return_wait = seconds(5);
   };
 
@@ -74,11 +75,25 @@
   void Clear() { m_rollouts.clear(); }
 
  private:
+  /// The roll-out is not in a store that has come back from an older copy.
+  struct Hold {
+    TimePoint until;
+    /// What the store shows in its place, if anything.
+    std::optional<RolloutObject> shown;
+    /// The era of that store.
+    std::uint64_t era = 0;
+  };
+
   struct Rollout {
     /// The newest one of this roll-out.
     RolloutObject object;
     StoreRevision id;
+    /// Revision of the first object of this roll-out that was seen in the era
+    /// of `object`. What has a final state and a lower number is from before.
+    StoreRevision first_seen;
     RolloutJudge judge;
+    /// Set while the store, after a change of era, lacks the order.
+    std::optional<Hold> hold;
     /// Until when an order of the same version is the lost one.
     TimePoint returns_until = TimePoint::min();
     RolloutDecision decision;
@@ -108,8 +123,14 @@
   void OnObjectOfNewEra(Rollout& rollout,
                         const RolloutObject& object,
                         TimePoint now);
-  void OnMissing(const RolloutReadResult& read);
+  void OnMissing(const RolloutReadResult& read, TimePoint now);
   void Continue(Rollout& rollout, const RolloutObject& object) const;
+  void BeginHold(Rollout& rollout,
+                 const std::optional<RolloutObject>& shown,
+                 std::uint64_t era,
+                 TimePoint now) const;
+  void EndHolds(TimePoint now);
+  static bool IsDecided(const Rollout& rollout);
   static void Withdraw(Rollout& rollout);
   static RolloutState WantedState(const Rollout& rollout);
   Duration RepeatInterval(const Rollout& rollout) const;
--- a/packages/distribution/banyantrail/distribution/rollout_judge.cc
+++ b/packages/distribution/banyantrail/distribution/rollout_judge.cc
@@ -93,10 +93,22 @@
                      return HasConfirmed(node);
                    });
   }
+  if (m_is_held && IsUndecided(m_phase)) {
+    return {.phase = RolloutPhase::kHeld,
+            .reason = "the order is missing in the store"};
+  }
   return {.phase = m_phase, .may_complete = may_complete, .reason = m_reason};
 }
 
 void RolloutJudge::DecideCanary(TimePoint now) {
+  if (m_evidence.is_bad()) {
+    SetPhase(RolloutPhase::kRolledBack,
+             "bad in the canary phase: " + EvidenceText());
+    return;
+  }
+  if (m_is_held) {
+    return;
+  }
   const Duration elapsed = now - m_options.started;
   const Duration promotion = std::max(PartOfDuration(m_options.canary_part),
                                       m_options.duration - m_options.max_end);
@@ -107,11 +119,8 @@
       m_evidence.target_responses() >= m_options.min_responses ||
       (elapsed >= PartOfDuration(m_options.latest_promotion) &&
        is_judged_by_any);
-  if (m_evidence.is_bad()) {
-    SetPhase(RolloutPhase::kRolledBack,
-             "bad in the canary phase: " + EvidenceText());
-  } else if (elapsed >= promotion && is_judged_by_enough &&
-             m_evidence.score() < m_options.max_score_to_promote) {
+  if (elapsed >= promotion && is_judged_by_enough &&
+      m_evidence.score() < m_options.max_score_to_promote) {
     SetPhase(RolloutPhase::kPromoted,
              "as good as the other versions: " + EvidenceText());
   } else if (elapsed >=
@@ -128,7 +137,8 @@
              "bad with all requests: " + EvidenceText());
     return;
   }
-  if (now - m_options.started < PartOfDuration(m_options.latest_confirmation)) {
+  if (m_is_held ||
+      now - m_options.started < PartOfDuration(m_options.latest_confirmation)) {
     return;
   }
   const auto missing = std::ranges::find_if(
--- a/packages/distribution/banyantrail/distribution/rollout_judge.h
+++ b/packages/distribution/banyantrail/distribution/rollout_judge.h
@@ -81,6 +81,10 @@
   /// The time limit was changed.
   void SetDuration(Duration duration) { m_options.duration = duration; }
 
+  /// While held, the roll-out is ended by evidence alone: its order is not in
+  /// the store. A version in the canary phase gets no requests.
+  void SetHeld(bool held) { m_is_held = held; }
+
   /// Ends the roll-out with a phase that was decided elsewhere.
   void SetFinalPhase(RolloutPhase phase, const std::string& reason);
 
@@ -107,6 +111,7 @@
   Options m_options;
   RolloutPhase m_phase;
   std::string m_reason = "roll-out started";
+  bool m_is_held = false;
   VersionEvidence m_evidence;
   TimePoint m_window_start;
   std::map<NodeId, NodeState> m_nodes;
--- a/tests/distribution/rollout_director_test.cc
+++ b/tests/distribution/rollout_director_test.cc
@@ -33,6 +33,15 @@
           .state = state};
 }
 
+/// The roll-out to the version before that of Object.
+RolloutObject EarlierObject(std::uint64_t revision,
+                            RolloutState state,
+                            std::uint64_t era) {
+  RolloutObject object = Object(revision, state, era);
+  object.target_version = "v1";
+  return object;
+}
+
 constexpr StoreRevision kId{.number = 5};
 
 }  // namespace
@@ -339,6 +348,70 @@
   CHECK(Current().rollout == (StoreRevision{.era = 1, .number = 9}));
 }
 
+// Guards against a good version that is rolled back because the copy is from
+// before its order.
+TEST(RolloutDirector, MissingRollOutIsHeldUntilItIsBack) {
+  StartRunning();
+  now += seconds(4);
+  List(1, {});
+  CHECK(Current().phase == RolloutPhase::kHeld);
+  now += milliseconds(4900);
+  List(1, {});
+  // The time of the promotion has passed.
+  CHECK(Current().phase == RolloutPhase::kHeld);
+  CHECK_FALSE(director.NextWrite().has_value());
+  Read(Object(4, RolloutState::kNone, 1));
+  CHECK(Current().phase == RolloutPhase::kPromoted);
+  CHECK(Current().rollout == kId);
+  CheckWrites(RolloutState::kRunning, Object(4, RolloutState::kNone, 1));
+}
+
+TEST(RolloutDirector, MissingRollOutIsWithdrawnAfterAWait) {
+  StartRunning();
+  List(1, {});
+  now += milliseconds(4900);
+  CHECK(Current().phase == RolloutPhase::kHeld);
+  now += milliseconds(100);
+  CHECK(Current().phase == RolloutPhase::kRolledBack);
+  CHECK_FALSE(director.NextWrite().has_value());
+  Read(Object(9, RolloutState::kNone, 1));
+  CHECK(Current().rollout == (StoreRevision{.era = 1, .number = 9}));
+}
+
+TEST(RolloutDirector, MissingRollOutIsRolledBackOnEvidence) {
+  StartRunning();
+  List(1, {});
+  ReportFailures();
+  CHECK(Current().phase == RolloutPhase::kRolledBack);
+  now += seconds(60);
+  Tick();
+  Read(Object(9, RolloutState::kNone, 1));
+  CHECK(Current().rollout == kId);
+  CheckWrites(RolloutState::kRolledBack, Object(9, RolloutState::kNone, 1));
+}
+
+// Guards against a completion or a rollback that no order has asked for.
+TEST(RolloutDirector, MissingPromotedRollOutStaysPromoted) {
+  ReachConfirmation();
+  List(1, {});
+  now += milliseconds(4900);
+  CHECK(Current().phase == RolloutPhase::kPromoted);
+  CHECK_FALSE(director.NextWrite().has_value());
+  // The time limit for confirmations has passed.
+  director.Tick({{.node = NodeId("n2"), .incarnation = 1}}, now);
+  CHECK(director.All(now).front().phase == RolloutPhase::kPromoted);
+}
+
+TEST(RolloutDirector, MissingCompletedRollOutIsNotTakenBack) {
+  Complete();
+  List(1, {});
+  now += seconds(60);
+  CHECK(Current().phase == RolloutPhase::kCompleted);
+  Read(Object(9, RolloutState::kNone, 1));
+  CHECK(Current().rollout == kId);
+  CheckWrites(RolloutState::kCompleted, Object(9, RolloutState::kNone, 1));
+}
+
 // Guards against a withdrawal that takes the wait of a change of era.
 TEST(RolloutDirector, MissingRollOutIsWithdrawnAtOnceWithinAnEra) {
   StartRunning();
@@ -356,6 +429,39 @@
   CheckWrites(RolloutState::kRunning, Object(5, RolloutState::kNone, 1));
 }
 
+// Guards against requests to the old servers, which have stopped: the copy
+// shows the completion of the version before.
+TEST(RolloutDirector, EarlierVersionInTheCopyDoesNotReplaceARollOut) {
+  Complete();
+  List(1, {EarlierObject(3, RolloutState::kCompleted, 1)});
+  now += seconds(60);
+  CHECK(Current().rollout == kId);
+  CHECK(Current().phase == RolloutPhase::kCompleted);
+  CHECK_FALSE(director.NextWrite().has_value());
+  Read(Object(4, RolloutState::kNone, 1));
+  CheckWrites(RolloutState::kCompleted, Object(4, RolloutState::kNone, 1));
+}
+
+TEST(RolloutDirector, EarlierVersionInTheCopyReplacesARollOutAfterAWait) {
+  StartRunning();
+  List(1, {EarlierObject(3, RolloutState::kCompleted, 1)});
+  CHECK(Current().phase == RolloutPhase::kHeld);
+  now += seconds(5);
+  Tick();
+  STRCMP_EQUAL("v1", Current().target_version.c_str());
+  CHECK(Current().phase == RolloutPhase::kCompleted);
+}
+
+// Guards against a restart that ends with the state of the roll-out before it.
+TEST(RolloutDirector, EarlierStateInTheCopyDoesNotEndARestart) {
+  StartRunning();
+  List(1, {Object(3, RolloutState::kRolledBack, 1)});
+  CHECK(Current().phase == RolloutPhase::kHeld);
+  Read(Object(4, RolloutState::kNone, 1));
+  CHECK(Current().phase == RolloutPhase::kCanary);
+  CHECK(Current().rollout == kId);
+}
+
 TEST(RolloutDirector, OrderToAnotherVersionInANewEraIsANewRollOut) {
   StartRunning();
   RolloutObject other = Object(4, RolloutState::kNone, 1);
@@ -390,3 +496,14 @@
   STRCMP_EQUAL("v3", Current().target_version.c_str());
   CHECK(Current().phase == RolloutPhase::kCanary);
 }
+
+TEST(RolloutDirector, DeletedEarlierVersionDoesNotReplaceARollOut) {
+  StartRunning();
+  const RolloutObject earlier = EarlierObject(3, RolloutState::kCompleted, 1);
+  List(1, {earlier});
+  Read(EarlierObject(4, RolloutState::kCompleted, 1), {}, true);
+  CHECK(Current().phase == RolloutPhase::kHeld);
+  now += seconds(5);
+  STRCMP_EQUAL("v2", Current().target_version.c_str());
+  CHECK(Current().phase == RolloutPhase::kRolledBack);
+}
