The next judge continues a roll-out in a new era

Cause: a judge that takes over compared an object without a state to the id by the revision, which never agrees after a change of era: it started anew. It knew of no hold, and one that it took over as "held" would have had no end. Change: an object of a later era than the id is the same roll-out; a roll-out that the copy lacks, or shows as before the order, is held by the next judge too. An order to another version passes on what the node knows, so that several orders written again at once end with the known one. Switched off once each: the era in IsSameRollout (3 tests fail), the phase "held" at a start (1), the hold at a start (1), what is passed on (1).

--- a/packages/distribution/banyantrail/distribution/rollout_director.cc
+++ b/packages/distribution/banyantrail/distribution/rollout_director.cc
@@ -25,14 +25,16 @@
 }
 
 /// Whether the object is the roll-out that the directive was about, and not a
-/// later one of the same version.
+/// later one of the same version. In a new era the store may have lost the
+/// state of that roll-out.
 bool IsSameRollout(const RolloutObject& object,
                    const RolloutDirectiveMessage& directive) {
   if (object.target_version != directive.target_version) {
     return false;
   }
   return object.state != RolloutState::kNone ||
-         object.revision == directive.rollout;
+         object.revision == directive.rollout ||
+         object.revision.era > directive.rollout.era;
 }
 
 /// Whether an object of a new era is what the store held before the order of a
@@ -69,12 +71,14 @@
     }
   }
   if (is_list) {
-    OnMissing(read, now);
+    OnMissing(read, known, now);
   }
 }
 
 /// In the list of a new era, an order may be missing until it is written again.
-void RolloutDirector::OnMissing(const RolloutReadResult& read, TimePoint now) {
+void RolloutDirector::OnMissing(const RolloutReadResult& read,
+                                const KnownRollouts& known,
+                                TimePoint now) {
   std::set<ServiceName> found;
   for (const RolloutChange& change : read.changes) {
     found.insert(change.object.service);
@@ -93,6 +97,13 @@
       BeginHold(rollout, std::nullopt, era, now);
     }
   }
+  for (const auto& [service, rollout] : known) {
+    const RolloutDirectiveMessage& directive = rollout.directive;
+    if (!found.contains(service) && !m_rollouts.contains(service) &&
+        era > directive.rollout.era && !IsFinal(directive.phase)) {
+      StartHeld(rollout, std::nullopt, era, now);
+    }
+  }
 }
 
 void RolloutDirector::OnObject(const RolloutObject& object,
@@ -109,7 +120,7 @@
     return;
   }
   if (object.revision.era > known_era) {
-    OnObjectOfNewEra(rollout, object, now);
+    OnObjectOfNewEra(rollout, object, known, now);
     return;
   }
   if (!rollout.writing) {
@@ -125,7 +136,8 @@
                             now >= rollout.returns_until;
   if (rollout.withdrawn || is_restarted ||
       object.target_version != rollout.object.target_version) {
-    Replace(object, now);
+    const bool is_ordered_anew = rollout.withdrawn || is_restarted;
+    Replace(object, is_ordered_anew ? KnownRollouts{} : known, now);
     return;
   }
   Continue(rollout, object);
@@ -135,6 +147,7 @@
 /// have been lost.
 void RolloutDirector::OnObjectOfNewEra(Rollout& rollout,
                                        const RolloutObject& object,
+                                       const KnownRollouts& known,
                                        TimePoint now) {
   const std::string& version = rollout.object.target_version;
   if (IsFromBefore(object, version, rollout.first_seen,
@@ -143,7 +156,7 @@
     return;
   }
   if (object.target_version != version) {
-    Replace(object, now);
+    Replace(object, known, now);
     return;
   }
   rollout.has_lost_completion =
@@ -168,9 +181,11 @@
   }
 }
 
-void RolloutDirector::Replace(const RolloutObject& object, TimePoint now) {
+void RolloutDirector::Replace(const RolloutObject& object,
+                              const KnownRollouts& known,
+                              TimePoint now) {
   m_rollouts.erase(object.service);
-  Start(object, {}, now);
+  Start(object, known, now);
 }
 
 /// Continues the roll-out with the phase that an earlier judge has directed, or
@@ -179,13 +194,27 @@
                             const KnownRollouts& known,
                             TimePoint now) {
   StoreRevision id = object.revision;
+  TimePoint returns_until = TimePoint::min();
   RolloutJudge::Options options{.started = now, .duration = object.duration};
   const auto earlier = known.find(object.service);
-  if (earlier != known.end() &&
-      IsSameRollout(object, earlier->second.directive)) {
-    id = earlier->second.directive.rollout;
-    options.started = earlier->second.started;
-    options.phase = earlier->second.directive.phase;
+  if (earlier != known.end()) {
+    const RolloutDirectiveMessage& directive = earlier->second.directive;
+    if (IsFromBefore(object, directive.target_version, directive.rollout,
+                     directive.phase)) {
+      StartHeld(earlier->second, object, object.revision.era, now);
+      return;
+    }
+    if (IsSameRollout(object, directive)) {
+      id = directive.rollout;
+      options.started = earlier->second.started;
+      options.phase = directive.phase;
+      if (object.state == RolloutState::kNone && id.era < object.revision.era) {
+        returns_until = now + m_options.return_wait;
+      }
+    }
+  }
+  if (options.phase == RolloutPhase::kHeld) {
+    options.phase = RolloutPhase::kCanary;
   }
   if (IsFinal(object.state)) {
     options.phase = PhaseOf(object.state);
@@ -194,7 +223,30 @@
                               Rollout{.object = object,
                                       .id = id,
                                       .first_seen = object.revision,
-                                      .judge = RolloutJudge(options)});
+                                      .judge = RolloutJudge(options),
+                                      .returns_until = returns_until});
+}
+
+/// Holds a roll-out that an earlier judge has directed and the store lacks. Its
+/// duration is not known before the order is back.
+void RolloutDirector::StartHeld(const KnownRollout& known,
+                                const std::optional<RolloutObject>& shown,
+                                std::uint64_t era,
+                                TimePoint now) {
+  const RolloutDirectiveMessage& directive = known.directive;
+  const bool is_held = directive.phase == RolloutPhase::kHeld;
+  const RolloutJudge::Options options{
+      .started = known.started,
+      .phase = is_held ? RolloutPhase::kCanary : directive.phase};
+  const RolloutObject object{.service = directive.service,
+                             .target_version = directive.target_version,
+                             .revision = directive.rollout};
+  const auto started = m_rollouts.insert_or_assign(
+      directive.service, Rollout{.object = object,
+                                 .id = directive.rollout,
+                                 .first_seen = directive.rollout,
+                                 .judge = RolloutJudge(options)});
+  BeginHold(started.first->second, shown, era, now);
 }
 
 /// A further sight does not extend the hold.
@@ -233,7 +285,7 @@
     }
   }
   for (const RolloutObject& object : replacing) {
-    Replace(object, now);
+    Replace(object, {}, now);
   }
 }
 
--- a/packages/distribution/banyantrail/distribution/rollout_director.h
+++ b/packages/distribution/banyantrail/distribution/rollout_director.h
@@ -119,11 +119,20 @@
   void Start(const RolloutObject& object,
              const KnownRollouts& known,
              TimePoint now);
-  void Replace(const RolloutObject& object, TimePoint now);
+  void Replace(const RolloutObject& object,
+               const KnownRollouts& known,
+               TimePoint now);
+  void StartHeld(const KnownRollout& known,
+                 const std::optional<RolloutObject>& shown,
+                 std::uint64_t era,
+                 TimePoint now);
   void OnObjectOfNewEra(Rollout& rollout,
                         const RolloutObject& object,
+                        const KnownRollouts& known,
                         TimePoint now);
-  void OnMissing(const RolloutReadResult& read, TimePoint now);
+  void OnMissing(const RolloutReadResult& read,
+                 const KnownRollouts& known,
+                 TimePoint now);
   void Continue(Rollout& rollout, const RolloutObject& object) const;
   void BeginHold(Rollout& rollout,
                  const std::optional<RolloutObject>& shown,
--- a/tests/distribution/rollout_director_test.cc
+++ b/tests/distribution/rollout_director_test.cc
@@ -471,6 +471,50 @@
   CHECK(Current().rollout == other.revision);
 }
 
+// Guards against a roll-out that starts anew when the judge is killed while the
+// store is away.
+TEST(RolloutDirector, NextJudgeContinuesInANewEra) {
+  for (const RolloutPhase phase :
+       {RolloutPhase::kCanary, RolloutPhase::kRolledBack,
+        RolloutPhase::kCompleted}) {
+    director.Clear();
+    List(1, {Object(4, RolloutState::kNone, 1)}, Known(phase));
+    CHECK(Current().rollout == kId);
+    CHECK(Current().phase == phase);
+  }
+}
+
+// Guards against a hold that has no end, since its judge was killed.
+TEST(RolloutDirector, NextJudgeEndsTheHold) {
+  List(1, {Object(4, RolloutState::kNone, 1)}, Known(RolloutPhase::kHeld));
+  CHECK(Current().rollout == kId);
+  CHECK(Current().phase == RolloutPhase::kCanary);
+}
+
+TEST(RolloutDirector, NextJudgeHoldsWhatTheCopyLacks) {
+  for (const std::vector<RolloutObject>& shown :
+       {std::vector<RolloutObject>{},
+        {EarlierObject(3, RolloutState::kCompleted, 1)}}) {
+    director.Clear();
+    List(1, shown, Known(RolloutPhase::kCanary));
+    CHECK(Current().rollout == kId);
+    CHECK(Current().phase == RolloutPhase::kHeld);
+    CHECK_FALSE(director.NextWrite().has_value());
+    Read(Object(4, RolloutState::kNone, 1));
+    CHECK(Current().phase == RolloutPhase::kCanary);
+    CHECK(Current().rollout == kId);
+    CheckWrites(RolloutState::kRunning, Object(4, RolloutState::kNone, 1));
+  }
+}
+
+TEST(RolloutDirector, NextJudgeDoesNotTakeBackACompletion) {
+  List(1, {EarlierObject(3, RolloutState::kCompleted, 1)},
+       Known(RolloutPhase::kCompleted));
+  now += seconds(60);
+  CHECK(Current().rollout == kId);
+  CHECK(Current().phase == RolloutPhase::kCompleted);
+}
+
 // Guards against judges with different views of the store whose directives
 // displace each other.
 TEST(RolloutDirector, JudgesOfTwoErasDirectTheSameRollOut) {
@@ -507,3 +551,16 @@
   STRCMP_EQUAL("v2", Current().target_version.c_str());
   CHECK(Current().phase == RolloutPhase::kRolledBack);
 }
+
+// Guards against a bad version that is tried again since the operator writes
+// several lost orders at once.
+TEST(RolloutDirector, SeveralOrdersWrittenAgainEndWithTheKnownOne) {
+  RollBack();
+  List(1, {});
+  director.OnRead(
+      {.changes = {{.object = EarlierObject(3, RolloutState::kNone, 1)},
+                   {.object = Object(4, RolloutState::kNone, 1)}}},
+      false, Known(RolloutPhase::kRolledBack), now);
+  CHECK(Current().rollout == kId);
+  CHECK(Current().phase == RolloutPhase::kRolledBack);
+}
