The watch of roll-outs follows the store back to an older copy

Cause: the position never decreased, so that after a return the watch missed what has the numbers below it, or was refused with 410 for good, without a pause.

--- a/packages/distribution/banyantrail/distribution/rollout_store_task.h
+++ b/packages/distribution/banyantrail/distribution/rollout_store_task.h
@@ -98,16 +98,42 @@
       m_listed_term = term;
       co_return;
     }
+    const StoreRevision after = m_watch_revision;
     const RolloutReadResult read =
-        co_await m_store.AwaitRollouts(m_watch_revision, m_options.watch_wait);
-    m_listed_term = read.history_compacted ? 0 : m_listed_term;
+        co_await m_store.AwaitRollouts(after, m_options.watch_wait);
+    const bool is_of_one_era =
+        read.resume_after.era == after.era && after.era == m_watch_revision.era;
+    if (read.history_compacted || !is_of_one_era) {
+      co_await OnRefusedWatch();
+      co_return;
+    }
+    m_was_refused = false;
     m_watch_revision = std::max(m_watch_revision, read.resume_after);
     m_options.on_read(read, false);
   }
 
+  /// The changes since the position are not known: the store does not have them
+  /// or counts in another era. Lists again, at once only the first time in a
+  /// row.
+  asio::awaitable<void> OnRefusedWatch() {
+    m_listed_term = 0;
+    if (m_was_refused) {
+      co_await Sleep(m_options.retry_delay);
+    }
+    m_was_refused = true;
+  }
+
   asio::awaitable<void> List() {
+    const std::uint64_t era = m_watch_revision.era;
     const RolloutReadResult read = co_await m_store.ListRollouts();
-    m_watch_revision = std::max(m_watch_revision, read.resume_after);
+    const bool is_late = m_watch_revision.era != era &&
+                         read.resume_after.era < m_watch_revision.era;
+    if (is_late) {
+      co_return;
+    }
+    // The store may have come back from an older copy, so the position may
+    // decrease.
+    m_watch_revision = read.resume_after;
     m_options.on_read(read, true);
   }
 
@@ -165,6 +191,8 @@
   /// The term for which all roll-outs were listed. 0 until then, and after a
   /// failed watch: changes may have been missed.
   std::uint64_t m_listed_term = 0;
+  /// The last watch has returned no changes since its position.
+  bool m_was_refused = false;
   bool m_stopped = false;
 };
 
