A state of a roll-out isn't written over another era's

Cause: the write is conditional on a number, which in a new era may belong to another state of the object. It was sent, and the response was taken for the write's. Left: a write sent in the gap, before any answer of the new era, can take effect there if the numbers agree; the condition in the store's API has no era.

--- a/packages/distribution/banyantrail/distribution/rollout_store_task.h
+++ b/packages/distribution/banyantrail/distribution/rollout_store_task.h
@@ -149,9 +149,15 @@
     }
   }
 
-  /// After a conflict or an unknown outcome, reads what the store holds.
-  asio::awaitable<void> WriteOnce(RolloutWrite write) {
-    std::optional<bool> written;
+  /// The result of a write; empty if it is unknown. A revision of another era
+  /// is a conflict without a call: its number may belong to another state of
+  /// the object by now.
+  asio::awaitable<std::optional<bool>> Send(const RolloutWrite& write) {
+    std::optional<bool> written = false;
+    if (write.object.revision.era != m_watch_revision.era) {
+      co_return written;
+    }
+    written.reset();
     try {
       written = co_await m_store.WriteRolloutState(write.object, write.state);
     } catch (const std::exception& error) {
@@ -159,6 +165,12 @@
                 write.object.service.str() +
                 " failed and is repeated: " + std::string(error.what()) + ".");
     }
+    co_return written;
+  }
+
+  /// After a conflict or an unknown outcome, reads what the store holds.
+  asio::awaitable<void> WriteOnce(RolloutWrite write) {
+    const std::optional<bool> written = co_await Send(write);
     m_options.on_written(write, written);
     if (written.value_or(false)) {
       co_return;
--- a/tests/distribution/rollout_store_task_test.cc
+++ b/tests/distribution/rollout_store_task_test.cc
@@ -187,3 +187,35 @@
   CHECK(lists_sent >= 3);
   CHECK(lists_sent <= 11);
 }
+
+// Guards against a state that is written over another one, which has got the
+// same number in the new era.
+TEST(RolloutStoreTask, WriteOfAnotherEraIsNotSent) {
+  store.position = kAfter;
+  RunUntil([this] { return lists.size() > 1; });
+  const std::size_t before = lists.size();
+  due.push_back({.object = Object(kBefore), .state = RolloutState::kRunning});
+  RunUntil([this, before] { return lists.size() > before; });
+  CHECK(store.writes.empty());
+  LONGS_EQUAL(1, written.size());
+  CHECK(written.front() == std::optional<bool>(false));
+  due.push_back({.object = Object(kAfter), .state = RolloutState::kRunning});
+  RunUntil([this] { return !store.writes.empty(); });
+  LONGS_EQUAL(1, store.writes.size());
+  CHECK(store.writes.front() == kAfter);
+}
+
+// Guards against the objects of the earlier era being taken for the newest ones
+// when the response to a list is late.
+TEST(RolloutStoreTask, LateListOfTheEarlierEraIsDiscarded) {
+  due.push_back({.object = Object({.era = 9, .number = 1})});
+  store.list_delay = milliseconds(30);
+  RunUntil([this] { return store.list_delay == Duration{}; });
+  store.position = kAfter;
+  RunUntil([this] { return WatchesFrom(kAfter); });
+  // The late response comes in.
+  Run(milliseconds(60));
+  CHECK(lists.back().resume_after == kAfter);
+  CHECK(std::ranges::is_sorted(lists, {}, &RolloutReadResult::resume_after));
+  CHECK(store.watches.back() == kAfter);
+}
--- a/tests/platform/object_store_rollouts_test.cc
+++ b/tests/platform/object_store_rollouts_test.cc
@@ -108,6 +108,15 @@
   }
 };
 
+// Guards against a state that is taken for written since the number has become
+// that of another state in the new era.
+TEST(ObjectStoreRollouts, WriteAnsweredInAnotherEraIsAConflict) {
+  responses = {{.era = "3"}, {.era = "4"}, {}};
+  CHECK(Write({.era = 3, .number = 7}));
+  CHECK_FALSE(Write({.era = 3, .number = 7}));
+  CHECK(Write({.number = 7}));
+}
+
 // Guards against roll-outs that are withdrawn at once since the copy is from
 // before the first of them: the list names the era even without an object.
 TEST(ObjectStoreRollouts, ListWithoutAnObjectNamesTheEra) {
