Tests: nodes keep a roll-out over a change of era

Exposure control and participants order ids by era, then number, since StoreRevision does; the two tests RollOutOfALaterEraIsNewer and the one of judges of two eras hold that, and passed on the code before: no fault was found there. Ids are kept by the director, so that two judges direct the same one. Measured: with ids compared by number, both RollOutOfALaterEraIsNewer fail; with a roll-out that starts anew on another phase, JudgesOfTwoErasDoNotStartARollOutAnew fails.

--- a/tests/node/rollout_participant_test.cc
+++ b/tests/node/rollout_participant_test.cc
@@ -104,6 +104,26 @@
   LONGS_EQUAL(3, reports.front().message.counts[1]);
 }
 
+// Guards against evidence of an earlier roll-out in a later one, whose id has a
+// lower number since the store has come back from an older copy.
+TEST(RolloutParticipant, RollOutOfALaterEraIsNewer) {
+  Direct(RolloutPhase::kRolledBack);
+  Record(3, false, false);
+  Reports();
+  const banyantrail::StoreRevision later{.era = 1, .number = 2};
+  participant.OnDirective({.service = kService,
+                           .target_version = "v2",
+                           .rollout = later,
+                           .judge = NodeId("j2")},
+                          now);
+  Direct(RolloutPhase::kRolledBack);
+  CHECK(participant.known().at(kService).directive.rollout == later);
+  const auto reports = Reports();
+  STRCMP_EQUAL("j2", reports.front().judge.str().c_str());
+  CHECK(reports.front().message.rollout == later);
+  CHECK(reports.front().message.counts.empty());
+}
+
 // Guards against a completion while requests are in progress at old servers,
 // which stop at once.
 TEST(RolloutParticipant, ReportsWhenNothingIsInProgressAtOldServers) {
--- a/tests/traffic/exposure_control_test.cc
+++ b/tests/traffic/exposure_control_test.cc
@@ -218,3 +218,33 @@
   const VersionChoice choice = restarted.WithoutLimited(kService, now);
   CHECK(choice.excluded == std::set<std::string>{"v2"});
 }
+
+// Guards against exposure that starts anew with each directive while one judge
+// has seen the new era of the store and another has not.
+TEST(ExposureControl, JudgesOfTwoErasDoNotStartARollOutAnew) {
+  ShowNewVersion();
+  Apply(RolloutPhase::kCanary);
+  int sent = 0;
+  constexpr int kRequests = 200;
+  for (int i = 0; i < kRequests; ++i) {
+    Apply(i % 2 == 0 ? RolloutPhase::kHeld : RolloutPhase::kCanary);
+    sent += SentToNew(1);
+  }
+  // The share of the canary phase and the start credit, which is below 2.
+  CHECK(sent < 0.05 * kRequests + 2);
+  Apply(RolloutPhase::kRolledBack);
+  Apply(RolloutPhase::kCanary);
+  CHECK_FALSE(MayGetToNew());
+}
+
+// Guards against an order of the new era that an unaware judge displaces: its
+// id has a greater number.
+TEST(ExposureControl, RollOutOfALaterEraIsNewer) {
+  ShowNewVersion();
+  Apply(RolloutPhase::kRolledBack, 20);
+  RolloutDirectiveMessage later = Directive(RolloutPhase::kCanary, 3);
+  later.rollout.era = 1;
+  CHECK(control.Apply(later, now));
+  CHECK_FALSE(Apply(RolloutPhase::kRolledBack, 21));
+  CHECK(control.PhaseOf(kService, now) == RolloutPhase::kCanary);
+}
