--- a/packages/distribution/banyantrail/distribution/rollout_director.cc
+++ b/packages/distribution/banyantrail/distribution/rollout_director.cc
@@ -25,14 +25,32 @@
 }
 
 /// Whether the object is the roll-out that the directive was about, and not a
-/// later one of the same version.
+/// later one of the same version. In a new era the store may have lost the
+/// state of that roll-out.
 bool IsSameRollout(const RolloutObject& object,
                    const RolloutDirectiveMessage& directive) {
   if (object.target_version != directive.target_version) {
     return false;
   }
   return object.state != RolloutState::kNone ||
-         object.revision == directive.rollout;
+         object.revision == directive.rollout ||
+         object.revision.era > directive.rollout.era;
+}
+
+/// Whether an object of a new era is what the store held before the order of a
+/// roll-out to `target_version`, of which `since` is a revision in an earlier
+/// era: a copy keeps the numbers from before it was made. Without a state it is
+/// an order, and the operator's last word counts.
+bool IsFromBefore(const RolloutObject& object,
+                  const std::string& target_version,
+                  StoreRevision since,
+                  RolloutPhase phase) {
+  const bool is_older =
+      object.revision.era > since.era && object.revision.number < since.number;
+  if (object.target_version != target_version) {
+    return is_older && object.state != RolloutState::kNone;
+  }
+  return is_older && IsFinal(object.state) && PhaseOf(object.state) != phase;
 }
 
 }  // namespace
@@ -41,21 +59,49 @@
                              bool is_list,
                              const KnownRollouts& known,
                              TimePoint now) {
-  std::set<ServiceName> found;
   for (const RolloutChange& change : read.changes) {
-    const ServiceName& service = change.object.service;
-    found.insert(service);
-    const auto rollout = m_rollouts.find(service);
+    const auto rollout = m_rollouts.find(change.object.service);
     if (!change.deleted) {
       OnObject(change.object, known, now);
+    } else if (rollout != m_rollouts.end() && rollout->second.hold) {
+      rollout->second.hold->shown.reset();
     } else if (rollout != m_rollouts.end() &&
                change.object.revision >= rollout->second.object.revision) {
       Withdraw(rollout->second);
     }
   }
+  if (is_list) {
+    OnMissing(read, known, now);
+  }
+}
+
+/// In the list of a new era, an order may be missing until it is written again.
+void RolloutDirector::OnMissing(const RolloutReadResult& read,
+                                const KnownRollouts& known,
+                                TimePoint now) {
+  std::set<ServiceName> found;
+  for (const RolloutChange& change : read.changes) {
+    found.insert(change.object.service);
+  }
+  const std::uint64_t era = read.resume_after.era;
   for (auto& [service, rollout] : m_rollouts) {
-    if (is_list && !found.contains(service)) {
+    const std::uint64_t known_era = rollout.object.revision.era;
+    if (found.contains(service) || era < known_era) {
+      continue;
+    }
+    if (era == known_era) {
       Withdraw(rollout);
+    } else if (rollout.withdrawn) {
+      rollout.object.revision = {.era = era};
+    } else {
+      BeginHold(rollout, std::nullopt, era, now);
+    }
+  }
+  for (const auto& [service, rollout] : known) {
+    const RolloutDirectiveMessage& directive = rollout.directive;
+    if (!found.contains(service) && !m_rollouts.contains(service) &&
+        era > directive.rollout.era && !IsFinal(directive.phase)) {
+      StartHeld(rollout, std::nullopt, era, now);
     }
   }
 }
@@ -69,6 +115,14 @@
     return;
   }
   Rollout& rollout = found->second;
+  const std::uint64_t known_era = rollout.object.revision.era;
+  if (object.revision.era < known_era) {
+    return;
+  }
+  if (object.revision.era > known_era) {
+    OnObjectOfNewEra(rollout, object, known, now);
+    return;
+  }
   if (!rollout.writing) {
     rollout.is_in_doubt = false;
     rollout.may_be_completed = false;
@@ -78,41 +132,161 @@
   }
   const bool is_restarted = object.state == RolloutState::kNone &&
                             object.revision > rollout.object.revision &&
-                            rollout.object.state != RolloutState::kNone;
+                            rollout.object.state != RolloutState::kNone &&
+                            now >= rollout.returns_until;
   if (rollout.withdrawn || is_restarted ||
       object.target_version != rollout.object.target_version) {
-    m_rollouts.erase(found);
-    Start(object, {}, now);
+    const bool is_ordered_anew = rollout.withdrawn || is_restarted;
+    Replace(object, is_ordered_anew ? KnownRollouts{} : known, now);
+    return;
+  }
+  Continue(rollout, object);
+}
+
+/// The first sight of a roll-out in a new era is never a restart: the state may
+/// have been lost.
+void RolloutDirector::OnObjectOfNewEra(Rollout& rollout,
+                                       const RolloutObject& object,
+                                       const KnownRollouts& known,
+                                       TimePoint now) {
+  const std::string& version = rollout.object.target_version;
+  if (IsFromBefore(object, version, rollout.first_seen,
+                   rollout.judge.phase())) {
+    BeginHold(rollout, object, object.revision.era, now);
     return;
   }
+  if (object.target_version != version) {
+    Replace(object, known, now);
+    return;
+  }
+  rollout.has_lost_completion =
+      rollout.has_lost_completion || rollout.may_be_completed;
+  rollout.is_in_doubt = false;
+  rollout.hold.reset();
+  rollout.judge.SetHeld(false);
+  rollout.withdrawn = false;
+  rollout.first_seen = object.revision;
+  rollout.returns_until = now + m_options.return_wait;
+  Continue(rollout, object);
+}
+
+void RolloutDirector::Continue(Rollout& rollout,
+                               const RolloutObject& object) const {
   rollout.object = object;
   rollout.judge.SetDuration(object.duration);
   if (IsFinal(object.state)) {
+    rollout.has_lost_completion = false;
     rollout.judge.SetFinalPhase(PhaseOf(object.state),
                                 "the store has this state");
   }
 }
 
+void RolloutDirector::Replace(const RolloutObject& object,
+                              const KnownRollouts& known,
+                              TimePoint now) {
+  m_rollouts.erase(object.service);
+  Start(object, known, now);
+}
+
 /// Continues the roll-out with the phase that an earlier judge has directed, or
 /// starts it.
 void RolloutDirector::Start(const RolloutObject& object,
                             const KnownRollouts& known,
                             TimePoint now) {
   StoreRevision id = object.revision;
+  TimePoint returns_until = TimePoint::min();
   RolloutJudge::Options options{.started = now, .duration = object.duration};
   const auto earlier = known.find(object.service);
-  if (earlier != known.end() &&
-      IsSameRollout(object, earlier->second.directive)) {
-    id = earlier->second.directive.rollout;
-    options.started = earlier->second.started;
-    options.phase = earlier->second.directive.phase;
+  if (earlier != known.end()) {
+    const RolloutDirectiveMessage& directive = earlier->second.directive;
+    if (IsFromBefore(object, directive.target_version, directive.rollout,
+                     directive.phase)) {
+      StartHeld(earlier->second, object, object.revision.era, now);
+      return;
+    }
+    if (IsSameRollout(object, directive)) {
+      id = directive.rollout;
+      options.started = earlier->second.started;
+      options.phase = directive.phase;
+      if (object.state == RolloutState::kNone && id.era < object.revision.era) {
+        returns_until = now + m_options.return_wait;
+      }
+    }
+  }
+  if (options.phase == RolloutPhase::kHeld) {
+    options.phase = RolloutPhase::kCanary;
   }
   if (IsFinal(object.state)) {
     options.phase = PhaseOf(object.state);
   }
-  m_rollouts.insert_or_assign(
-      object.service,
-      Rollout{.object = object, .id = id, .judge = RolloutJudge(options)});
+  m_rollouts.insert_or_assign(object.service,
+                              Rollout{.object = object,
+                                      .id = id,
+                                      .first_seen = object.revision,
+                                      .judge = RolloutJudge(options),
+                                      .returns_until = returns_until});
+}
+
+/// Holds a roll-out that an earlier judge has directed and the store lacks. Its
+/// duration is not known before the order is back.
+void RolloutDirector::StartHeld(const KnownRollout& known,
+                                const std::optional<RolloutObject>& shown,
+                                std::uint64_t era,
+                                TimePoint now) {
+  const RolloutDirectiveMessage& directive = known.directive;
+  const bool is_held = directive.phase == RolloutPhase::kHeld;
+  const RolloutJudge::Options options{
+      .started = known.started,
+      .phase = is_held ? RolloutPhase::kCanary : directive.phase};
+  const RolloutObject object{.service = directive.service,
+                             .target_version = directive.target_version,
+                             .revision = directive.rollout};
+  const auto started = m_rollouts.insert_or_assign(
+      directive.service, Rollout{.object = object,
+                                 .id = directive.rollout,
+                                 .first_seen = directive.rollout,
+                                 .judge = RolloutJudge(options)});
+  BeginHold(started.first->second, shown, era, now);
+}
+
+/// A further sight does not extend the hold.
+void RolloutDirector::BeginHold(Rollout& rollout,
+                                const std::optional<RolloutObject>& shown,
+                                std::uint64_t era,
+                                TimePoint now) const {
+  const TimePoint until =
+      rollout.hold ? rollout.hold->until : now + m_options.return_wait;
+  rollout.hold = Hold{.until = until, .shown = shown, .era = era};
+  rollout.judge.SetHeld(true);
+}
+
+/// Whether the roll-out has ended, or its completion may have been written,
+/// which has stopped the other versions.
+bool RolloutDirector::IsDecided(const Rollout& rollout) {
+  return rollout.may_be_completed || rollout.has_lost_completion ||
+         IsFinal(rollout.judge.phase());
+}
+
+/// What the operator has not written again in time is withdrawn. A decision
+/// holds.
+void RolloutDirector::EndHolds(TimePoint now) {
+  std::vector<RolloutObject> replacing;
+  for (auto& [service, rollout] : m_rollouts) {
+    if (!rollout.hold || now < rollout.hold->until || IsDecided(rollout)) {
+      continue;
+    }
+    const Hold hold = *rollout.hold;
+    if (hold.shown) {
+      replacing.push_back(*hold.shown);
+    } else {
+      rollout.hold.reset();
+      rollout.object.revision = {.era = hold.era};
+      Withdraw(rollout);
+    }
+  }
+  for (const RolloutObject& object : replacing) {
+    Replace(object, {}, now);
+  }
 }
 
 void RolloutDirector::Withdraw(Rollout& rollout) {
@@ -133,9 +307,12 @@
 std::vector<RolloutDirector::DueDirective> RolloutDirector::Tick(
     const std::vector<RolloutJudge::RequiredNode>& required,
     TimePoint now) {
+  EndHolds(now);
   std::vector<DueDirective> due;
   for (auto& [service, rollout] : m_rollouts) {
-    if (!rollout.may_be_completed) {
+    const bool may_change =
+        !rollout.may_be_completed && !rollout.has_lost_completion;
+    if (may_change) {
       rollout.decision = rollout.judge.Decide(required, now);
     }
     const RolloutPhase phase = rollout.decision.phase;
@@ -188,6 +365,9 @@
   if (rollout.decision.phase == RolloutPhase::kRolledBack) {
     return RolloutState::kRolledBack;
   }
+  if (rollout.decision.phase == RolloutPhase::kCompleted) {
+    return RolloutState::kCompleted;
+  }
   return rollout.decision.may_complete ? RolloutState::kCompleted
                                        : RolloutState::kRunning;
 }
@@ -195,10 +375,10 @@
 std::optional<RolloutWrite> RolloutDirector::NextWrite() {
   for (auto& [service, rollout] : m_rollouts) {
     const RolloutState wanted = WantedState(rollout);
-    const bool is_due = rollout.directed && !rollout.withdrawn &&
-                        !rollout.writing && !rollout.is_in_doubt &&
-                        !IsFinal(rollout.object.state) &&
-                        rollout.object.state != wanted;
+    const bool is_due =
+        rollout.directed && !rollout.withdrawn && !rollout.hold &&
+        !rollout.writing && !rollout.is_in_doubt &&
+        !IsFinal(rollout.object.state) && rollout.object.state != wanted;
     if (is_due) {
       rollout.writing = wanted;
       rollout.may_be_completed = wanted == RolloutState::kCompleted;
@@ -211,7 +391,9 @@
 void RolloutDirector::OnWritten(const RolloutWrite& write,
                                 std::optional<bool> written) {
   const auto found = m_rollouts.find(write.object.service);
-  if (found == m_rollouts.end()) {
+  const bool is_of_this_rollout =
+      found != m_rollouts.end() && found->second.writing;
+  if (!is_of_this_rollout) {
     return;
   }
   Rollout& rollout = found->second;
@@ -221,8 +403,12 @@
     return;
   }
   rollout.may_be_completed = false;
-  rollout.object.state = write.state;
+  // A state that the store has accepted in an earlier era is lost with it.
+  if (write.object.revision.era == rollout.object.revision.era) {
+    rollout.object.state = write.state;
+  }
   if (IsFinal(write.state)) {
+    rollout.has_lost_completion = false;
     rollout.judge.SetFinalPhase(PhaseOf(write.state), rollout.decision.reason);
   }
 }
--- a/packages/distribution/banyantrail/distribution/rollout_director.h
+++ b/packages/distribution/banyantrail/distribution/rollout_director.h
@@ -34,6 +34,10 @@
     /// nodes confirm its promotion.
     Duration repeat_interval = milliseconds(1500);
     Duration promoted_repeat_interval = milliseconds(400);
+    /// How long a roll-out is held that the store lacks after a change of era:
+    /// the operator writes the lost order again. An order of the same version
+    /// within this time is that one, and no restart.
+    Duration return_wait = seconds(5);
   };
 
   /// A directive that is due, and whether its phase is new.
@@ -71,10 +75,27 @@
   void Clear() { m_rollouts.clear(); }
 
  private:
+  /// The roll-out is not in a store that has come back from an older copy.
+  struct Hold {
+    TimePoint until;
+    /// What the store shows in its place, if anything.
+    std::optional<RolloutObject> shown;
+    /// The era of that store.
+    std::uint64_t era = 0;
+  };
+
   struct Rollout {
+    /// The newest one of this roll-out.
     RolloutObject object;
     StoreRevision id;
+    /// Revision of the first object of this roll-out that was seen in the era
+    /// of `object`. What has a final state and a lower number is from before.
+    StoreRevision first_seen;
     RolloutJudge judge;
+    /// Set while the store, after a change of era, lacks the order.
+    std::optional<Hold> hold;
+    /// Until when an order of the same version is the lost one.
+    TimePoint returns_until = TimePoint::min();
     RolloutDecision decision;
     std::optional<RolloutPhase> directed;
     TimePoint directed_at{};
@@ -87,6 +108,9 @@
     /// The state "completed" may have been written, so the other versions may
     /// have stopped: the decision is not changed until that is known.
     bool may_be_completed = false;
+    /// The same when the store has come back from an older copy, for good: what
+    /// it shows no longer tells.
+    bool has_lost_completion = false;
   };
 
   void OnObject(const RolloutObject& object,
@@ -95,6 +119,27 @@
   void Start(const RolloutObject& object,
              const KnownRollouts& known,
              TimePoint now);
+  void Replace(const RolloutObject& object,
+               const KnownRollouts& known,
+               TimePoint now);
+  void StartHeld(const KnownRollout& known,
+                 const std::optional<RolloutObject>& shown,
+                 std::uint64_t era,
+                 TimePoint now);
+  void OnObjectOfNewEra(Rollout& rollout,
+                        const RolloutObject& object,
+                        const KnownRollouts& known,
+                        TimePoint now);
+  void OnMissing(const RolloutReadResult& read,
+                 const KnownRollouts& known,
+                 TimePoint now);
+  void Continue(Rollout& rollout, const RolloutObject& object) const;
+  void BeginHold(Rollout& rollout,
+                 const std::optional<RolloutObject>& shown,
+                 std::uint64_t era,
+                 TimePoint now) const;
+  void EndHolds(TimePoint now);
+  static bool IsDecided(const Rollout& rollout);
   static void Withdraw(Rollout& rollout);
   static RolloutState WantedState(const Rollout& rollout);
   Duration RepeatInterval(const Rollout& rollout) const;
--- a/packages/distribution/banyantrail/distribution/rollout_store_task.h
+++ b/packages/distribution/banyantrail/distribution/rollout_store_task.h
@@ -98,16 +98,42 @@
       m_listed_term = term;
       co_return;
     }
+    const StoreRevision after = m_watch_revision;
     const RolloutReadResult read =
-        co_await m_store.AwaitRollouts(m_watch_revision, m_options.watch_wait);
-    m_listed_term = read.history_compacted ? 0 : m_listed_term;
+        co_await m_store.AwaitRollouts(after, m_options.watch_wait);
+    const bool is_of_one_era =
+        read.resume_after.era == after.era && after.era == m_watch_revision.era;
+    if (read.history_compacted || !is_of_one_era) {
+      co_await OnRefusedWatch();
+      co_return;
+    }
+    m_was_refused = false;
     m_watch_revision = std::max(m_watch_revision, read.resume_after);
     m_options.on_read(read, false);
   }
 
+  /// The changes since the position are not known: the store does not have them
+  /// or counts in another era. Lists again, at once only the first time in a
+  /// row.
+  asio::awaitable<void> OnRefusedWatch() {
+    m_listed_term = 0;
+    if (m_was_refused) {
+      co_await Sleep(m_options.retry_delay);
+    }
+    m_was_refused = true;
+  }
+
   asio::awaitable<void> List() {
+    const std::uint64_t era = m_watch_revision.era;
     const RolloutReadResult read = co_await m_store.ListRollouts();
-    m_watch_revision = std::max(m_watch_revision, read.resume_after);
+    const bool is_late = m_watch_revision.era != era &&
+                         read.resume_after.era < m_watch_revision.era;
+    if (is_late) {
+      co_return;
+    }
+    // The store may have come back from an older copy, so the position may
+    // decrease.
+    m_watch_revision = read.resume_after;
     m_options.on_read(read, true);
   }
 
@@ -123,9 +149,15 @@
     }
   }
 
-  /// After a conflict or an unknown outcome, reads what the store holds.
-  asio::awaitable<void> WriteOnce(RolloutWrite write) {
-    std::optional<bool> written;
+  /// The result of a write; empty if it is unknown. A revision of another era
+  /// is a conflict without a call: its number may belong to another state of
+  /// the object by now.
+  asio::awaitable<std::optional<bool>> Send(const RolloutWrite& write) {
+    std::optional<bool> written = false;
+    if (write.object.revision.era != m_watch_revision.era) {
+      co_return written;
+    }
+    written.reset();
     try {
       written = co_await m_store.WriteRolloutState(write.object, write.state);
     } catch (const std::exception& error) {
@@ -133,6 +165,12 @@
                 write.object.service.str() +
                 " failed and is repeated: " + std::string(error.what()) + ".");
     }
+    co_return written;
+  }
+
+  /// After a conflict or an unknown outcome, reads what the store holds.
+  asio::awaitable<void> WriteOnce(RolloutWrite write) {
+    const std::optional<bool> written = co_await Send(write);
     m_options.on_written(write, written);
     if (written.value_or(false)) {
       co_return;
@@ -165,6 +203,8 @@
   /// The term for which all roll-outs were listed. 0 until then, and after a
   /// failed watch: changes may have been missed.
   std::uint64_t m_listed_term = 0;
+  /// The last watch has returned no changes since its position.
+  bool m_was_refused = false;
   bool m_stopped = false;
 };
 
