--- a/packages/core/banyantrail/core/revision.h
+++ b/packages/core/banyantrail/core/revision.h
@@ -53,7 +53,7 @@
 /// lack `known`: it has come back from an older copy, and may lack others that
 /// this node has never seen.
 constexpr bool Lacks(const Revision& shown, const Revision& known) {
-  return shown.era != known.era && shown.version < known.version;
+  return shown.era > known.era && shown.version < known.version;
 }
 
 /// Whether `revision` says anything to a node that has applied `applied`. Nodes
--- a/packages/distribution/banyantrail/distribution/configuration_store_task.h
+++ b/packages/distribution/banyantrail/distribution/configuration_store_task.h
@@ -84,6 +84,8 @@
   /// Receives the revision that the store shows as its newest, which may be
   /// older than one before.
   std::function<void(Revision)> on_store_head;
+  /// The revision that the node has applied, which peers may have sent.
+  std::function<Revision()> applied_revision = [] { return Revision{}; };
   /// Receives the revision that the store has just reported as its newest, and
   /// the size in bytes of the difference from the one before, and the store's
   /// era.
@@ -307,7 +309,8 @@
   asio::awaitable<void> ReadStaleConfiguration() {
     ReleaseReadResult read =
         co_await m_store.ReadRelease(ReadConsistency::kMayBeStale);
-    if (read.unreadable && read.unreadable->revision > delivered_revision()) {
+    if (read.unreadable &&
+        WithVersion(read.unreadable->revision) > newest_known()) {
       OnUnreadable(*read.unreadable);
     }
     if (read.release && read.release->revision > delivered_revision()) {
@@ -416,11 +419,7 @@
   /// copy. An unreadable one may have no version, and then counts as a newer
   /// one of the version that is known.
   void OnUnreadable(const UnreadableRelease& unreadable) {
-    UnreadableRelease newest = unreadable;
-    if (!IsComparable(newest.revision, newest_known())) {
-      newest.revision.version = newest_known().version;
-    }
-    const Revision revision = newest.revision;
+    const Revision revision = WithVersion(unreadable.revision);
     if (revision < newest_known()) {
       m_newest_is_unreadable = false;
       OnShown(revision);
@@ -431,7 +430,19 @@
     if (revision == newest_known()) {
       SetBehind(false, revision);
     }
-    m_options.on_release_unreadable(newest);
+    m_options.on_release_unreadable(
+        {.revision = revision, .reason = unreadable.reason});
+  }
+
+  /// The revision of a configuration whose version cannot be read: a newer one
+  /// of the version that is known, here or by way of peers.
+  Revision WithVersion(Revision revision) const {
+    const Revision known =
+        std::max(newest_known(), m_options.applied_revision());
+    if (!IsComparable(revision, known)) {
+      revision.version = known.version;
+    }
+    return revision;
   }
 
   /// The newest configuration that this node has read, whether it could apply
--- a/packages/distribution/banyantrail/distribution/key_lease.cc
+++ b/packages/distribution/banyantrail/distribution/key_lease.cc
@@ -24,12 +24,10 @@
       std::ranges::any_of(m_confirmations, [&](const Confirmation& known) {
         return Lacks(revision, known.revision);
       });
-  if (!revision.exists() || is_lacking) {
+  if (!revision.exists() || is_lacking || Lacks(revision, m_applied_by_peers)) {
     return;
   }
-  std::erase_if(m_confirmations, [&](const Confirmation& known) {
-    return known.revision.era > revision.era && Lacks(known.revision, revision);
-  });
+  DropWhatLacks(revision);
   if (m_confirmations.empty() && !m_new_era_at) {
     m_era = std::max(m_era, revision.era);
   }
@@ -50,6 +48,12 @@
   }
 }
 
+void KeyLease::DropWhatLacks(const Revision& revision) {
+  std::erase_if(m_confirmations, [&](const Confirmation& known) {
+    return Lacks(known.revision, revision);
+  });
+}
+
 void KeyLease::TrustNewEra() {
   for (const Confirmation& confirmation : m_confirmations) {
     m_era = std::max(m_era, confirmation.revision.era);
@@ -95,13 +99,16 @@
   const bool settles_era = m_new_era_at && sent->sent_at >= *m_new_era_at;
   Record({.revision = reply.revision,
           .confirmed_at = sent->sent_at - milliseconds(reply.age_ms)});
-  if (settles_era) {
+  m_applied_by_peers = std::max(m_applied_by_peers, reply.applied);
+  DropWhatLacks(m_applied_by_peers);
+  if (settles_era && reply.applied.exists()) {
     TrustNewEra();
   }
 }
 
 std::optional<ConfirmationReplyMessage> KeyLease::ReplyTo(
     const ConfirmationRequestMessage& request,
+    Revision applied,
     BootTimePoint now) const {
   const Confirmation* newest = nullptr;
   for (const Confirmation& known : m_confirmations) {
@@ -113,15 +120,17 @@
       newest = &known;
     }
   }
-  if (newest == nullptr) {
+  if (newest == nullptr && !applied.exists()) {
     return std::nullopt;
   }
-  const Duration age = now - newest->confirmed_at;
-  return ConfirmationReplyMessage{
-      .sequence = request.sequence,
-      .revision = newest->revision,
-      .age_ms = static_cast<std::uint32_t>(
-          std::chrono::ceil<milliseconds>(age).count())};
+  ConfirmationReplyMessage reply{.sequence = request.sequence,
+                                 .applied = applied};
+  if (newest != nullptr) {
+    reply.revision = newest->revision;
+    reply.age_ms = static_cast<std::uint32_t>(
+        std::chrono::ceil<milliseconds>(now - newest->confirmed_at).count());
+  }
+  return reply;
 }
 
 bool KeyLease::MayAcceptKeys(Revision applied, BootTimePoint now) const {
--- a/packages/distribution/banyantrail/distribution/key_lease.h
+++ b/packages/distribution/banyantrail/distribution/key_lease.h
@@ -48,8 +48,9 @@
 ///
 /// A copy that holds just the version of this node, which has missed the next
 /// one, looks like a store that has lost nothing. So confirmations of a later
-/// era count only once a peer, which may know more, has replied to a request
-/// that was sent after the first of them; or after `revocation`.
+/// era count only once a peer has replied, to a request that was sent after the
+/// first of them, what it has applied; or after `revocation`. One that lacks
+/// what a peer has applied is dropped.
 ///
 /// Performs no I/O; time is a parameter.
 class KeyLease {
@@ -79,9 +80,11 @@
   /// or has forgotten.
   void OnReply(const ConfirmationReplyMessage& reply);
 
-  /// The reply to a peer; empty if this node knows nothing of use to it.
+  /// The reply to a peer of a node that has applied `applied`; empty if this
+  /// node knows nothing of use to it.
   std::optional<ConfirmationReplyMessage> ReplyTo(
       const ConfirmationRequestMessage& request,
+      Revision applied,
       BootTimePoint now) const;
 
   /// Whether keys may be accepted by the configuration of revision `applied`.
@@ -99,6 +102,8 @@
   };
   void Record(const Confirmation& confirmation);
   void TrustNewEra();
+  /// Forgets confirmations of a store that lacks `revision`.
+  void DropWhatLacks(const Revision& revision);
   /// Whether the era of the confirmation counts.
   bool IsTrusted(const Confirmation& confirmation) const {
     return confirmation.revision.era <= m_era;
@@ -115,6 +120,8 @@
   std::vector<Confirmation> m_confirmations;
   /// The latest era whose confirmations count.
   std::uint64_t m_era = 0;
+  /// The newest revision that a peer has replied to have applied.
+  Revision m_applied_by_peers;
   /// When the first confirmation of a later era was sent.
   std::optional<BootTimePoint> m_new_era_at;
   std::deque<SentRequest> m_sent_requests;
--- a/packages/node/banyantrail/node/key_lease_runner.cc
+++ b/packages/node/banyantrail/node/key_lease_runner.cc
@@ -51,8 +51,9 @@
 bool KeyLeaseRunner::OnPeerMessage(const NodeId& from,
                                    const PeerMessage& message) {
   if (const auto* request = std::get_if<ConfirmationRequestMessage>(&message)) {
-    const auto reply =
-        m_lease ? m_lease->ReplyTo(*request, BootClock::Now()) : std::nullopt;
+    const auto reply = m_lease ? m_lease->ReplyTo(*request, m_routed_revision,
+                                                  BootClock::Now())
+                               : std::nullopt;
     if (reply) {
       m_send(from, *reply);
     }
--- a/packages/node/banyantrail/node/node.cc
+++ b/packages/node/banyantrail/node/node.cc
@@ -234,6 +234,10 @@
           [&components](Revision revision) {
             components.control->OnPlatformHead(revision);
           },
+      .applied_revision =
+          [&components] {
+            return components.control->applied_release()->revision;
+          },
       .on_store_confirmed =
           [&components](Revision revision, std::size_t change_bytes,
                         std::uint64_t store_era) {
--- a/packages/node/banyantrail/node/node_services.h
+++ b/packages/node/banyantrail/node/node_services.h
@@ -43,6 +43,8 @@
   std::function<void(Revision, std::string)> on_release_unreadable;
   /// The newest revision in the store was read.
   std::function<void(Revision)> on_store_head;
+  /// The revision that is applied.
+  std::function<Revision()> applied_revision;
   /// The store has confirmed that this is its newest revision. The second
   /// argument is the size in bytes of the change from the preceding one, the
   /// third one the store's era.
--- a/packages/wire/banyantrail/wire/peer_messages.h
+++ b/packages/wire/banyantrail/wire/peer_messages.h
@@ -251,6 +251,8 @@
   Revision revision;
   /// Rounded up.
   std::uint32_t age_ms = 0;
+  /// What the sender has applied; builds from before eras do not send it.
+  Revision applied;
 
   friend bool operator==(const ConfirmationReplyMessage&,
                          const ConfirmationReplyMessage&) = default;
@@ -258,7 +260,10 @@
                  revision.number,
                  age_ms,
                  revision.version,
-                 revision.era)
+                 revision.era,
+                 applied.number,
+                 applied.version,
+                 applied.era)
 };
 
 /// Asks the holder of a team's tokens for tokens, see TeamQuotas.
--- a/tests/ctl/rule_status_test.cc
+++ b/tests/ctl/rule_status_test.cc
@@ -144,9 +144,10 @@
   selector.requirements = {
       {.key = "tier", .op = banyantrail::LabelOperator::kExists}};
   Put(selector, objects);
-  const auto statuses = ComputeRuleStatus(
-      {.domains = {ReportedDomainWith("a", kDeclared)}},
-      {.revision = kDeclared, .objects = objects}, {{kDeclared, objects}});
+  const auto statuses =
+      ComputeRuleStatus({.domains = {ReportedDomainWith("a", kDeclared)}},
+                        {.revision = {.number = kDeclared}, .objects = objects},
+                        {{kDeclared, objects}});
   const ProxyRuleStatus& status = statuses.at(0).proxies.at(0);
   CHECK(status.state == RuleState::kNotChosen);
   STRCMP_EQUAL("needs tier exists, but the proxy has no label tier",
--- a/tests/distribution/key_lease_property_test.cc
+++ b/tests/distribution/key_lease_property_test.cc
@@ -257,7 +257,7 @@
           std::size_t from,
           const ConfirmationRequestMessage& request) {
     Node& node = m_nodes[index];
-    const auto reply = node.lease.ReplyTo(request, Clock(node));
+    const auto reply = node.lease.ReplyTo(request, node.applied, Clock(node));
     if (reply) {
       Send(index, from, *reply);
     }
--- a/tests/distribution/key_lease_test.cc
+++ b/tests/distribution/key_lease_test.cc
@@ -39,7 +39,7 @@
 // A node that has just started may hold a configuration of any age.
 TEST(KeyLease, StartedNodeAcceptsNoKeys) {
   CHECK_FALSE(lease.MayAcceptKeys(At(7), start));
-  CHECK_FALSE(lease.ReplyTo({.sequence = 1}, start).has_value());
+  CHECK_FALSE(lease.ReplyTo({.sequence = 1}, {}, start).has_value());
 }
 
 TEST(KeyLease, EndsBeforeTheRevocationTimeAfterTheReadWasSent) {
@@ -81,11 +81,13 @@
 
 TEST(KeyLease, RepliesWithTheAgeRoundedUp) {
   lease.OnStoreConfirmed(At(7), start);
-  const auto reply = lease.ReplyTo(
-      {.sequence = 4}, start + milliseconds(20) + std::chrono::nanoseconds(1));
+  const auto reply =
+      lease.ReplyTo({.sequence = 4}, {},
+                    start + milliseconds(20) + std::chrono::nanoseconds(1));
   CHECK(reply == ConfirmationReplyMessage(
                      {.sequence = 4, .revision = {.number = 7}, .age_ms = 21}));
-  CHECK_FALSE(lease.ReplyTo({.sequence = 4}, start + seconds(5)).has_value());
+  CHECK_FALSE(
+      lease.ReplyTo({.sequence = 4}, {}, start + seconds(5)).has_value());
 }
 
 // The first watcher is killed or cut off from the store: the next ones are
@@ -130,7 +132,7 @@
   lease.OnStoreConfirmed(shown, start + seconds(4));
   CHECK(lease.MayAcceptKeys(applied, start + seconds(4)));
   CHECK_FALSE(lease.MayAcceptKeys(applied, start + seconds(5)));
-  CHECK(lease.ReplyTo({.sequence = 1}, start + seconds(4))->revision ==
+  CHECK(lease.ReplyTo({.sequence = 1}, {}, start + seconds(4))->revision ==
         applied);
   const Revision again{.version = 7, .era = 2, .number = 96};
   lease.OnStoreConfirmed(again, start + seconds(6));
@@ -150,8 +152,14 @@
   CHECK_FALSE(lease.MayAcceptKeys(shown, now));
   const auto request = lease.NextRequest(kPeers, shown, now);
   CHECK(request.has_value());
-  lease.OnReply({.sequence = request->message.sequence, .revision = missed});
+  // The peer got the version by a push, and confirms an older one itself.
+  lease.OnReply({.sequence = request->message.sequence,
+                 .revision = shown,
+                 .applied = missed});
   CHECK_FALSE(lease.MayAcceptKeys(shown, now));
+  lease.OnStoreConfirmed(shown, now + seconds(6));
+  CHECK_FALSE(lease.NextRequest({}, shown, now + seconds(6)).has_value());
+  CHECK_FALSE(lease.MayAcceptKeys(shown, now + seconds(6)));
 }
 
 TEST(KeyLease, ReplyOfAPeerThatKnowsNoMoreSettlesTheNewEra) {
@@ -160,9 +168,28 @@
   lease.OnStoreConfirmed(shown, start + seconds(1));
   const auto request = lease.NextRequest(kPeers, shown, start + seconds(1));
   lease.OnReply({.sequence = request->message.sequence, .revision = shown});
+  CHECK_FALSE(lease.MayAcceptKeys(shown, start + seconds(5)));
+  lease.OnReply({.sequence = request->message.sequence,
+                 .revision = shown,
+                 .applied = shown});
   CHECK(lease.MayAcceptKeys(shown, start + seconds(5)));
 }
 
+// The next version comes without the lost one being written again.
+TEST(KeyLease, ConfirmationFromBeforeTheChangeHoldsForTheNextVersion) {
+  lease.OnStoreConfirmed({.version = 7, .era = 1, .number = 90}, start);
+  const Revision next{.version = 8, .era = 2, .number = 81};
+  lease.OnStoreConfirmed(next, start + seconds(1));
+  CHECK(lease.MayAcceptKeys(next, start + seconds(1)));
+}
+
+TEST(KeyLease, RepliesWhatItHasAppliedWithoutAConfirmation) {
+  const Revision applied{.version = 7, .era = 1, .number = 90};
+  const auto reply = lease.ReplyTo({.sequence = 4}, applied, start);
+  CHECK(reply->applied == applied);
+  CHECK_FALSE(reply->revision.exists());
+}
+
 // A node whose peers are all lost is not shut out for ever.
 TEST(KeyLease, NewEraCountsAfterTheRevocationTimeWithoutAReply) {
   const Revision shown{.version = 7, .era = 2, .number = 80};
--- a/tests/distribution/status_summary_test.cc
+++ b/tests/distribution/status_summary_test.cc
@@ -11,7 +11,6 @@
 using banyantrail::milliseconds;
 using banyantrail::NodeId;
 using banyantrail::ParseDomainStatus;
-using banyantrail::Revision;
 using banyantrail::seconds;
 using banyantrail::StatusSummary;
 
--- a/tests/membership/membership_table_test.cc
+++ b/tests/membership/membership_table_test.cc
@@ -1,4 +1,5 @@
 #include "banyantrail/membership/membership_table.h"
+#include "support/revisions.h"
 
 // Included before CppUTest, whose `new` macro breaks this header.
 #include <rapidcheck.h>
@@ -40,7 +41,8 @@
             .sequence = static_cast<std::uint64_t>(sequence),
             .state = static_cast<MemberState>(state),
             .draining = sequence % 2 == 0,
-            .applied_revision = static_cast<banyantrail::Revision>(revision)};
+            .applied_revision =
+                banyantrail::testing::At(static_cast<std::uint64_t>(revision))};
       });
 }
 
--- a/tests/platform/configuration_store_task_test.cc
+++ b/tests/platform/configuration_store_task_test.cc
@@ -75,6 +75,7 @@
   std::shared_ptr<ConfigurationStoreTask<ObjectStore>> task;
   std::vector<Revision> releases;
   std::vector<Revision> unreadable;
+  Revision applied;
   std::vector<IpEndpoint> peers;
   std::vector<std::string> events;
   bool joined = false;
@@ -163,6 +164,7 @@
             },
         .on_store_head =
             [this](Revision revision) { heads.push_back(revision); },
+        .applied_revision = [this] { return applied; },
         .on_store_confirmed =
             [this](Revision revision, std::size_t bytes, std::uint64_t era) {
               confirmed.push_back(revision);
@@ -791,6 +793,19 @@
   CHECK(RunUntil([&] { return store_reads.back().revision.version == 3; }));
 }
 
+// A follower has applied what its peers sent, and reads the store only for what
+// they cannot send.
+TEST(ConfigurationStoreTask, UnreadableWithoutVersionIsNewerThanWhatPeersSent) {
+  stand_in.Write("config", "main", Versioned("1"));
+  StartInEra(4);
+  CHECK(RunUntil([&] { return !releases.empty(); }));
+  applied = {.version = 9, .era = 4, .number = 1};
+  stand_in.Write("config", "main", {{"services", "none"}});
+  CHECK(RunUntil([&] { return !unreadable.empty(); }));
+  CHECK(unreadable.back() > applied);
+  LONGS_EQUAL(9, unreadable.back().version);
+}
+
 TEST(ConfigurationStoreTask, CountsOnceThatTheStoreIsBehind) {
   stand_in.Write("config", "main", Versioned("1"));
   StartInEra(4);
--- a/tests/process/odd_configuration_process_test.py
+++ b/tests/process/odd_configuration_process_test.py
@@ -205,11 +205,15 @@
         twice["tenants"] = [{"name": name, "api_keys": [KEY]}
                             for name in ("one", "two")]
         unreadable = dict(copy.deepcopy(self.base), virtual_hosts="none")
-        for specification, reason in (
-                (twice, "shares a key with team/one"),
-                (unreadable, "virtual_hosts is not an array")):
-            with self.subTest(reason=reason):
-                self.write(dict(specification, version=self.next_version()))
+        for specification, reason, has_version in (
+                (twice, "shares a key with team/one", True),
+                (unreadable, "virtual_hosts is not an array", True),
+                (unreadable, "virtual_hosts is not an array", False)):
+            with self.subTest(reason=reason, has_version=has_version):
+                self.write(dict(specification, version=self.next_version())
+                           if has_version else
+                           {key: value for key, value in specification.items()
+                            if key != "version"})
                 revision = self.fleet.store.revision
                 for node in self.fleet.nodes:
                     self.check_reported(node, revision, reason)
--- a/tests/process/status_report_process_test.py
+++ b/tests/process/status_report_process_test.py
@@ -217,15 +217,22 @@
              "specification": {"virtual_hosts": "none"}}))
         revision = self.fleet.store.revision
 
-        def is_refused():
-            refused = self.status_of(self.fleet.nodes[0])["refused"]
+        def is_refused(node):
+            refused = self.status_of(node)["refused"]
             return refused and refused["revision"] == revision
 
-        harness.wait_until(is_refused, 5, "the node reports the refusal")
-        self.check_applied(applied)
-        self.check_applied(self.write_version(0x1b))
         for node in self.fleet.nodes:
-            self.assertIsNone(self.status_of(node)["refused"])
+            harness.wait_until(lambda node=node: is_refused(node),
+                               PROPAGATION_S, f"{node.name} refuses it")
+            status = self.status_of(node)
+            self.assertEqual(applied,
+                             {name: status[name] for name in applied})
+        good = self.write_version(0x1b)
+        for node in self.fleet.nodes:
+            harness.wait_until(
+                lambda node=node: self.status_of(node)["refused"] is None,
+                PROPAGATION_S, f"{node.name} reports no refusal")
+        self.check_applied(good)
 
 
 if __name__ == "__main__":
--- a/tests/wire/frame_codec_test.cc
+++ b/tests/wire/frame_codec_test.cc
@@ -79,10 +79,11 @@
 TEST(FrameCodec, DecodesTheMessagesOfTheKeyLease) {
   const PeerMessage request =
       banyantrail::ConfirmationRequestMessage{.sequence = 0xFEDCBA9876543210};
-  const PeerMessage reply =
-      banyantrail::ConfirmationReplyMessage{.sequence = 0xFEDCBA9876543210,
-                                            .revision = {.number = 4711},
-                                            .age_ms = 812};
+  const PeerMessage reply = banyantrail::ConfirmationReplyMessage{
+      .sequence = 0xFEDCBA9876543210,
+      .revision = {.number = 4711},
+      .age_ms = 812,
+      .applied = {.version = 3, .era = 2, .number = 4710}};
   CHECK(RoundTrip(request) == request);
   CHECK(RoundTrip(reply) == reply);
 }
